--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -271,3 +271,11 @@
 	}
 	return true
 }
+
+// Instance returns a row of the list of instances.
+func (p *Platform) Instance(name string) (storer.Instance, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i, ok := p.instances[name]
+	return i, ok
+}
