internal/prober, internal/streamer: drop what a replica generated while a member was away

Cause: a session in which a member was frozen for 400 ms and came back as if nothing happened passed five chunks of garbage to the caller. A chunk was passed on once a probe sent after its arrival was answered; the probe after the pause satisfied that although the member had been away when the chunk was generated.

Ruled out: the length of the evidence limit (the pause was shorter), the hold (a longer one only moves the same probe).

Change: a probe that took more than two intervals, failed, or followed a gap starts the instance's presence anew, and a chunk that arrived before all members were present without a gap is dropped; the answer goes on from the token before.

A pause shorter than two probe intervals can't be seen by probes.

--- a/internal/composer/entry.go
+++ b/internal/composer/entry.go
@@ -1,7 +1,9 @@
 package composer
 
 import (
+	"context"
 	"io"
+	"time"
 
 	"go.uber.org/fx"
 
@@ -9,6 +11,7 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/configurer"
 	"github.com/lycheebarrow/lycheebarrow/internal/dispatcher"
 	"github.com/lycheebarrow/lycheebarrow/internal/loader"
+	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 	"github.com/lycheebarrow/lycheebarrow/internal/networker"
 	"github.com/lycheebarrow/lycheebarrow/internal/prober"
 	"github.com/lycheebarrow/lycheebarrow/internal/recorder"
@@ -56,10 +59,24 @@
 	if err != nil {
 		return err
 	}
-	k.serve("callers", l, s.Handler(), s.Drain)
+	k.serve("callers", l, s.Handler(), func(ctx context.Context) { k.drain(ctx, s) })
 	return k.services.Register(NameServer, s)
 }
 
+// drain ends readiness, goes on serving while balancers notice, and then lets
+// the server take no new work.
+func (k *kernel) drain(ctx context.Context, s *server.Server) {
+	close(k.stopping)
+	k.log.Event("drain", logger.Fields{"notice": k.settings.DrainNotice()})
+	t := time.NewTimer(k.settings.DrainNotice())
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	s.Drain()
+}
+
 // views finds the services that most others read.
 func views(k *kernel) (*configurer.Configurer, *watcher.Watcher, *prober.Prober, error) {
 	c, err := registrar.Find[*configurer.Configurer](&k.services, NameConfigurer)
--- a/internal/composer/kernel.go
+++ b/internal/composer/kernel.go
@@ -44,6 +44,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	group  sync.WaitGroup
+
+	// stopping is closed when a graceful shutdown begins; readiness ends then.
+	stopping chan struct{}
 }
 
 // build makes one service.
@@ -55,7 +58,7 @@
 		fx.NopLogger,
 		fx.StopTimeout(stopTimeout(s)),
 		fx.Provide(func(l fx.Lifecycle) *kernel {
-			k := &kernel{settings: s, network: network, log: logger.New(output, s.Name()), life: l}
+			k := &kernel{settings: s, network: network, log: logger.New(output, s.Name()), life: l, stopping: make(chan struct{})}
 			k.ctx, k.cancel = context.WithCancel(context.Background())
 			l.Append(fx.StopHook(func() {
 				k.cancel()
@@ -103,7 +106,7 @@
 
 // serve serves h on l; at the stop it calls before, and waits until every
 // request has its answer or the drain limit has passed.
-func (k *kernel) serve(name string, l net.Listener, h http.Handler, before func()) {
+func (k *kernel) serve(name string, l net.Listener, h http.Handler, before func(ctx context.Context)) {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: _headerTimeout, MaxHeaderBytes: 64 << 10}
 	k.life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -116,7 +119,7 @@
 		},
 		OnStop: func(ctx context.Context) error {
 			if before != nil {
-				before()
+				before(ctx)
 			}
 			if d := k.settings.DrainLimit(); d > 0 {
 				var cancel context.CancelFunc
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -22,6 +22,9 @@
 	RolePlacer Role = "placer"
 )
 
+// _drainNotice is the default of drain-notice.
+const _drainNotice = 3 * time.Second
+
 // _minSecretBytes is the least length of the cluster secret.
 const _minSecretBytes = 16
 
@@ -44,6 +47,7 @@
 	peerSeeds       string
 	peerSecret      string
 	drainLimit      time.Duration
+	drainNotice     time.Duration
 	maxBodyBytes    int64
 }
 
@@ -78,6 +82,7 @@
 	if s.role == RoleEntry {
 		set.StringVar(&s.callersListen, "callers-listen", "", "`address` of the callers' API")
 		set.DurationVar(&s.drainLimit, "drain-limit", 0, "longest graceful shutdown; 0 waits for every answer")
+		set.DurationVar(&s.drainNotice, "drain-notice", _drainNotice, "time between the end of readiness and the end of new work")
 		set.Int64Var(&s.maxBodyBytes, "max-body-bytes", 1<<20, "largest request `body`")
 	}
 }
@@ -127,6 +132,9 @@
 	if s.drainLimit < 0 {
 		fault("drain-limit", "0 or more, such as 90s")
 	}
+	if s.drainNotice < 0 {
+		fault("drain-notice", "0 or more, such as 5s")
+	}
 	return errors.Join(faults...)
 }
 
@@ -171,6 +179,10 @@
 // DrainLimit returns the longest graceful shutdown; 0 means no limit.
 func (s Settings) DrainLimit() time.Duration { return s.drainLimit }
 
+// DrainNotice returns how long an entry that shuts down goes on taking new work
+// after it stopped being ready, so that balancers have time to notice.
+func (s Settings) DrainNotice() time.Duration { return s.drainNotice }
+
 // MaxBodyBytes returns the size of the largest request body.
 func (s Settings) MaxBodyBytes() int64 { return s.maxBodyBytes }
 
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -10,6 +10,10 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
 )
 
+// _promptIntervals is how many intervals an answer may take to count as prompt.
+// An instance that was slower may have been paused, so its presence starts anew.
+const _promptIntervals = 2
+
 // Asker asks the instance at an address about itself.
 type Asker interface {
 	Status(ctx context.Context, address string) (messenger.Status, error)
@@ -26,6 +30,7 @@
 type Evidence struct {
 	status messenger.Status
 	sent   time.Time
+	since  time.Time
 	failed bool
 }
 
@@ -36,6 +41,10 @@
 // none.
 func (e Evidence) Sent() time.Time { return e.sent }
 
+// Since returns since when the instance has answered every probe promptly; zero
+// where there is no word of it.
+func (e Evidence) Since() time.Time { return e.since }
+
 // Failed says that the newest probe got no answer.
 func (e Evidence) Failed() bool { return e.failed }
 
@@ -118,6 +127,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	answered := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.evidence[t.Instance]
@@ -127,13 +137,27 @@
 		}
 		e.failed = true
 	} else {
-		e = Evidence{status: s, sent: sent}
+		e = Evidence{status: s, sent: sent, since: presence(e, s.Boot, sent, answered, t.Interval)}
 	}
 	p.evidence[t.Instance] = e
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
 
+// presence returns since when an instance has been present without a gap, after
+// one more answer.
+func presence(before Evidence, boot string, sent, answered time.Time, interval time.Duration) time.Time {
+	limit := _promptIntervals * interval
+	if answered.Sub(sent) > limit {
+		return answered
+	}
+	gap := sent.Sub(before.sent) > limit
+	if before.since.IsZero() || before.failed || gap || before.status.Boot != boot {
+		return sent
+	}
+	return before.since
+}
+
 // Evidence returns what is known of an instance.
 func (p *Prober) Evidence(instance string) Evidence {
 	p.mu.Lock()
@@ -166,6 +190,21 @@
 	return oldest
 }
 
+// Since returns since when every member of the replica has been present without
+// a gap that the probes could see. What the replica generated before may have
+// been generated without one of them.
+func (p *Prober) Since(r *wire.Replica) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var latest time.Time
+	for _, m := range r.GetMembers() {
+		if s := p.evidence[m].since; s.After(latest) {
+			latest = s
+		}
+	}
+	return latest
+}
+
 // Leaving says that a member of the replica announced that it leaves.
 func (p *Prober) Leaving(r *wire.Replica) bool {
 	p.mu.Lock()
--- a/internal/session/commands_test.go
+++ b/internal/session/commands_test.go
@@ -20,6 +20,9 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/standin"
 )
 
+// _callGap is the time between the starts of two calls.
+const _callGap = 10 * time.Millisecond
+
 // command is one command of a script.
 type command func(ts *testscript.TestScript, w *world, args []string)
 
@@ -140,6 +143,8 @@
 	done := make(chan string, 1)
 	w.calls[name] = done
 	w.group.Go(func() { done <- f() })
+	// Calls that start at one instant would run in any order.
+	time.Sleep(_callGap)
 }
 
 func draftCommand(stream bool) command {
--- a/internal/standin/chat.go
+++ b/internal/standin/chat.go
@@ -20,6 +20,9 @@
 // set with "[tokens=N]".
 const _defaultTokens = 64
 
+// _garbage is what a leader generates without all of its members.
+const _garbage = "garbage "
+
 var _tokensWanted = regexp.MustCompile(`\[tokens=(\d+)\]`)
 
 var (
@@ -143,6 +146,9 @@
 			e.requireMembers(ctx, o)
 			checked = time.Now()
 		}
+		if f.IgnoreMembers && !e.membersPresent(ctx, o) {
+			words[i] = _garbage
+		}
 		e.emit(w, q, echo, i, words[i], i == len(words)-1)
 		if f.Repeat {
 			e.emit(w, q, echo, i, words[i], i == len(words)-1)
--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -45,6 +45,8 @@
 // Confirmer says when a replica was last seen whole.
 type Confirmer interface {
 	Confirmed(r *wire.Replica) time.Time
+	// Since says since when all members have been present without a gap.
+	Since(r *wire.Replica) time.Time
 	Changed() <-chan struct{}
 }
 
@@ -266,12 +268,12 @@
 	}
 	for {
 		changed := s.confirmer.Changed()
+		if s.lapsed(r, l) || s.confirmer.Since(r).After(h.arrived) {
+			return ErrUnconfirmed
+		}
 		if !s.confirmer.Confirmed(r).Before(h.arrived.Add(-l.Window)) {
 			return nil
 		}
-		if s.lapsed(r, l) {
-			return ErrUnconfirmed
-		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
