internal/placer: judge silence by failed probes, drain and roll one at a time, fence earlier holders

Cause: a lease that lapsed for a moment, or a placer that was paused, dropped the evidence and the next round took every instance for silent: 20 s without the platform reloaded every replica of the data centre. A changed group drained all of its replicas at once. A member that paused for 10 s without a spare cost a whole load. A leaving member's replica was reloaded under its work. A placement was written with the version of a later view than the one decided on. Two holders with different lists could place one instance in two domains.

Change: an instance is silent by the sending times of probes that failed, which don't grow in a pause. A new holder writes each placement once with its term before it decides, so that writes under way of an earlier holder fail; after that it reads placements only after a failed write. Broken replicas are held until a spare or the member comes back; cool-downs grow with each fault; groups are mended and sized in the order of priority; loads are bounded by policy.max_loads; rolls form first and drain after. The lease has a goroutine of its own: a holder renews with one write a second, a seeker reads once in 3 s. Orders don't hold up a round, and repeat with backoff to instances that answer.

Ruled out: to keep the judgement in a grace after taking the lease, since a paused process keeps its lease term.

--- /dev/null
+++ b/internal/former/size.go
@@ -0,0 +1,266 @@
+package former
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/validator"
+	"github.com/lycheebarrow/lycheebarrow/internal/wire"
+)
+
+// _darkAfter is how long a whole fabric domain must be silent before its
+// replicas are formed elsewhere; a switch that restarts takes less.
+const _darkAfter = 5 * time.Second
+
+// census is what a group has, without what drains.
+type census struct {
+	// serving, forming and broken are what the group declares.
+	serving, forming, broken []located
+	// dark counts the broken ones whose domain may come back at any moment.
+	dark int
+	// old and oldBroken are of an earlier declaration.
+	old, oldBroken []located
+}
+
+// census counts the group's replicas.
+func (w *work) census(name string, g validator.Group) census {
+	var c census
+	for _, x := range w.all() {
+		if x.replica.GetGroup() != name || draining(x.replica) {
+			continue
+		}
+		current, whole := matches(x.replica, g), w.fault(x) == ""
+		switch {
+		case current && whole && x.replica.GetState() == wire.ReplicaState_REPLICA_STATE_SERVING:
+			c.serving = append(c.serving, x)
+		case current && whole:
+			c.forming = append(c.forming, x)
+		case current:
+			c.broken = append(c.broken, x)
+			if w.maybeBack(x) {
+				c.dark++
+			}
+		case whole:
+			c.old = append(c.old, x)
+		default:
+			c.oldBroken = append(c.oldBroken, x)
+		}
+	}
+	return c
+}
+
+// surveyed says that something is known of every instance, so that one which
+// did not answer yet isn't taken for missing room.
+func (w *work) surveyed() bool {
+	for _, i := range w.state.Instances {
+		if !i.Answered && i.Silence < w.former.DeadAfter {
+			return false
+		}
+	}
+	return true
+}
+
+// brokenFor returns for how long a replica has been broken.
+func (w *work) brokenFor(x located) time.Duration {
+	l := w.life(x.replica)
+	if l.brokenSince.IsZero() {
+		return 0
+	}
+	return w.now.Sub(l.brokenSince)
+}
+
+// maybeBack says that the replica's whole domain fell silent only now: a probe of
+// every instance there failed.
+func (w *work) maybeBack(x located) bool {
+	if w.brokenFor(x) >= _darkAfter {
+		return false
+	}
+	for _, i := range w.state.Instances {
+		if i.Domain == x.domain && i.Silence == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// size brings a group to its declared replicas and version. Replicas of an
+// earlier declaration serve until others take their place.
+func (w *work) size(name string, g validator.Group) {
+	for _, x := range w.census(name, g).oldBroken {
+		w.remove(x, "group was changed, "+w.fault(x))
+	}
+	w.shrink(name, g)
+	for {
+		c := w.census(name, g)
+		missing := g.Replicas - len(c.serving) - len(c.forming) - c.dark
+		whole := len(c.serving) + len(c.forming) + len(c.old)
+		if missing <= 0 || !w.surveyed() || len(c.old) > 0 && whole >= g.Replicas+w.state.Document.Policy.LoadLimit() || !w.mayLoad() {
+			return
+		}
+		if !w.form(name, g) {
+			w.makeRoom(name, g, c)
+			return
+		}
+	}
+}
+
+// shrink gives up what the group has too much of: what serves the least first.
+func (w *work) shrink(name string, g validator.Group) {
+	c := w.census(name, g)
+	reason := "more replicas than declared"
+	if len(c.serving) >= g.Replicas {
+		for _, x := range c.broken {
+			w.remove(x, reason+", "+w.fault(x))
+		}
+		for _, x := range c.forming {
+			w.drain(x, reason)
+		}
+		for _, x := range c.old {
+			w.drain(x, "group was changed")
+		}
+		w.drainMost(g.Model, c.serving, len(c.serving)-g.Replicas, reason)
+		return
+	}
+	w.drainMost(g.Model, c.old, len(c.serving)+len(c.old)-g.Replicas, "group was changed")
+	w.drainMost(g.Model, c.forming, len(c.serving)+len(c.forming)-g.Replicas, reason)
+}
+
+// drainMost drains count replicas, each from the domain that holds the most
+// copies of the model, the youngest first.
+func (w *work) drainMost(model string, from []located, count int, reason string) {
+	for range min(count, len(from)) {
+		best := slices.MaxFunc(from, func(a, b located) int {
+			return cmp.Or(cmp.Compare(w.copies(a.domain, model), w.copies(b.domain, model)), w.life(a.replica).since.Compare(w.life(b.replica).since))
+		})
+		from = slices.DeleteFunc(slices.Clone(from), func(x located) bool { return x.replica == best.replica })
+		w.drain(best, reason)
+	}
+}
+
+// copies counts the model's replicas in a domain that can serve.
+func (w *work) copies(domain, model string) int {
+	n := 0
+	for _, r := range w.next[domain].GetReplicas() {
+		if r.GetModel() == model && !draining(r) && w.fault(located{domain, r}) == "" {
+			n++
+		}
+	}
+	return n
+}
+
+// form makes one more replica where there is room: in the domain with the
+// fewest copies of the model, so that no domain takes them all with it, then
+// where the fewest spares are left over, so that room for whole replicas stays.
+func (w *work) form(name string, g validator.Group) bool {
+	var best located
+	var members []string
+	var given []located
+	fewest := [3]int{}
+	for _, d := range slices.Sorted(maps.Keys(w.next)) {
+		spares, donors := w.room(located{d, &wire.Replica{}}, g.Members, func(x located) bool {
+			other := w.state.Document.Groups[x.replica.GetGroup()].Priority
+			return x.replica.GetGroup() == name || other < g.Priority
+		})
+		if len(spares) < g.Members {
+			continue
+		}
+		score := [3]int{w.copies(d, g.Model), len(donors), len(spares)}
+		if members == nil || slices.Compare(score[:], fewest[:]) < 0 {
+			best, members, given, fewest = located{domain: d}, spares[:g.Members], donors, score
+		}
+	}
+	if members == nil {
+		return false
+	}
+	for _, x := range given {
+		w.remove(x, "its members form a replica of "+name)
+	}
+	p := w.next[best.domain]
+	best.replica = &wire.Replica{
+		Name: fmt.Sprintf("%s/%s/%d", name, best.domain, p.GetGeneration()+1), Group: name, Model: g.Model, Version: g.Version,
+		Members: slices.Clone(members), Slots: uint32(g.SlotCount()),
+	}
+	w.issue(best)
+	p.Replicas = append(p.Replicas, best.replica)
+	w.change(best, EventForm, "fewer replicas than declared")
+	return true
+}
+
+// makeRoom drains replicas so that one of the group can be formed later: old
+// ones of the group, or those of groups with a lower priority. It drains
+// nothing while enough instances are on their way.
+func (w *work) makeRoom(name string, g validator.Group, c census) {
+	if len(c.old) > 0 {
+		if len(c.forming) == 0 {
+			w.clear(g, "group was changed", func(r *wire.Replica) bool { return r.GetGroup() == name && !matches(r, g) })
+		}
+		return
+	}
+	// A member that was lost only now may come back.
+	if slices.ContainsFunc(c.broken, func(x located) bool { return w.brokenFor(x) < _donateAfter }) {
+		return
+	}
+	w.clear(g, fmt.Sprintf("group %s has a higher priority", name), func(r *wire.Replica) bool {
+		other, ok := w.state.Document.Groups[r.GetGroup()]
+		return ok && other.Priority < g.Priority
+	})
+}
+
+// clear drains the victims of the domain that needs the fewest of them to make
+// room for one replica.
+func (w *work) clear(g validator.Group, reason string, may func(r *wire.Replica) bool) {
+	var best []located
+	for _, d := range slices.Sorted(maps.Keys(w.next)) {
+		victims, ok := w.victims(d, g.Members, may)
+		if ok && len(victims) == 0 {
+			return
+		}
+		if ok && (best == nil || len(victims) < len(best)) {
+			best = victims
+		}
+	}
+	for _, x := range best {
+		w.drain(x, reason)
+	}
+}
+
+// victims returns the replicas of a domain, of the lowest priority first, that
+// must be drained until need instances are free, and whether that is enough.
+func (w *work) victims(domain string, need int, may func(r *wire.Replica) bool) ([]located, bool) {
+	free := len(w.spares(domain))
+	var candidates, out []located
+	for _, r := range w.next[domain].GetReplicas() {
+		switch {
+		case draining(r):
+			free += w.useful(domain, r)
+		case may(r):
+			candidates = append(candidates, located{domain, r})
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b located) int {
+		x, y := w.state.Document.Groups[a.replica.GetGroup()], w.state.Document.Groups[b.replica.GetGroup()]
+		return cmp.Or(cmp.Compare(x.Priority, y.Priority), cmp.Compare(len(a.replica.GetMembers()), len(b.replica.GetMembers())))
+	})
+	for _, x := range candidates {
+		if free >= need {
+			break
+		}
+		free += w.useful(domain, x.replica)
+		out = append(out, x)
+	}
+	return out, free >= need
+}
+
+// useful counts the members that could serve another replica.
+func (w *work) useful(domain string, r *wire.Replica) int {
+	n := 0
+	for _, m := range r.GetMembers() {
+		if w.usable(w.state.Instances[m], domain) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protojson"
@@ -19,6 +20,13 @@
 // Duration is how long a lease stays valid after its last renewal.
 const Duration = 3 * time.Second
 
+const (
+	// _renewInterval is the time between two renewals of a holder.
+	_renewInterval = time.Second
+	// _retryWait is the pause of a holder after a failed renewal.
+	_retryWait = 250 * time.Millisecond
+)
+
 // _margin is how much earlier a holder stops to act than others may take over.
 const _margin = 500 * time.Millisecond
 
@@ -29,21 +37,28 @@
 	Update(ctx context.Context, key string, version uint64, value []byte) (uint64, error)
 }
 
-// Leaser holds or seeks one lease. Make it with New. It is not safe for
-// concurrent use.
+// Leaser holds or seeks one lease. Make it with New, start it with Run. Its
+// other methods are safe for concurrent use.
 type Leaser struct {
 	store  Store
 	log    logger.Logger
 	key    string
 	holder string
 
-	seen    *wire.Lease
+	// What follows belongs to Run's goroutine.
+	seen *wire.Lease
+	// version is the platform's version of seen; 0 where it must be read.
 	version uint64
 	// seenAt is when this process first saw the lease as it is now.
 	seenAt time.Time
+	// unsure says that the last write may have taken effect or not.
+	unsure bool
+
+	mu   sync.Mutex
+	term uint64
 	// validUntil is when a held lease lapses; zero where it is not held.
 	validUntil time.Time
-	// heldSince is when the lease was taken; zero where it is not held.
+	// heldSince is when the lease was taken; zero where another holds it.
 	heldSince time.Time
 }
 
@@ -54,28 +69,74 @@
 }
 
 // Held says that the lease is held at the time given.
-func (l *Leaser) Held(now time.Time) bool { return now.Before(l.validUntil) }
+func (l *Leaser) Held(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Before(l.validUntil)
+}
 
-// HeldFor returns how long the lease has been held; 0 where it is not.
+// HeldFor returns for how long no other process has held the lease; 0 where it
+// is not held.
 func (l *Leaser) HeldFor(now time.Time) time.Duration {
-	if !l.Held(now) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !now.Before(l.validUntil) {
 		return 0
 	}
 	return now.Sub(l.heldSince)
 }
 
-// Term returns the lease's term, the last one known where it is not held.
-func (l *Leaser) Term() uint64 { return l.seen.GetTerm() }
+// Term returns the term of the lease as this process last wrote it.
+func (l *Leaser) Term() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.term
+}
+
+// Run holds or seeks the lease until ctx ends.
+func (l *Leaser) Run(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		err := l.step(ctx)
+		failures++
+		if err == nil {
+			failures = 0
+		}
+		if failures == 1 && ctx.Err() == nil {
+			l.log.Failure("lease-step", err, logger.Fields{"lease": l.key})
+		}
+		pause(ctx, l.wait(err))
+	}
+}
+
+// wait returns the time to the next step. A process that seeks the lease reads
+// it once in each Duration, which is all that it takes to see a lapse.
+func (l *Leaser) wait(err error) time.Duration {
+	l.mu.Lock()
+	holds := !l.heldSince.IsZero()
+	l.mu.Unlock()
+	switch {
+	case l.unsure || holds && err != nil:
+		return _retryWait
+	case holds:
+		return _renewInterval
+	default:
+		return Duration
+	}
+}
 
-// Step renews a held lease, or takes over one that lapsed. Call it a few times
-// in each Duration. An error says that the lease could not be read or written;
-// a held lease stays held until it lapses.
-func (l *Leaser) Step(ctx context.Context) error {
+// step renews a held lease, or takes over one that lapsed. An error says that
+// the lease could not be read or written; a held lease stays held until it
+// lapses.
+func (l *Leaser) step(ctx context.Context) error {
 	sent := time.Now()
+	if l.seen.GetHolder() == l.holder && l.version != 0 {
+		return l.write(ctx, sent, l.version, l.seen.GetTerm())
+	}
 	o, err := l.store.Get(ctx, l.key)
 	switch {
 	case errors.Is(err, storer.ErrNotFound):
-		return l.write(ctx, sent, 0, 1)
+		return l.write(ctx, sent, 0, l.seen.GetTerm()+1)
 	case err != nil:
 		return fmt.Errorf("leaser: read %s: %w", l.key, err)
 	}
@@ -97,8 +158,11 @@
 	return l.write(ctx, sent, o.Version, found.GetTerm()+1)
 }
 
+// lose notes that another process holds the lease.
 func (l *Leaser) lose() {
-	if !l.validUntil.IsZero() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.heldSince.IsZero() {
 		l.log.Event("lease-lost", logger.Fields{"lease": l.key, "holder": l.seen.GetHolder(), "term": l.seen.GetTerm()})
 	}
 	l.validUntil, l.heldSince = time.Time{}, time.Time{}
@@ -117,18 +181,41 @@
 	} else {
 		version, err = l.store.Update(ctx, l.key, version, value)
 	}
+	l.unsure = errors.Is(err, storer.ErrUncertain)
 	if errors.Is(err, storer.ErrConflict) {
 		// Another process was faster; the next step reads what it wrote.
+		l.version = 0
 		return nil
 	}
 	if err != nil {
+		// The write may have taken effect, so the next step reads who holds the
+		// lease.
+		l.version = 0
 		return fmt.Errorf("leaser: write %s: %w", l.key, err)
 	}
+	l.seen, l.version, l.seenAt = next, version, sent
+	l.hold(sent, term)
+	return nil
+}
+
+// hold notes that the lease was written, by a write that was sent at the time
+// given.
+func (l *Leaser) hold(sent time.Time, term uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.heldSince.IsZero() {
 		l.heldSince = sent
 		l.log.Event("lease-taken", logger.Fields{"lease": l.key, "term": term})
 	}
-	l.seen, l.version, l.seenAt = next, version, sent
+	l.term = term
 	l.validUntil = sent.Add(Duration - _margin)
-	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
 }
--- /dev/null
+++ b/internal/placer/measure_test.go
@@ -0,0 +1,255 @@
+package placer_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/validator"
+	"github.com/lycheebarrow/lycheebarrow/internal/wire"
+)
+
+var _measure = flag.Bool("measure", false, "print the measurements of group downtime and control cost")
+
+const (
+	_sample   = 100 * time.Millisecond
+	_loadTime = 20 * time.Second
+	_settle   = 60 * time.Second
+)
+
+// trial is one fault that is measured.
+type trial struct {
+	name    string
+	domains int
+	each    int
+	groups  map[string]validator.Group
+	length  time.Duration
+	// most bounds the group's downtime, its longest shortage and its loads.
+	most    result
+	disturb func(t *testing.T, f *fleet, p *process)
+}
+
+// result is what a trial measured, in seconds of virtual time.
+type result struct {
+	// short is the time that declared replicas could not serve, down the time
+	// that groups had no replica to serve, longest the longest such time of a
+	// group being short of a replica.
+	short, down, longest float64
+	// stranded is the time that live instances served in no replica while
+	// their fleet was short of a declared one.
+	stranded float64
+	loads    int
+}
+
+func groups(count, replicas, members int) map[string]validator.Group {
+	out := make(map[string]validator.Group)
+	for i := range count {
+		n := fmt.Sprintf("g%d", i)
+		out[n] = validator.Group{Model: n, Version: "v1", DataCentre: "dc", Replicas: replicas, Members: members}
+	}
+	return out
+}
+
+// watch samples the fleet for the time given.
+func (f *fleet) watch(d validator.Document, length time.Duration) result {
+	var r result
+	run := 0.0
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(_sample) {
+		f.change(func() { f.sampleInto(&r, &run, d) })
+	}
+	return r
+}
+
+func (f *fleet) sampleInto(r *result, run *float64, d validator.Document) {
+	have := map[string]int{}
+	serving := map[string]bool{}
+	for _, p := range f.placements() {
+		for _, x := range p.GetReplicas() {
+			if !f.routable(x) || x.GetState() == wire.ReplicaState_REPLICA_STATE_DRAINING {
+				continue
+			}
+			have[x.GetGroup()]++
+			for _, m := range x.GetMembers() {
+				serving[m] = true
+			}
+		}
+	}
+	short := 0
+	for n, g := range d.Groups {
+		short += max(0, g.Replicas-have[n])
+		if have[n] == 0 {
+			r.down += _sample.Seconds()
+		}
+	}
+	if short == 0 {
+		*run = 0
+		return
+	}
+	*run += _sample.Seconds()
+	r.longest = max(r.longest, *run)
+	r.short += float64(short) * _sample.Seconds()
+	for n, e := range f.engines {
+		if !e.dead && !e.hung && !serving[n] {
+			r.stranded += _sample.Seconds()
+		}
+	}
+}
+
+func (f *fleet) replace(name string) {
+	f.change(func() {
+		row := f.list[name]
+		delete(f.list, name)
+		f.engines[name].dead = true
+		row.Name += "x"
+		row.Address = row.Name
+		f.list[row.Name] = row
+		f.engines[row.Name] = &engine{name: row.Name, fencing: true, loadTime: _loadTime, state: "idle"}
+	})
+}
+
+var _trials = []trial{
+	{name: "death-with-spare", most: result{down: 23, longest: 23, loads: 8}, domains: 2, each: 9, groups: groups(2, 1, 8), length: 2 * time.Minute, disturb: func(_ *testing.T, f *fleet, _ *process) {
+		f.on("f0-03", func(e *engine) { e.dead = true })
+	}},
+	{name: "hang-with-spare", most: result{down: 23, longest: 23, loads: 8}, domains: 2, each: 9, groups: groups(2, 1, 8), length: 2 * time.Minute, disturb: func(_ *testing.T, f *fleet, _ *process) {
+		f.on("f0-03", func(e *engine) { e.hung = true })
+	}},
+	{name: "death-without-spare-back-after-30s", most: result{down: 51, longest: 51, loads: 8}, domains: 2, each: 8, groups: groups(2, 1, 8), length: 2 * time.Minute, disturb: func(_ *testing.T, f *fleet, _ *process) {
+		f.on("f0-03", func(e *engine) { e.dead = true })
+		time.Sleep(30 * time.Second)
+		f.on("f0-03", func(e *engine) { e.restart() })
+	}},
+	{name: "pause-without-spare-10s", most: result{down: 10.1, longest: 10.1}, domains: 2, each: 8, groups: groups(2, 1, 8), length: 2 * time.Minute, disturb: func(_ *testing.T, f *fleet, _ *process) {
+		f.on("f0-03", func(e *engine) { e.hung = true })
+		time.Sleep(10 * time.Second)
+		f.on("f0-03", func(e *engine) { e.hung = false })
+	}},
+	{name: "dark-domain-60s", most: result{longest: 28, loads: 8}, domains: 3, each: 8, groups: groups(1, 2, 8), length: 3 * time.Minute, disturb: func(_ *testing.T, f *fleet, _ *process) {
+		f.on("f0", func(e *engine) { e.hung = true })
+		time.Sleep(60 * time.Second)
+		f.on("f0", func(e *engine) { e.hung = false })
+	}},
+	{name: "flapping-member", most: result{down: 76, longest: 6}, domains: 1, each: 8, groups: groups(1, 1, 8), length: 10 * time.Minute, disturb: func(_ *testing.T, f *fleet, _ *process) {
+		for range 15 {
+			f.on("f0-03", func(e *engine) { e.dead = true })
+			time.Sleep(5 * time.Second)
+			f.on("f0-03", func(e *engine) { e.dead = false })
+			time.Sleep(15 * time.Second)
+		}
+	}},
+	{name: "restarting-member-with-spare", most: result{down: 23, longest: 23, loads: 8}, domains: 1, each: 9, groups: groups(1, 1, 8), length: 10 * time.Minute, disturb: func(_ *testing.T, f *fleet, _ *process) {
+		for range 15 {
+			f.on("f0-00", func(e *engine) { e.dead = true })
+			time.Sleep(5 * time.Second)
+			f.on("f0-00", func(e *engine) { e.restart() })
+			time.Sleep(15 * time.Second)
+		}
+	}},
+	{name: "placer-frozen-20s", most: result{}, domains: 2, each: 9, groups: groups(2, 1, 8), length: 2 * time.Minute, disturb: func(_ *testing.T, f *fleet, p *process) {
+		p.freeze()
+		time.Sleep(20 * time.Second)
+		p.thaw()
+	}},
+	{name: "platform-out-20s", most: result{}, domains: 2, each: 9, groups: groups(2, 1, 8), length: 2 * time.Minute, disturb: func(_ *testing.T, f *fleet, _ *process) {
+		f.change(func() { f.out = true })
+		time.Sleep(20 * time.Second)
+		f.change(func() { f.out = false })
+	}},
+	{name: "roll-with-room", most: result{loads: 16}, domains: 3, each: 8, groups: groups(1, 2, 8), length: 5 * time.Minute, disturb: roll},
+	{name: "roll-without-room", most: result{longest: 25, loads: 16}, domains: 2, each: 8, groups: groups(1, 2, 8), length: 5 * time.Minute, disturb: roll},
+	{name: "replacement-of-every-instance", most: result{down: 370, longest: 23, loads: 144}, domains: 2, each: 9, groups: groups(2, 1, 8), length: 40 * time.Minute, disturb: func(_ *testing.T, f *fleet, _ *process) {
+		for d := range 2 {
+			for i := range 9 {
+				f.replace(fmt.Sprintf("f%d-%02d", d, i))
+				time.Sleep(2 * time.Minute)
+			}
+		}
+	}},
+}
+
+func roll(t *testing.T, _ *fleet, p *process) {
+	next := validator.Document{Groups: map[string]validator.Group{}}
+	for n, g := range p.configurer.Current().Document().Groups {
+		g.Version = "v2"
+		next.Groups[n] = g
+	}
+	p.configure(t, 2, next)
+}
+
+// TestMeasureDowntime measures group downtime and stranded instances in virtual
+// time. Command: go test ./internal/placer -run TestMeasureDowntime -v -measure
+func TestMeasureDowntime(t *testing.T) {
+	for _, tc := range _trials {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(tc.domains, tc.each, true, _loadTime)
+				d := validator.Document{Groups: tc.groups}
+				p := f.start("p1")
+				defer p.stop()
+				p.configure(t, 1, d)
+				time.Sleep(_settle + 37*time.Millisecond)
+				before := f.loads
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					tc.disturb(t, f, p)
+				}()
+				r := f.watch(d, tc.length)
+				r.loads = f.loads - before
+				<-done
+				if *_measure {
+					fmt.Printf("| %s | %.1f | %.1f | %.1f | %.1f | %d |\n", tc.name, r.short, r.down, r.longest, r.stranded, r.loads)
+				}
+				assert.LessOrEqual(t, r.down, tc.most.down)
+				assert.LessOrEqual(t, r.longest, tc.most.longest)
+				assert.LessOrEqual(t, r.loads, tc.most.loads)
+			})
+		})
+	}
+}
+
+// TestMeasureCost measures what a lease holder and another placer spend.
+// Command: go test ./internal/placer -run TestMeasureCost -v -measure
+func TestMeasureCost(t *testing.T) {
+	if !*_measure {
+		t.Skip("prints measurements only; run with -measure")
+	}
+	for _, n := range []int{10, 50, 100, 200, 400} {
+		for _, g := range []int{1, n / 8} {
+			measureCost(t, n, max(1, g))
+		}
+	}
+}
+
+func measureCost(t *testing.T, instances, replicas int) {
+	synctest.Test(t, func(t *testing.T) {
+		const length = time.Minute
+		f := newFleet((instances+15)/16, 16, true, time.Second)
+		for n := range f.engines {
+			if len(f.engines) <= instances {
+				break
+			}
+			delete(f.engines, n)
+			delete(f.list, n)
+		}
+		p := f.start("p1")
+		defer p.stop()
+		p.configure(t, 1, validator.Document{Groups: groups(1, replicas, 8)})
+		time.Sleep(_settle + 37*time.Millisecond)
+		f.change(func() { f.bytes, f.calls = 0, map[string]int{} })
+		start := processorTime()
+		time.Sleep(length)
+		spent := processorTime() - start
+		f.change(func() {
+			c := f.calls
+			fmt.Printf("| %d | %d | %.2f | %.2f | %.2f | %.2f | %.1f | %.0f | %.1f |\n", instances, replicas,
+				float64(c["get"])/length.Seconds(), float64(c["write"])/length.Seconds(), float64(c["list"])/length.Seconds(),
+				float64(c["instances"])/length.Seconds(), float64(c["status"])/length.Seconds(), float64(f.bytes)/length.Seconds(),
+				float64(spent.Microseconds())/length.Seconds())
+		})
+	})
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -8,28 +8,27 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/encoding/protojson"
-
 	"github.com/lycheebarrow/lycheebarrow/internal/configurer"
 	"github.com/lycheebarrow/lycheebarrow/internal/former"
 	"github.com/lycheebarrow/lycheebarrow/internal/leaser"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 	"github.com/lycheebarrow/lycheebarrow/internal/messenger"
 	"github.com/lycheebarrow/lycheebarrow/internal/prober"
-	"github.com/lycheebarrow/lycheebarrow/internal/watcher"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
 )
 
 const (
 	// _round is the time between two rounds.
 	_round = 500 * time.Millisecond
-	// _probeInterval is how often the holder asks each instance.
+	// _probeInterval is how often the holder asks a member of a replica, and
+	// _spareInterval how often another instance.
 	_probeInterval = 500 * time.Millisecond
+	_spareInterval = 2 * time.Second
+	// _probeTimeout bounds one probe.
+	_probeTimeout = 500 * time.Millisecond
 	// _deadAfter is how long an instance may be silent before its replica is
 	// repaired.
 	_deadAfter = 2 * time.Second
-	// _orderTimeout bounds one order.
-	_orderTimeout = 2 * time.Second
 )
 
 // Configuration gives the configuration in force.
@@ -37,21 +36,10 @@
 	Current() configurer.Snapshot
 }
 
-// Placements gives the view of placements and instances.
+// Placements takes each placement that the holder stored, for this process's
+// own view and for its peers.
 type Placements interface {
-	View() watcher.View
-	Poll(ctx context.Context) error
-}
-
-// Store writes placements.
-type Store interface {
-	Create(ctx context.Context, key string, value []byte) (uint64, error)
-	Update(ctx context.Context, key string, version uint64, value []byte) (uint64, error)
-}
-
-// Orderer gives orders to engines.
-type Orderer interface {
-	Order(ctx context.Context, address string, o messenger.Order) (messenger.Status, error)
+	Offer(p *wire.Placement) bool
 }
 
 // Placer runs rounds. Set the fields before Run; they don't change after.
@@ -66,22 +54,33 @@
 	Orderer       Orderer
 	Log           logger.Logger
 
-	first time.Time
-	// misplaced is since when an instance's status has differed from its
-	// placement, so that an order is repeated but not in every round.
-	ordered map[string]time.Time
+	// What follows belongs to Run's goroutine.
+	former former.Former
+	ledger ledger
+	orders orders
+	// failing says that the last round failed, so that a long outage is logged
+	// once.
+	failing bool
 }
 
-// Run runs rounds until ctx ends.
+// Run competes for the lease and runs rounds until ctx ends; then it waits for
+// the orders under way.
 func (p *Placer) Run(ctx context.Context) {
-	p.first = time.Now()
-	p.ordered = make(map[string]time.Time)
+	p.former.DeadAfter = _deadAfter
+	p.ledger = ledger{store: p.Store, log: p.Log, dataCentre: p.DataCentre, process: p.Process}
+	p.orders = orders{orderer: p.Orderer, lease: p.Lease, log: p.Log}
+	var group sync.WaitGroup
+	group.Go(func() { p.Lease.Run(ctx) })
+	defer group.Wait()
+	defer p.orders.wait()
 	ticker := time.NewTicker(_round)
 	defer ticker.Stop()
 	for {
-		if err := p.round(ctx); err != nil && ctx.Err() == nil {
+		err := p.round(ctx)
+		if err != nil && !p.failing && ctx.Err() == nil {
 			p.Log.Failure("place-round", err, nil)
 		}
+		p.failing = err != nil
 		select {
 		case <-ctx.Done():
 			return
@@ -90,150 +89,135 @@
 	}
 }
 
+// round decides once, where the lease is held.
 func (p *Placer) round(ctx context.Context) error {
-	err := p.Lease.Step(ctx)
 	if !p.Lease.Held(time.Now()) {
+		p.ledger.forget()
 		p.Prober.SetTargets(nil)
+		return nil
+	}
+	if err := p.ledger.refresh(ctx, time.Now()); err != nil {
 		return err
 	}
-	if err := p.Placements.Poll(ctx); err != nil {
-		return fmt.Errorf("placer: poll: %w", err)
+	if err := p.ledger.adopt(ctx, p.Lease.Term()); err != nil {
+		return err
 	}
 	p.Prober.SetTargets(p.targets())
-	// The first probes need their time before silence means anything.
-	if p.Lease.HeldFor(time.Now()) < _deadAfter {
-		return nil
-	}
+	// The orders follow from the same evidence as the decision.
 	state := p.state()
-	plan := former.Former{DeadAfter: _deadAfter}.Decide(state, time.Now())
+	plan := p.former.Decide(state, time.Now())
+	err := p.store(ctx, plan)
+	if p.ledger.fresh {
+		p.orders.give(ctx, p.wanted(state, plan), time.Now())
+	}
+	return err
+}
+
+// store writes a plan's placements. Each domain stands alone, so one that can't
+// be written doesn't hold up the others.
+func (p *Placer) store(ctx context.Context, plan former.Plan) error {
+	var failures []error
+	written := make(map[string]bool)
 	for domain, x := range plan.Placements {
-		if err := p.write(ctx, x); err != nil {
-			return fmt.Errorf("placer: write the placement of %s: %w", domain, err)
+		if !p.Lease.Held(time.Now()) {
+			failures = append(failures, errors.New("placer: the lease lapsed before a write"))
+			break
+		}
+		if err := p.ledger.write(ctx, x, p.Lease.Term()); err != nil {
+			failures = append(failures, fmt.Errorf("placer: write the placement of %s: %w", domain, err))
+			continue
 		}
-		state.Placements[domain] = x
+		written[domain] = true
+		p.Placements.Offer(x)
 	}
 	for _, a := range plan.Actions {
+		if _, changed := plan.Placements[a.Domain]; changed && !written[a.Domain] {
+			continue
+		}
 		p.Log.Event("place", logger.Fields{
 			"action": a.Event, "replica": a.Replica, "group": a.Group, "domain": a.Domain, "generation": a.Generation,
 			"members": strings.Join(a.Members, ","), "reason": a.Reason, "term": p.Lease.Term(),
 		})
 	}
-	p.order(ctx, state)
-	return nil
+	return errors.Join(failures...)
 }
 
+// targets are the data centre's instances, the members of replicas more often
+// than the others.
 func (p *Placer) targets() []prober.Target {
-	var out []prober.Target
-	for _, i := range p.Placements.View().Instances() {
-		if i.DataCentre == p.DataCentre && i.Kind == "engine" {
-			out = append(out, prober.Target{Instance: i.Name, Address: i.Address, Interval: _probeInterval})
+	member := make(map[string]bool)
+	for _, s := range p.ledger.placements {
+		for _, r := range s.placement.GetReplicas() {
+			for _, m := range r.GetMembers() {
+				member[m] = true
+			}
 		}
 	}
+	out := make([]prober.Target, 0, len(p.ledger.instances))
+	for n, i := range p.ledger.instances {
+		t := prober.Target{Instance: n, Address: i.Address, Interval: _spareInterval, Timeout: _probeTimeout}
+		if member[n] {
+			t.Interval = _probeInterval
+		}
+		out = append(out, t)
+	}
 	return out
 }
 
 // state gathers what the decision depends on.
 func (p *Placer) state() former.State {
-	view := p.Placements.View()
 	s := former.State{
 		DataCentre: p.DataCentre, Document: p.Configuration.Current().Document(),
 		Placements: make(map[string]*wire.Placement), Instances: make(map[string]former.Instance),
 	}
-	for _, x := range view.Placements() {
-		if x.GetDataCentre() == p.DataCentre {
-			s.Placements[x.GetDomain()] = x
-		}
+	for d, x := range p.ledger.placements {
+		s.Placements[d] = x.placement
 	}
-	for n, i := range view.Instances() {
-		if i.DataCentre != p.DataCentre || i.Kind != "engine" {
+	for n, i := range p.ledger.instances {
+		if p.ledger.unreadable[i.Domain] {
 			continue
 		}
 		e := p.Prober.Evidence(n)
 		t := e.Status()
 		s.Instances[n] = former.Instance{
-			Name: n, Address: i.Address, Domain: i.Domain, Alive: !e.Failed(), Leaving: i.Leaving || t.Leaving,
-			LastSeen: e.Sent(), Ready: t.State == messenger.StateReady, Failed: t.State == messenger.StateFailed,
+			Name: n, Address: i.Address, Domain: i.Domain, Leaving: i.Leaving || t.Leaving,
+			Answered: !e.Sent().IsZero(), Silence: e.Silence(), Boot: t.Boot,
+			Ready: t.State == messenger.StateReady, Failed: t.State == messenger.StateFailed,
 			Replica: t.Replica, Generation: t.Generation, InFlight: int(t.InFlight + t.Queued),
+			Load: time.Duration(t.LoadSeconds * float64(time.Second)),
 		}
 	}
 	return s
 }
 
-// write stores a placement under the condition that nobody changed it. The
-// lease is checked right before.
-func (p *Placer) write(ctx context.Context, x *wire.Placement) error {
-	key := watcher.KeyOf(x)
-	version := p.Placements.View().Version(key)
-	x.Revision++
-	x.Term = p.Lease.Term()
-	x.Writer = fmt.Sprintf("%s/%d/%d", p.Process, x.GetTerm(), x.GetRevision())
-	value, err := protojson.Marshal(x)
-	if err != nil {
-		return fmt.Errorf("encode: %w", err)
-	}
-	if !p.Lease.Held(time.Now()) {
-		return errors.New("the lease lapsed before the write")
-	}
-	if version == 0 {
-		_, err = p.Store.Create(ctx, key, value)
-	} else {
-		_, err = p.Store.Update(ctx, key, version, value)
-	}
-	// After any error the next round reads what is stored and decides anew; a
-	// write whose answer was lost is found there.
-	return err
-}
-
-// order tells each instance whose word differs from its placement what to be.
-func (p *Placer) order(ctx context.Context, s former.State) {
-	wanted := make(map[string]messenger.Order)
-	for _, x := range s.Placements {
-		for _, r := range x.GetReplicas() {
+// wanted returns the order of each instance that answers and whose word differs
+// from its placement.
+func (p *Placer) wanted(s former.State, plan former.Plan) []errand {
+	orders := make(map[string]messenger.Order)
+	kept := make(map[string]bool)
+	for _, x := range p.ledger.placements {
+		for _, r := range x.placement.GetReplicas() {
+			settled := plan.Broken[r.GetName()] || r.GetState() == wire.ReplicaState_REPLICA_STATE_DRAINING
 			for _, m := range r.GetMembers() {
-				wanted[m] = messenger.Order{
+				kept[m] = kept[m] || settled
+				orders[m] = messenger.Order{
 					Replica: r.GetName(), Generation: r.GetGeneration(), Model: r.GetModel(), Version: r.GetVersion(),
 					Members: r.GetMembers(), Addresses: r.GetAddresses(), Slots: r.GetSlots(),
 				}
 			}
 		}
 	}
-	var group sync.WaitGroup
-	now := time.Now()
+	var out []errand
 	for n, i := range s.Instances {
-		o, ok := wanted[n]
-		if !ok {
-			o = messenger.Order{Generation: s.Placements[i.Domain].GetGeneration()}
+		o, placed := orders[n]
+		if !placed {
+			o = messenger.Order{Generation: p.ledger.placements[i.Domain].placement.GetGeneration()}
 		}
-		if o.Replica == i.Replica && (o.Generation == i.Generation || o.Replica == "") || now.Sub(p.ordered[n]) < _orderTimeout {
+		same := o.Replica == i.Replica && (o.Generation == i.Generation || !placed)
+		if same || kept[n] || !i.Answered || i.Silence > 0 {
 			continue
 		}
-		if !p.mayOrder(n) {
-			continue
-		}
-		p.ordered[n] = now
-		group.Go(func() { p.send(ctx, i, o) })
-	}
-	group.Wait()
-}
-
-// mayOrder says that no order of an earlier holder can still arrive, or that
-// the engine would refuse it.
-func (p *Placer) mayOrder(instance string) bool {
-	if p.Placements.View().Instances()[instance].ChecksFencing {
-		return true
+		out = append(out, errand{instance: p.ledger.instances[n], order: o})
 	}
-	return p.Lease.HeldFor(time.Now()) > leaser.Duration+_orderTimeout
-}
-
-func (p *Placer) send(ctx context.Context, i former.Instance, o messenger.Order) {
-	if !p.Lease.Held(time.Now()) {
-		return
-	}
-	call, cancel := context.WithTimeout(ctx, _orderTimeout)
-	defer cancel()
-	_, err := p.Orderer.Order(call, i.Address, o)
-	p.Log.Event("order", logger.Fields{
-		"instance": i.Name, "replica": o.Replica, "generation": o.Generation, "model": o.Model, "version": o.Version,
-		"error": err, "term": p.Lease.Term(),
-	})
+	return out
 }
--- /dev/null
+++ b/internal/placer/process_test.go
@@ -0,0 +1,56 @@
+package placer_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/configurer"
+	"github.com/lycheebarrow/lycheebarrow/internal/leaser"
+	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/placer"
+	"github.com/lycheebarrow/lycheebarrow/internal/prober"
+	"github.com/lycheebarrow/lycheebarrow/internal/validator"
+	"github.com/lycheebarrow/lycheebarrow/internal/watcher"
+	"github.com/lycheebarrow/lycheebarrow/internal/wire"
+)
+
+// process is one placer.
+type process struct {
+	*port
+	configurer *configurer.Configurer
+	log        bytes.Buffer
+	stop       func()
+}
+
+// start starts a placer; stop it before the bubble ends.
+func (f *fleet) start(name string) *process {
+	p := &process{port: &port{fleet: f}}
+	log := logger.New(&p.log, name)
+	p.configurer = configurer.New(nil, logger.Logger{})
+	pr := prober.New(p.port, logger.Logger{})
+	x := &placer.Placer{
+		DataCentre: "dc", Process: name, Configuration: p.configurer, Placements: watcher.New(p.port, logger.Logger{}),
+		Store: p.port, Lease: leaser.New(p.port, "dc", name, log), Prober: pr, Orderer: p.port, Log: log,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { x.Run(ctx) })
+	p.stop = func() {
+		cancel()
+		group.Wait()
+		_ = pr.Close()
+	}
+	return p
+}
+
+// configure puts a document in force.
+func (p *process) configure(t *testing.T, number uint64, d validator.Document) {
+	text, err := json.Marshal(d)
+	require.NoError(t, err)
+	require.True(t, p.configurer.Offer(&wire.ConfigurationRecord{Number: number, Document: string(text)}, "test"))
+}
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -20,6 +20,8 @@
 	Instance string
 	Address  string // host:port
 	Interval time.Duration
+	// Timeout bounds one probe; 0 means five intervals.
+	Timeout time.Duration
 }
 
 // Evidence is what is known of an instance.
@@ -27,6 +29,10 @@
 	status messenger.Status
 	sent   time.Time
 	failed bool
+	// since is when the last answered probe was sent, or the first one where
+	// none was answered.
+	since   time.Time
+	silence time.Duration
 }
 
 // Status returns the instance's last word; the zero Status where there is none.
@@ -39,6 +45,12 @@
 // Failed says that the newest probe got no answer.
 func (e Evidence) Failed() bool { return e.failed }
 
+// Silence returns the time from the sending of the last answered probe, or of
+// the first one, to the sending of the newest failed probe; 0 where the newest
+// probe was answered. It does not grow while this process is paused, since only
+// a probe that was sent and failed counts.
+func (e Evidence) Silence() time.Duration { return e.silence }
+
 // Prober probes its targets. Make it with New; Close it. It is safe for
 // concurrent use.
 type Prober struct {
@@ -111,7 +123,11 @@
 func (p *Prober) probe(ctx context.Context, t Target) {
 	// A probe that takes many intervals says nothing that is worth waiting for.
 	const intervals = 5
-	call, cancel := context.WithTimeout(ctx, intervals*t.Interval)
+	limit := t.Timeout
+	if limit == 0 {
+		limit = intervals * t.Interval
+	}
+	call, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	sent := time.Now()
 	s, err := p.asker.Status(call, t.Address)
@@ -125,9 +141,12 @@
 		if !e.failed {
 			p.log.Event("probe-failed", logger.Fields{"instance": t.Instance, "address": t.Address, "error": err})
 		}
-		e.failed = true
+		if e.since.IsZero() {
+			e.since = sent
+		}
+		e.failed, e.silence = true, sent.Sub(e.since)
 	} else {
-		e = Evidence{status: s, sent: sent}
+		e = Evidence{status: s, sent: sent, since: sent}
 	}
 	p.evidence[t.Instance] = e
 	close(p.changed)
--- a/internal/validator/document.go
+++ b/internal/validator/document.go
@@ -85,6 +85,9 @@
 	LongSharePercent int `json:"long_share_percent,omitempty"`
 	// RetentionHours is how long the record of an unrepeatable call is kept.
 	RetentionHours int `json:"retention_hours,omitempty"`
+	// MaxLoads bounds the replicas of a data centre that load at once, so that
+	// the weight store's rate is kept.
+	MaxLoads int `json:"max_loads,omitempty"`
 }
 
 // Defaults of the document's optional values.
@@ -98,6 +101,7 @@
 	DefaultLongTokens       = 512
 	DefaultLongSharePercent = 50
 	DefaultRetentionHours   = 72
+	DefaultMaxLoads         = 8
 )
 
 // Parse reads a document and validates it. Unknown members are faults.
@@ -142,6 +146,10 @@
 	return time.Duration(orDefault(p.RetentionHours, DefaultRetentionHours)) * time.Hour
 }
 
+// LoadLimit returns the number of replicas of a data centre that may load at
+// once.
+func (p Policy) LoadLimit() int { return orDefault(p.MaxLoads, DefaultMaxLoads) }
+
 // QueueLimit returns the bound of waiting requests.
 func (p Policy) QueueLimit() int { return orDefault(p.MaxQueue, DefaultMaxQueue) }
 
--- a/internal/validator/validate.go
+++ b/internal/validator/validate.go
@@ -148,6 +148,7 @@
 	c.between("/policy/first_token_target_ms", p.FirstTokenTargetMS, 0, _maxTimeoutMS)
 	c.between("/policy/long_tokens", p.LongTokens, 0, _maxTokens)
 	c.between("/policy/long_share_percent", p.LongSharePercent, 0, 100)
+	c.between("/policy/max_loads", p.MaxLoads, 0, _maxReplicas)
 	c.between("/policy/retention_hours", p.RetentionHours, 0, 24*365)
 	if p.EvidenceLimit() < 2*p.ProbeInterval() {
 		c.fault("/policy/evidence_limit_ms", "evidence would lapse between two probes", "at least twice probe_interval_ms")
