internal/former: scripts of decisions and random faults; roll into the domain that lacks copies

Cause: a roll with room put both new replicas of a model into one domain, since the old ones counted as copies. A replica of an earlier declaration that was still loading counted as capacity.

--- /dev/null
+++ b/internal/former/former_test.go
@@ -0,0 +1,54 @@
+package former_test
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/txtar"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+var _update = flag.Bool("update", false, "rewrite the expected decisions")
+
+// TestScripts runs each script of testdata: a line is "SECONDS command args",
+// and "end" ends it; the expected decisions follow in a second file.
+func TestScripts(t *testing.T) {
+	paths, err := filepath.Glob("testdata/*.txtar")
+	require.NoError(t, err)
+	require.NotEmpty(t, paths)
+	for _, path := range paths {
+		t.Run(strings.TrimSuffix(filepath.Base(path), ".txtar"), func(t *testing.T) {
+			a, err := txtar.ParseFile(path)
+			require.NoError(t, err)
+			require.Len(t, a.Files, 2)
+			m := newModel()
+			m.run(t, string(a.Files[0].Data))
+			got := m.decisions.String()
+			if *_update {
+				a.Files[1].Data = []byte(got)
+				require.NoError(t, os.WriteFile(path, txtar.Format(a), 0o644))
+			}
+			assert.Equal(t, string(a.Files[1].Data), got)
+		})
+	}
+}
+
+// run runs a script; the lines of one time are done before the decision.
+func (m *model) run(t *testing.T, script string) {
+	for line := range strings.Lines(script) {
+		words := strings.Fields(line)
+		if len(words) == 0 {
+			continue
+		}
+		for at := m.start.Add(seconds(words[0])); m.now.Before(at); {
+			m.step(t)
+		}
+		if words[1] != "end" {
+			require.NoError(t, m.do(words[1], words[2:]...), line)
+		}
+	}
+}
--- /dev/null
+++ b/internal/former/random_test.go
@@ -0,0 +1,133 @@
+package former_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/validator"
+	"github.com/lycheebarrow/lycheebarrow/internal/wire"
+)
+
+// TestMain fixes the seed; a flag of the command line still goes first.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+// TestRandomFaults breaks a data centre at random, then heals it: no instance is
+// ever in two replicas, generations only grow, and at the end every declared
+// replica serves and nothing drains.
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel()
+		names := m.populate(t)
+		version := rapid.SampledFrom([]string{"v1", "v2"})
+		for range rapid.IntRange(10, 60).Draw(t, "events") {
+			m.disturb(t, names, version)
+			for range rapid.IntRange(0, 40).Draw(t, "steps") {
+				m.step(t)
+			}
+		}
+		m.heal(t, names)
+		for i := range 4000 {
+			if m.step(t); i%20 == 0 && m.settled() {
+				return
+			}
+		}
+		require.Fail(t, "the fleet did not settle", "%v\n%s", m.state.Placements, m.decisions.String())
+	})
+}
+
+// populate makes two or three domains of 4 to 9 instances.
+func (m *model) populate(t *rapid.T) []string {
+	var names []string
+	for d := range rapid.IntRange(2, 3).Draw(t, "domains") {
+		for i := range rapid.IntRange(4, 9).Draw(t, "instances") {
+			n := fmt.Sprintf("f%d-%d", d, i)
+			names = append(names, n)
+			require.NoError(t, m.do("domain", fmt.Sprintf("f%d", d), n))
+		}
+	}
+	m.state.Document.Policy.MaxLoads = rapid.IntRange(1, 4).Draw(t, "max loads")
+	return names
+}
+
+func (m *model) disturb(t *rapid.T, names []string, version *rapid.Generator[string]) {
+	name := rapid.SampledFrom(names).Draw(t, "instance")
+	commands := []string{"silent", "back", "restart", "fail", "busy=1", "busy=0", "leave", "delist", "relist", "obeyed=0", "move", "group", "dark", "lose", "endless"}
+	switch c := rapid.SampledFrom(commands).Draw(t, "command"); c {
+	case "group":
+		g := rapid.SampledFrom([]string{"one", "two", "three"}).Draw(t, "group")
+		require.NoError(t, m.do("group", g, "version="+version.Draw(t, "version"),
+			fmt.Sprintf("replicas=%d", rapid.IntRange(0, 3).Draw(t, "replicas")),
+			fmt.Sprintf("members=%d", rapid.IntRange(1, 4).Draw(t, "members")),
+			fmt.Sprintf("priority=%d", rapid.IntRange(0, 2).Draw(t, "priority"))))
+	case "dark":
+		for _, n := range names {
+			if n[:2] == name[:2] {
+				m.silent[n] = m.now
+			}
+		}
+	case "lose":
+		m.lost[name[:2]]++
+	case "relist":
+		if _, ok := m.state.Instances[name]; !ok {
+			require.NoError(t, m.do("domain", name[:2], name))
+		}
+	case "move":
+		_ = m.do("move="+rapid.SampledFrom([]string{"f0", "f1"}).Draw(t, "domain"), name)
+	case "delist":
+		require.NoError(t, m.do(c, name))
+	default:
+		// An instance that is not listed can't be changed.
+		_ = m.do(c, name)
+	}
+}
+
+// heal ends every fault and declares groups that fit.
+func (m *model) heal(t *rapid.T, names []string) {
+	clear(m.silent)
+	clear(m.endless)
+	clear(m.lost)
+	for _, n := range names {
+		i, ok := m.state.Instances[n]
+		if !ok {
+			require.NoError(t, m.do("domain", n[:2], n))
+			continue
+		}
+		i.Domain, i.Leaving, i.InFlight = n[:2], false, 0
+		m.state.Instances[n] = i
+	}
+	m.state.Document.Groups = map[string]validator.Group{}
+	for i, n := range []string{"one", "two", "four"} {
+		m.state.Document.Groups[n] = validator.Group{Model: n, Version: "v3", DataCentre: "dc", Replicas: 1, Members: 2, Priority: i}
+	}
+	m.now = m.now.Add(time.Second)
+}
+
+// settled says that exactly the declared replicas are placed, that all serve,
+// and that every member is ready for its own.
+func (m *model) settled() bool {
+	have := map[string]int{}
+	for d, p := range m.state.Placements {
+		for _, r := range p.GetReplicas() {
+			have[r.GetGroup()]++
+			if r.GetState() != wire.ReplicaState_REPLICA_STATE_SERVING || r.GetVersion() != "v3" {
+				return false
+			}
+			for _, n := range r.GetMembers() {
+				i := m.state.Instances[n]
+				if i.Domain != d || !i.Ready || i.Replica != r.GetName() || i.Generation != r.GetGeneration() {
+					return false
+				}
+			}
+		}
+	}
+	return have["one"] == 1 && have["two"] == 1 && have["four"] == 1 && len(have) == 3
+}
--- a/internal/former/size.go
+++ b/internal/former/size.go
@@ -21,8 +21,9 @@
 	serving, forming, broken []located
 	// dark counts the broken ones whose domain may come back at any moment.
 	dark int
-	// old and oldBroken are of an earlier declaration.
-	old, oldBroken []located
+	// old and oldBroken are of an earlier declaration, also oldForming, which
+	// doesn't serve yet.
+	old, oldForming, oldBroken []located
 }
 
 // census counts the group's replicas.
@@ -33,8 +34,9 @@
 			continue
 		}
 		current, whole := matches(x.replica, g), w.fault(x) == ""
+		serving := x.replica.GetState() == wire.ReplicaState_REPLICA_STATE_SERVING
 		switch {
-		case current && whole && x.replica.GetState() == wire.ReplicaState_REPLICA_STATE_SERVING:
+		case current && whole && serving:
 			c.serving = append(c.serving, x)
 		case current && whole:
 			c.forming = append(c.forming, x)
@@ -43,8 +45,10 @@
 			if w.maybeBack(x) {
 				c.dark++
 			}
-		case whole:
+		case whole && serving:
 			c.old = append(c.old, x)
+		case whole:
+			c.oldForming = append(c.oldForming, x)
 		default:
 			c.oldBroken = append(c.oldBroken, x)
 		}
@@ -89,9 +93,13 @@
 // size brings a group to its declared replicas and version. Replicas of an
 // earlier declaration serve until others take their place.
 func (w *work) size(name string, g validator.Group) {
-	for _, x := range w.census(name, g).oldBroken {
+	c := w.census(name, g)
+	for _, x := range c.oldBroken {
 		w.remove(x, "group was changed, "+w.fault(x))
 	}
+	for _, x := range c.oldForming {
+		w.drain(x, "group was changed")
+	}
 	w.shrink(name, g)
 	for {
 		c := w.census(name, g)
@@ -121,30 +129,43 @@
 		for _, x := range c.old {
 			w.drain(x, "group was changed")
 		}
-		w.drainMost(g.Model, c.serving, len(c.serving)-g.Replicas, reason)
+		w.drainSome(c.serving, len(c.serving)-g.Replicas, reason, w.crowded)
 		return
 	}
-	w.drainMost(g.Model, c.old, len(c.serving)+len(c.old)-g.Replicas, "group was changed")
-	w.drainMost(g.Model, c.forming, len(c.serving)+len(c.forming)-g.Replicas, reason)
+	w.drainSome(c.old, len(c.serving)+len(c.old)-g.Replicas, "group was changed", w.lonely)
+	w.drainSome(c.forming, len(c.serving)+len(c.forming)-g.Replicas, reason, w.crowded)
 }
 
-// drainMost drains count replicas, each from the domain that holds the most
-// copies of the model, the youngest first.
-func (w *work) drainMost(model string, from []located, count int, reason string) {
+// drainSome drains count replicas, each time the one that compares highest.
+func (w *work) drainSome(from []located, count int, reason string, compare func(a, b located) int) {
 	for range min(count, len(from)) {
-		best := slices.MaxFunc(from, func(a, b located) int {
-			return cmp.Or(cmp.Compare(w.copies(a.domain, model), w.copies(b.domain, model)), w.life(a.replica).since.Compare(w.life(b.replica).since))
-		})
+		best := slices.MaxFunc(from, compare)
 		from = slices.DeleteFunc(slices.Clone(from), func(x located) bool { return x.replica == best.replica })
 		w.drain(best, reason)
 	}
 }
 
-// copies counts the model's replicas in a domain that can serve.
+// crowded orders replicas by how many copies of the model their domain has, then
+// by age: of the surplus, a young one goes whose domain has others.
+func (w *work) crowded(a, b located) int {
+	return cmp.Or(
+		cmp.Compare(w.copies(a.domain, a.replica.GetModel()), w.copies(b.domain, b.replica.GetModel())),
+		w.life(a.replica).since.Compare(w.life(b.replica).since),
+	)
+}
+
+// lonely orders replicas by how few copies of the model their domain has: of an
+// earlier declaration, one goes where its successor is wanted.
+func (w *work) lonely(a, b located) int {
+	return cmp.Compare(w.copies(b.domain, b.replica.GetModel()), w.copies(a.domain, a.replica.GetModel()))
+}
+
+// copies counts the model's replicas in a domain that can serve and are as their
+// group declares them.
 func (w *work) copies(domain, model string) int {
 	n := 0
 	for _, r := range w.next[domain].GetReplicas() {
-		if r.GetModel() == model && !draining(r) && w.fault(located{domain, r}) == "" {
+		if r.GetModel() == model && !draining(r) && matches(r, w.state.Document.Groups[r.GetGroup()]) && w.fault(located{domain, r}) == "" {
 			n++
 		}
 	}
@@ -218,7 +239,7 @@
 		if ok && len(victims) == 0 {
 			return
 		}
-		if ok && (best == nil || len(victims) < len(best)) {
+		if ok && (best == nil || len(victims) < len(best) || len(victims) == len(best) && w.copies(d, g.Model) < w.copies(best[0].domain, g.Model)) {
 			best = victims
 		}
 	}
