internal/former: repair once it is clear which members are gone

Cause: a leader reports that it failed before the probes of the member that died do, and members that restart one after the other come back one by one.

Change: a repair waits while a probe of a member fails that is not yet dead, and for a second where a member failed though all answer. The reason names the member that is gone.

Ruled out: to believe the leader about which member it lost, since the engines' protocol doesn't say.

--- a/internal/former/mend.go
+++ b/internal/former/mend.go
@@ -12,6 +12,10 @@
 	// _donateAfter is how long a replica must be broken before its members may
 	// serve another one; until then a lost member may come back with its load.
 	_donateAfter = 10 * time.Second
+	// _confirmAfter is how long a replica must have failed, with all of its
+	// members answering, before it is loaded again with the same ones. A leader
+	// reports that it failed before probes of the member that died do.
+	_confirmAfter = time.Second
 	// _loadFactor times what the members say that a load takes is how long it
 	// may take.
 	_loadFactor = 3
@@ -21,8 +25,14 @@
 	_unknownLoadLimit = 15 * time.Minute
 )
 
-// fault says why a replica can't serve, empty where it can or is about to.
+// fault says why a replica can't serve, empty where it can or is about to. A
+// member that is gone is the cause where others failed too.
 func (w *work) fault(x located) string {
+	for _, m := range x.replica.GetMembers() {
+		if why := w.gone(m, x.domain); why != "" {
+			return m + " " + why
+		}
+	}
 	for _, m := range x.replica.GetMembers() {
 		if why := w.unfit(x, m); why != "" {
 			return m + " " + why
@@ -112,6 +122,9 @@
 		w.hold(x, why+", another replica takes its place")
 		return
 	}
+	if w.unclear(x) {
+		return
+	}
 	keep, replace, wait := w.sort(x)
 	priority := w.state.Document.Groups[x.replica.GetGroup()].Priority
 	spares, donors := w.room(x, len(replace)+len(wait), func(d located) bool {
@@ -142,6 +155,23 @@
 	w.change(x, EventRepair, why)
 }
 
+// unclear says that it will be known soon which members are gone.
+func (w *work) unclear(x located) bool {
+	gone, failed := false, false
+	for _, m := range x.replica.GetMembers() {
+		i := w.state.Instances[m]
+		switch {
+		case w.gone(m, x.domain) != "":
+			gone = true
+		case i.Silence > 0:
+			return true
+		case i.Failed && i.Generation == x.replica.GetGeneration():
+			failed = true
+		}
+	}
+	return failed && !gone && w.brokenFor(x) < _confirmAfter
+}
+
 // enough says that the group's other replicas will do without a repair.
 func (w *work) enough(group string) bool {
 	g := w.state.Document.Groups[group]
