internal/loader: every fault at once, from a table that the code holds

The flag package stopped at the first bad value and ff ignored unknown environment variables, so a settings file with five faults took five starts. Settings are now a list of key, meaning, allowed values and check; flags only gather text and all are checked together. Unknown flags, keys and variables, and keys that stand twice, are refused with the keys that exist. Secrets don't show in faults. 'lbentry settings' prints the list as Markdown.

Programs print answers to the standard output and logs to the standard error. Tests: scripted (testdata/script), the binaries run through testscript. Shown failing with the mechanism out: unknown variables, keys twice, contradictions, hidden secrets, the ring's bound and order, escaped paths of a comparison.

--- a/cmd/lbentry/main.go
+++ b/cmd/lbentry/main.go
@@ -2,6 +2,7 @@
 //
 //	lbentry -config FILE     run until SIGTERM
 //	lbentry check -config FILE   only check the settings
+//	lbentry settings         print a table of all settings
 package main
 
 import (
@@ -12,5 +13,5 @@
 )
 
 func main() {
-	os.Exit(composer.Program(loader.RoleEntry, os.Args[1:], os.Stderr))
+	os.Exit(composer.Program(loader.RoleEntry, os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/cmd/lbplacer/main.go
+++ b/cmd/lbplacer/main.go
@@ -2,6 +2,7 @@
 //
 //	lbplacer -config FILE     run until SIGTERM
 //	lbplacer check -config FILE   only check the settings
+//	lbplacer settings         print a table of all settings
 package main
 
 import (
@@ -12,5 +13,5 @@
 )
 
 func main() {
-	os.Exit(composer.Program(loader.RolePlacer, os.Args[1:], os.Stderr))
+	os.Exit(composer.Program(loader.RolePlacer, os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/internal/composer/kernel.go
+++ b/internal/composer/kernel.go
@@ -84,7 +84,7 @@
 	if s.DrainLimit() == 0 {
 		return endless
 	}
-	return s.DrainLimit() + 10*time.Second
+	return s.DrainNotice() + s.DrainLimit() + 10*time.Second
 }
 
 // run runs a service's loop from the start to the stop of the application.
--- a/internal/composer/program.go
+++ b/internal/composer/program.go
@@ -24,20 +24,24 @@
 	ExitForced   = 3 // a second signal ended the shutdown early
 )
 
-// Program runs a daemon's command line: "check" only checks the settings, and
-// everything else runs the daemon until SIGTERM or SIGINT. It returns the exit
-// code. A second signal ends the graceful shutdown at once.
-func Program(role loader.Role, args []string, output io.Writer) int {
+// Program runs a daemon's command line: "check" only checks the settings,
+// "settings" prints a table of them, and everything else runs the daemon until
+// SIGTERM or SIGINT. It returns the exit code. A second signal ends the graceful shutdown at once.
+func Program(role loader.Role, args []string, output, log io.Writer) int {
+	if len(args) > 0 && args[0] == "settings" {
+		fmt.Fprint(output, loader.Table(role))
+		return ExitOK
+	}
 	check := len(args) > 0 && args[0] == "check"
 	if check {
 		args = args[1:]
 	}
-	s, err := loader.Load(role, args, output)
+	s, err := loader.Load(role, args, log)
 	if errors.Is(err, flag.ErrHelp) {
 		return ExitOK
 	}
 	if err != nil {
-		fmt.Fprintln(output, err)
+		fmt.Fprintln(log, err)
 		return ExitSettings
 	}
 	if check {
@@ -48,14 +52,14 @@
 	if role == loader.RolePlacer {
 		app = Placer
 	}
-	return runApp(app(s, networker.System{}, output), output)
+	return runApp(app(s, networker.System{}, log), log)
 }
 
-func runApp(app *fx.App, output io.Writer) int {
+func runApp(app *fx.App, log io.Writer) int {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	if err := app.Start(context.Background()); err != nil {
-		fmt.Fprintln(output, err)
+		fmt.Fprintln(log, err)
 		return ExitFailed
 	}
 	<-signals
@@ -68,12 +72,12 @@
 	select {
 	case err := <-stopped:
 		if err != nil {
-			fmt.Fprintln(output, err)
+			fmt.Fprintln(log, err)
 			return ExitFailed
 		}
 		return ExitOK
 	case <-signals:
-		fmt.Fprintln(output, "a second signal ended the shutdown before all answers were whole")
+		fmt.Fprintln(log, "a second signal ended the shutdown before all answers were whole")
 		return ExitForced
 	}
 }
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -76,11 +76,11 @@
 }
 
 func broken(f map[string]string) string {
-	kept := "Nothing had arrived yet"
+	kept := "Nothing had arrived yet, and the whole answer is asked of another copy"
 	if f["tokens"] != "" && f["tokens"] != "0" {
-		kept = fmt.Sprintf("The %s pieces of text that had arrived are kept", f["tokens"])
+		kept = fmt.Sprintf("The %s pieces of text that had arrived are kept, and the rest is asked of another copy", f["tokens"])
 	}
-	return fmt.Sprintf("Copy %s stopped being able to go on. %s, and the rest is asked of another copy. Detail: %s", f["replica"], kept, f["error"])
+	return fmt.Sprintf("Copy %s stopped being able to go on. %s. Detail: %s", f["replica"], kept, f["error"])
 }
 
 func call(f map[string]string) string {
--- /dev/null
+++ b/internal/journaler/journal_test.go
@@ -0,0 +1,62 @@
+package journaler_test
+
+import (
+	"errors"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/journaler"
+	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+)
+
+func TestJournalKeepsEventsOfRequests(t *testing.T) {
+	var j journaler.Journal
+	j.Take("listen", logger.Fields{"address": "127.0.0.1:1"})
+	j.Take("route", logger.Fields{"request": "r1", "candidates": 3, "error": nil})
+	j.Take("route", logger.Fields{"request": "r2"})
+	j.Take("attempt-broken", logger.Fields{"request": "r1", "error": errors.New("cut")})
+	events := j.Request("r1")
+	require.Len(t, events, 2)
+	assert.Equal(t, "route", events[0].Name)
+	assert.Equal(t, map[string]string{"request": "r1", "candidates": "3"}, events[0].Fields)
+	assert.Equal(t, "cut", events[1].Fields["error"])
+	assert.Empty(t, j.Request("r3"))
+}
+
+func TestJournalIsBounded(t *testing.T) {
+	var j journaler.Journal
+	testCases := []struct {
+		events int
+		oldest int // the first request that is still known
+	}{
+		{events: 1, oldest: 0},
+		{events: journaler.Capacity, oldest: 0},
+		{events: journaler.Capacity + 7, oldest: 7},
+		{events: 3*journaler.Capacity + 1, oldest: 2*journaler.Capacity + 1},
+	}
+	taken := 0
+	for _, c := range testCases {
+		for ; taken < c.events; taken++ {
+			j.Take("route", logger.Fields{"request": strconv.Itoa(taken)})
+		}
+		assert.Len(t, j.Request(strconv.Itoa(c.oldest)), 1)
+		assert.Len(t, j.Request(strconv.Itoa(taken-1)), 1)
+		assert.Empty(t, j.Request(strconv.Itoa(c.oldest-1)))
+	}
+}
+
+func TestJournalKeepsOrderAcrossItsEnd(t *testing.T) {
+	var j journaler.Journal
+	for range journaler.Capacity - 1 {
+		j.Take("route", logger.Fields{"request": "other"})
+	}
+	j.Take("first", logger.Fields{"request": "r"})
+	j.Take("second", logger.Fields{"request": "r"})
+	events := j.Request("r")
+	require.Len(t, events, 2)
+	assert.Equal(t, "first", events[0].Name)
+	assert.Equal(t, "second", events[1].Name)
+}
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -1,15 +1,11 @@
 package loader
 
 import (
-	"encoding/hex"
 	"errors"
 	"flag"
 	"fmt"
 	"io"
 	"net/netip"
-	"net/url"
-	"regexp"
-	"strings"
 	"time"
 )
 
@@ -22,11 +18,6 @@
 	RolePlacer Role = "placer"
 )
 
-// _minSecretBytes is the least length of the cluster secret.
-const _minSecretBytes = 16
-
-var _processName = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
-
 // Settings are the checked settings of an entry or a placer. They don't change
 // after Load.
 type Settings struct {
@@ -37,97 +28,59 @@
 	callersListen   string
 	operatorListen  string
 	operatorAddress string
-	operatorTokens  string
+	operatorTokens  map[string]string
 	metricsListen   string
 	peerListen      string
 	peerAddress     string
-	peerSeeds       string
+	peerSeeds       []string
 	peerSecret      string
+	drainNotice     time.Duration
 	drainLimit      time.Duration
 	maxBodyBytes    int64
 }
 
-// Load reads and checks the settings of a process. Usage and faults go to
-// output.
+// Load reads and checks the settings of a process. Usage and help go to output;
+// the error names every fault.
 func Load(role Role, args []string, output io.Writer) (Settings, error) {
 	s := Settings{role: role}
-	set := flag.NewFlagSet("lb"+string(role), flag.ContinueOnError)
+	list := s.list()
+	set := flagSet(role, list)
 	set.SetOutput(output)
-	s.define(set)
-	if err := Parse(set, args); err != nil {
+	faults, err := parse(set, args)
+	if errors.Is(err, flag.ErrHelp) {
 		return Settings{}, err
 	}
-	if err := s.check(); err != nil {
-		return Settings{}, fmt.Errorf("loader: settings of %s: %w", set.Name(), err)
+	if err != nil {
+		faults = append(faults, err)
 	}
-	return s, nil
-}
-
-func (s *Settings) define(set *flag.FlagSet) {
-	set.StringVar(&s.name, "name", "", "process `name`, unique among all processes")
-	set.StringVar(&s.dataCentre, "data-centre", "", "`name` of the data centre")
-	set.StringVar(&s.platform, "platform", "", "`URL` of the platform's object API, by IP number")
-	set.StringVar(&s.metricsListen, "metrics-listen", "127.0.0.1:0", "`address` of /metrics, /healthz and /readyz")
-	set.StringVar(&s.peerListen, "peer-listen", "", "UDP `address` of the peer protocol")
-	set.StringVar(&s.peerAddress, "peer-address", "", "UDP `address` that peers use; empty for the one listened on")
-	set.StringVar(&s.peerSeeds, "peer-seeds", "", "comma-separated UDP `addresses` of peers to ask while the platform is away")
-	set.StringVar(&s.peerSecret, "peer-secret", "", "`secret` shared by all processes, 16 bytes or more")
-	set.StringVar(&s.operatorListen, "operator-listen", "127.0.0.1:0", "`address` of the operator API")
-	set.StringVar(&s.operatorAddress, "operator-address", "", "`address` that operators use; empty for the one listened on")
-	set.StringVar(&s.operatorTokens, "operator-tokens", "", "comma-separated `name:digest`, the hex SHA-256 of each operator's token")
-	if s.role == RoleEntry {
-		set.StringVar(&s.callersListen, "callers-listen", "", "`address` of the callers' API")
-		set.DurationVar(&s.drainLimit, "drain-limit", 0, "longest graceful shutdown; 0 waits for every answer")
-		set.Int64Var(&s.maxBodyBytes, "max-body-bytes", 1<<20, "largest request `body`")
+	for _, x := range list {
+		faults = append(faults, x.check()...)
 	}
+	if len(faults) == 0 {
+		faults = s.contradictions()
+	}
+	if len(faults) > 0 {
+		return Settings{}, fmt.Errorf("loader: settings of %s:\n%w", set.Name(), errors.Join(faults...))
+	}
+	return s, nil
 }
 
-func (s *Settings) check() error {
+// contradictions returns the faults of settings that don't fit each other.
+func (s *Settings) contradictions() []error {
 	var faults []error
-	fault := func(key, allowed string) {
-		faults = append(faults, fmt.Errorf("%s: allowed: %s", key, allowed))
-	}
-	if !_processName.MatchString(s.name) {
-		fault("name", "1 to 63 of a-z, 0-9 and -")
-	}
-	if s.dataCentre == "" {
-		fault("data-centre", "the name of this process's data centre")
-	}
-	if u, err := url.Parse(s.platform); err != nil || u.Scheme != "http" && u.Scheme != "https" || !isAddress(u.Host) {
-		fault("platform", "a URL by IP number and port, such as http://10.0.0.1:9000")
-	}
-	addresses := map[string]string{"metrics-listen": s.metricsListen, "peer-listen": s.peerListen, "operator-listen": s.operatorListen}
-	if s.role == RoleEntry {
-		addresses["callers-listen"] = s.callersListen
-	}
-	for k, a := range addresses {
-		if !isAddress(a) {
-			fault(k, "an IP number and a port, such as 10.0.0.7:8080")
-		}
-	}
-	for k, a := range map[string]string{"peer-address": s.peerAddress, "operator-address": s.operatorAddress} {
-		if a != "" && !isAddress(a) {
-			fault(k, "empty, or an IP number and a port")
-		}
-	}
-	for _, a := range s.PeerSeeds() {
-		if !isAddress(a) {
-			fault("peer-seeds", "IP numbers and ports, separated by commas")
+	if s.peerAddress == "" && netip.MustParseAddrPort(s.peerListen).Addr().IsUnspecified() {
+		faults = append(faults, errors.New("peer-address: missing; peers can't use the address of peer-listen; allowed: an IP number and a port of this instance"))
+	}
+	taken := make(map[string]string)
+	for _, l := range []struct{ key, address string }{
+		{"callers-listen", s.callersListen}, {"operator-listen", s.operatorListen}, {"metrics-listen", s.metricsListen},
+	} {
+		if other, ok := taken[l.address]; ok && netip.MustParseAddrPort(l.address).Port() != 0 {
+			faults = append(faults, fmt.Errorf("%s: %q is also %s; allowed: an address of its own", l.key, l.address, other))
 		}
+		taken[l.address] = l.key
 	}
-	if len(s.peerSecret) < _minSecretBytes {
-		fault("peer-secret", "16 bytes or more, the same in all processes")
-	}
-	if _, err := s.tokens(); err != nil {
-		fault("operator-tokens", "name:digest pairs, each digest 64 hex digits")
-	}
-	if s.role == RoleEntry && (s.maxBodyBytes < 1024 || s.maxBodyBytes > 1<<26) {
-		fault("max-body-bytes", "1024 to 67108864")
-	}
-	if s.drainLimit < 0 {
-		fault("drain-limit", "0 or more, such as 90s")
-	}
-	return errors.Join(faults...)
+	return faults
 }
 
 // Role returns what the process does.
@@ -163,7 +116,7 @@
 func (s Settings) PeerAddress() string { return s.peerAddress }
 
 // PeerSeeds returns the addresses of peers to ask first.
-func (s Settings) PeerSeeds() []string { return fields(s.peerSeeds) }
+func (s Settings) PeerSeeds() []string { return s.peerSeeds }
 
 // PeerSecret returns the secret that all processes share.
 func (s Settings) PeerSecret() string { return s.peerSecret }
@@ -174,36 +127,10 @@
 // MaxBodyBytes returns the size of the largest request body.
 func (s Settings) MaxBodyBytes() int64 { return s.maxBodyBytes }
 
-// OperatorTokens returns operators' names by the hex SHA-256 of their tokens.
-func (s Settings) OperatorTokens() map[string]string {
-	t, _ := s.tokens()
-	return t
-}
-
-func (s Settings) tokens() (map[string]string, error) {
-	tokens := make(map[string]string)
-	for _, f := range fields(s.operatorTokens) {
-		name, digest, ok := strings.Cut(f, ":")
-		raw, err := hex.DecodeString(digest)
-		if !ok || name == "" || err != nil || len(raw) != 32 {
-			return nil, fmt.Errorf("bad operator token %q", name)
-		}
-		tokens[strings.ToLower(digest)] = name
-	}
-	return tokens, nil
-}
-
-func fields(list string) []string {
-	var out []string
-	for f := range strings.SplitSeq(list, ",") {
-		if f = strings.TrimSpace(f); f != "" {
-			out = append(out, f)
-		}
-	}
-	return out
-}
+// DrainNotice returns how long a process goes on as usual after it reported
+// that it is not ready any more.
+func (s Settings) DrainNotice() time.Duration { return s.drainNotice }
 
-func isAddress(text string) bool {
-	_, err := netip.ParseAddrPort(text)
-	return err == nil
-}
+// OperatorTokens returns operators' names by the hex SHA-256 of their tokens.
+// Callers must not change it.
+func (s Settings) OperatorTokens() map[string]string { return s.operatorTokens }
--- /dev/null
+++ b/script_test.go
@@ -0,0 +1,128 @@
+package lycheebarrow_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"regexp"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/commander"
+	"github.com/lycheebarrow/lycheebarrow/internal/composer"
+	"github.com/lycheebarrow/lycheebarrow/internal/loader"
+	"github.com/lycheebarrow/lycheebarrow/internal/standin"
+)
+
+// _patience bounds each wait on a condition; a healthy run ends far earlier.
+const _patience = time.Minute
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"lbentry":  func() { os.Exit(composer.Program(loader.RoleEntry, os.Args[1:], os.Stdout, os.Stderr)) },
+		"lbplacer": func() { os.Exit(composer.Program(loader.RolePlacer, os.Args[1:], os.Stdout, os.Stderr)) },
+		"lbstub":   func() { os.Exit(standin.Program(os.Args[1:], os.Stdout, os.Stderr)) },
+		"lbctl": func() {
+			os.Exit(commander.Program(context.Background(), os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+		},
+	})
+}
+
+// The scripts use these commands besides those of testscript:
+//
+//	start NAME PROGRAM ARGS...   run a program with its output in NAME.log
+//	await NAME REGEX [VAR]       wait for a line of NAME.log; VAR gets the first group
+//	stop NAME [CODE]             send SIGTERM, and require the exit code
+//	send ADDRESS FILE            send a file over TCP, close that side, print the answer
+//	eventually PROGRAM ARGS...   repeat a program until it exits 0
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script", RequireExplicitExec: true, UpdateScripts: os.Getenv("UPDATE_SCRIPTS") != "",
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"start": start, "await": await, "stop": stop, "send": send, "eventually": eventually,
+		},
+		Setup: func(e *testscript.Env) error {
+			e.Values[_running] = make(map[string]*exec.Cmd)
+			return nil
+		},
+	})
+}
+
+// _running is the key of a script's running programs.
+const _running = "running"
+
+func start(ts *testscript.TestScript, _ bool, args []string) {
+	path, err := exec.LookPath(args[1])
+	ts.Check(err)
+	log, err := os.Create(ts.MkAbs(args[0] + ".log"))
+	ts.Check(err)
+	c := exec.Command(path, args[2:]...)
+	c.Dir, c.Stdout, c.Stderr = ts.MkAbs("."), log, log
+	for _, v := range []string{"PATH", "HOME", "TMPDIR"} {
+		c.Env = append(c.Env, v+"="+ts.Getenv(v))
+	}
+	ts.Check(c.Start())
+	ts.Check(log.Close())
+	ts.Value(_running).(map[string]*exec.Cmd)[args[0]] = c
+	ts.Defer(func() {
+		if c.ProcessState == nil {
+			_ = c.Process.Kill()
+			_ = c.Wait()
+		}
+	})
+}
+
+func await(ts *testscript.TestScript, _ bool, args []string) {
+	want := regexp.MustCompile(args[1])
+	until(ts, fmt.Sprintf("%s.log has no line %s", args[0], args[1]), func() bool {
+		found := want.FindStringSubmatch(ts.ReadFile(args[0] + ".log"))
+		if found != nil && len(args) > 2 {
+			ts.Setenv(args[2], found[1])
+		}
+		return found != nil
+	})
+}
+
+func until(ts *testscript.TestScript, fault string, done func() bool) {
+	for deadline := time.Now().Add(_patience); !done(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			ts.Fatalf("%s", fault)
+		}
+	}
+}
+
+func stop(ts *testscript.TestScript, _ bool, args []string) {
+	c := ts.Value(_running).(map[string]*exec.Cmd)[args[0]]
+	ts.Check(c.Process.Signal(syscall.SIGTERM))
+	_ = c.Wait()
+	want := "0"
+	if len(args) > 1 {
+		want = args[1]
+	}
+	if got := fmt.Sprint(c.ProcessState.ExitCode()); got != want {
+		ts.Fatalf("%s ended with exit code %s, want %s:\n%s", args[0], got, want, ts.ReadFile(args[0]+".log"))
+	}
+}
+
+func send(ts *testscript.TestScript, _ bool, args []string) {
+	conn, err := net.Dial("tcp", args[0])
+	ts.Check(err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, ts.ReadFile(args[1]))
+	ts.Check(err)
+	ts.Check(conn.(*net.TCPConn).CloseWrite())
+	answer, err := io.ReadAll(conn)
+	ts.Check(err)
+	_, err = ts.Stdout().Write(answer)
+	ts.Check(err)
+}
+
+func eventually(ts *testscript.TestScript, _ bool, args []string) {
+	until(ts, fmt.Sprintf("%v did not succeed", args), func() bool { return ts.Exec(args[0], args[1:]...) == nil })
+}
