internal/meter: metrics, health and readiness; scripted tests of bad input

Every process serves /metrics, /healthz and /readyz on metrics-listen. Services take small Meter interfaces that may be nil: requests by organisation and outcome, refusals by code, time to first token, queue wait and length, work in flight, probes, platform calls, configuration number, lease held.

A body whose announced length is over the limit is refused before it is sent.

Tests: testdata/script runs the four programs through testscript on real sockets: bad_input, startup, health, operator (exit codes, drain, explain).

--- a/internal/composer/entry.go
+++ b/internal/composer/entry.go
@@ -9,6 +9,7 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/configurer"
 	"github.com/lycheebarrow/lycheebarrow/internal/dispatcher"
 	"github.com/lycheebarrow/lycheebarrow/internal/loader"
+	"github.com/lycheebarrow/lycheebarrow/internal/meter"
 	"github.com/lycheebarrow/lycheebarrow/internal/networker"
 	"github.com/lycheebarrow/lycheebarrow/internal/prober"
 	"github.com/lycheebarrow/lycheebarrow/internal/recorder"
@@ -21,7 +22,7 @@
 
 // Entry returns the application of an entry. Log lines go to output.
 func Entry(s loader.Settings, network networker.Network, output io.Writer) *fx.App {
-	return compose(s, network, output, buildShared, buildProber, buildDispatcher, buildServer, buildOperator)
+	return compose(s, network, output, buildMeter, buildShared, buildProber, buildDispatcher, buildServer, buildOperator, buildReadiness)
 }
 
 func buildDispatcher(k *kernel) error {
@@ -29,7 +30,18 @@
 	if err != nil {
 		return err
 	}
+	m, err := registrar.Find[*meter.Meter](&k.services, NameMeter)
+	if err != nil {
+		return err
+	}
 	d := dispatcher.New(k.settings.DataCentre(), c, w, p, k.log)
+	d.Meter = m
+	if err := m.Gauge("queue_length", "Requests that wait for a place in a replica.", d.Waiting); err != nil {
+		return err
+	}
+	if err := m.Gauge("in_flight", "Requests that hold a place in a replica.", d.InFlight); err != nil {
+		return err
+	}
 	k.run(d.Run)
 	return k.services.Register(NameDispatcher, d)
 }
@@ -47,9 +59,13 @@
 	if err != nil {
 		return err
 	}
+	m, err := registrar.Find[*meter.Meter](&k.services, NameMeter)
+	if err != nil {
+		return err
+	}
 	s := &server.Server{
 		Configuration: c, Dispatcher: d, Streamer: streamer.New(k.network, p), Caller: caller.New(k.network),
-		Recorder: recorder.New(store, k.log), Log: k.log, Process: k.settings.Name(),
+		Recorder: recorder.New(store, k.log), Log: k.log, Meter: m, Process: k.settings.Name(),
 		DataCentre: k.settings.DataCentre(), MaxBodyBytes: k.settings.MaxBodyBytes(),
 	}
 	l, err := k.listen("callers", k.settings.CallersListen())
--- a/internal/composer/kernel.go
+++ b/internal/composer/kernel.go
@@ -15,6 +15,7 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/journaler"
 	"github.com/lycheebarrow/lycheebarrow/internal/loader"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/meter"
 	"github.com/lycheebarrow/lycheebarrow/internal/networker"
 	"github.com/lycheebarrow/lycheebarrow/internal/registrar"
 )
@@ -40,6 +41,7 @@
 	network  networker.Network
 	log      logger.Logger
 	journal  *journaler.Journal
+	health   meter.Health
 	services registrar.Registrar
 	life     fx.Lifecycle
 
@@ -112,6 +114,7 @@
 		OnStart: func(context.Context) error {
 			k.group.Go(func() {
 				if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+					k.health.Break(name)
 					k.log.Failure("serve-failed", err, logger.Fields{"service": name})
 				}
 			})
--- a/internal/composer/placer.go
+++ b/internal/composer/placer.go
@@ -9,6 +9,7 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/leaser"
 	"github.com/lycheebarrow/lycheebarrow/internal/loader"
 	"github.com/lycheebarrow/lycheebarrow/internal/messenger"
+	"github.com/lycheebarrow/lycheebarrow/internal/meter"
 	"github.com/lycheebarrow/lycheebarrow/internal/networker"
 	"github.com/lycheebarrow/lycheebarrow/internal/placer"
 	"github.com/lycheebarrow/lycheebarrow/internal/registrar"
@@ -17,7 +18,7 @@
 
 // Placer returns the application of a placer. Log lines go to output.
 func Placer(s loader.Settings, network networker.Network, output io.Writer) *fx.App {
-	return compose(s, network, output, buildShared, buildProber, buildPlacer, buildOperator)
+	return compose(s, network, output, buildMeter, buildShared, buildProber, buildPlacer, buildOperator, buildReadiness)
 }
 
 func buildPlacer(k *kernel) error {
@@ -35,6 +36,13 @@
 		Lease:  leaser.New(store, k.settings.DataCentre(), holder, k.log),
 		Prober: p, Orderer: messenger.New(k.network), Log: k.log,
 	}
+	m, err := registrar.Find[*meter.Meter](&k.services, NameMeter)
+	if err != nil {
+		return err
+	}
+	if err := m.Gauge("lease_held", "1 while this placer holds its data centre's lease.", x.Holds); err != nil {
+		return err
+	}
 	k.run(x.Run)
 	return k.services.Register(NamePlacer, x)
 }
--- a/internal/composer/shared.go
+++ b/internal/composer/shared.go
@@ -9,8 +9,10 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/configurer"
 	"github.com/lycheebarrow/lycheebarrow/internal/loader"
 	"github.com/lycheebarrow/lycheebarrow/internal/messenger"
+	"github.com/lycheebarrow/lycheebarrow/internal/meter"
 	"github.com/lycheebarrow/lycheebarrow/internal/operator"
 	"github.com/lycheebarrow/lycheebarrow/internal/prober"
+	"github.com/lycheebarrow/lycheebarrow/internal/registrar"
 	"github.com/lycheebarrow/lycheebarrow/internal/storer"
 	"github.com/lycheebarrow/lycheebarrow/internal/watcher"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
@@ -18,7 +20,12 @@
 
 // buildShared builds what entries and placers both have.
 func buildShared(k *kernel) error {
+	m, err := registrar.Find[*meter.Meter](&k.services, NameMeter)
+	if err != nil {
+		return err
+	}
 	store := storer.New(k.settings.Platform(), k.network)
+	store.Meter = m
 	if err := k.services.Register(NameStore, store); err != nil {
 		return err
 	}
@@ -36,8 +43,13 @@
 
 // buildProber builds the prober; an entry probes the members of all replicas.
 func buildProber(k *kernel) error {
+	m, err := registrar.Find[*meter.Meter](&k.services, NameMeter)
+	if err != nil {
+		return err
+	}
 	client := messenger.New(k.network)
 	p := prober.New(client, k.log)
+	p.Meter = m
 	k.life.Append(fx.StopHook(p.Close))
 	if err := k.services.Register(NameProber, p); err != nil {
 		return err
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/configurer"
@@ -53,6 +54,11 @@
 	Evidence(instance string) prober.Evidence
 }
 
+// Meter measures waits.
+type Meter interface {
+	Waited(d time.Duration)
+}
+
 // Request is a request that needs a place.
 type Request struct {
 	ID           string // for the decision log
@@ -104,6 +110,9 @@
 
 // Dispatcher owns the queue. Make it with New, start it with Run.
 type Dispatcher struct {
+	// Meter may be nil. Set it before Run.
+	Meter Meter
+
 	dataCentre    string
 	configuration Configuration
 	placements    Placements
@@ -114,6 +123,9 @@
 	done   chan struct{}
 	once   sync.Once
 
+	queued   atomic.Int64
+	inFlight atomic.Int64
+
 	// What follows belongs to Run's goroutine.
 	queue   queuer.Queuer
 	waiting map[uint64]*waiting
@@ -130,6 +142,12 @@
 	}
 }
 
+// Waiting returns how many requests wait.
+func (d *Dispatcher) Waiting() int64 { return d.queued.Load() }
+
+// InFlight returns how many requests hold a place.
+func (d *Dispatcher) InFlight() int64 { return d.inFlight.Load() }
+
 // Run owns the queue until ctx ends; then every waiting request is refused.
 func (d *Dispatcher) Run(ctx context.Context) {
 	ticker := time.NewTicker(_reviewInterval)
@@ -147,6 +165,7 @@
 		case <-ticker.C:
 		}
 		d.review()
+		d.queued.Store(int64(len(d.waiting)))
 	}
 }
 
@@ -253,6 +272,9 @@
 func (d *Dispatcher) give(id uint64, c router.Candidate, why router.Decision, now time.Time) {
 	w := d.waiting[id]
 	d.count(c.Replica.GetName(), w.request.Long, 1)
+	if d.Meter != nil {
+		d.Meter.Waited(now.Sub(w.arrived))
+	}
 	d.log.Event("route", logger.Fields{
 		"request": w.request.ID, "organisation": w.request.Organisation, "model": w.request.Model,
 		"upstream": c.Replica.GetMembers()[0], "replica": c.Replica.GetName(), "group": c.Replica.GetGroup(),
@@ -265,6 +287,7 @@
 func (d *Dispatcher) count(replica string, long bool, by int) {
 	u := d.used[replica]
 	u.all += by
+	d.inFlight.Add(int64(by))
 	if long {
 		u.long += by
 	}
--- /dev/null
+++ b/internal/meter/health.go
@@ -0,0 +1,76 @@
+package meter
+
+import (
+	"io"
+	"net/http"
+	"sync"
+)
+
+// Health says whether a process is ready for work. The zero value is not ready
+// since it has not started. It is safe for concurrent use.
+type Health struct {
+	// InForce says that a configuration is in force; nil means always. Set it
+	// before use.
+	InForce func() bool
+
+	mu      sync.Mutex
+	started bool
+	leaving bool
+	broken  string
+}
+
+// Start says that every service of the process runs.
+func (h *Health) Start() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.started = true
+}
+
+// Leave says that the process shuts down.
+func (h *Health) Leave() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.leaving = true
+}
+
+// Break says that a service ended although the process goes on.
+func (h *Health) Break(service string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.broken = service
+}
+
+// Fault returns why the process is not ready, empty where it is.
+func (h *Health) Fault() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case h.leaving:
+		return "shutting down"
+	case !h.started:
+		return "starting"
+	case h.broken != "":
+		return "service " + h.broken + " ended"
+	case h.InForce != nil && !h.InForce():
+		return "no configuration is in force yet"
+	default:
+		return ""
+	}
+}
+
+// Handler serves /healthz, /readyz and, from m, /metrics.
+func (h *Health) Handler(m *Meter) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", m.Handler())
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "ok\n")
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if fault := h.Fault(); fault != "" {
+			http.Error(w, "not ready: "+fault, http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.WriteString(w, "ready\n")
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/meter/meter_test.go
@@ -0,0 +1,96 @@
+package meter_test
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/meter"
+)
+
+func TestMeterCounts(t *testing.T) {
+	m, err := meter.New()
+	require.NoError(t, err)
+	length := int64(3)
+	require.NoError(t, m.Gauge("queue_length", "Requests that wait.", func() int64 { return length }))
+	use(m)
+	length = 4
+	body := get(t, m, new(meter.Health), "/metrics")
+	for _, line := range []string{
+		`lycheebarrow_requests_total{organisation="acme",outcome="ran"} 1`,
+		`lycheebarrow_requests_total{organisation="none",outcome="not-run"} 1`,
+		`lycheebarrow_refusals_total{code="bad-key"} 1`,
+		`lycheebarrow_first_token_seconds_bucket{organisation="acme",le="1.5"} 1`,
+		`lycheebarrow_first_token_seconds_bucket{organisation="acme",le="1"} 0`,
+		`lycheebarrow_queue_wait_seconds_count 1`,
+		`lycheebarrow_probes_total{result="error"} 1`,
+		`lycheebarrow_platform_calls_total{call="watch",result="ok"} 1`,
+		`lycheebarrow_queue_length 4`,
+	} {
+		assert.Contains(t, body, line+"\n")
+	}
+}
+
+func TestZeroMeterDrops(t *testing.T) {
+	var m meter.Meter
+	assert.NotPanics(t, func() { use(&m) })
+	assert.NoError(t, m.Gauge("queue_length", "Requests that wait.", func() int64 { return 1 }))
+}
+
+func use(m *meter.Meter) {
+	m.Ended("acme", "ran")
+	m.Ended("", "not-run")
+	m.Refused("bad-key")
+	m.FirstToken("acme", 1200*time.Millisecond)
+	m.Waited(time.Second)
+	m.Probed(false)
+	m.Called("watch", true)
+}
+
+func TestHealth(t *testing.T) {
+	testCases := []struct {
+		name   string
+		change func(h *meter.Health)
+		want   string
+	}{
+		{name: "new", change: func(*meter.Health) {}, want: "not ready: starting"},
+		{name: "started", change: func(h *meter.Health) { h.Start() }, want: "ready"},
+		{name: "no configuration", change: func(h *meter.Health) {
+			h.InForce = func() bool { return false }
+			h.Start()
+		}, want: "not ready: no configuration is in force yet"},
+		{name: "broken", change: func(h *meter.Health) {
+			h.Start()
+			h.Break("callers")
+		}, want: "not ready: service callers ended"},
+		{name: "leaving", change: func(h *meter.Health) {
+			h.Start()
+			h.Leave()
+		}, want: "not ready: shutting down"},
+		{name: "leaving before the start", change: func(h *meter.Health) {
+			h.Leave()
+			h.Start()
+		}, want: "not ready: shutting down"},
+	}
+	for _, c := range testCases {
+		t.Run(c.name, func(t *testing.T) {
+			m, err := meter.New()
+			require.NoError(t, err)
+			var h meter.Health
+			c.change(&h)
+			assert.Equal(t, c.want, strings.TrimSpace(get(t, m, &h, "/readyz")))
+			assert.Equal(t, "ok\n", get(t, m, &h, "/healthz"))
+		})
+	}
+}
+
+func get(t *testing.T, m *meter.Meter, h *meter.Health, path string) string {
+	t.Helper()
+	w := httptest.NewRecorder()
+	h.Handler(m).ServeHTTP(w, httptest.NewRequest("GET", path, nil))
+	return w.Body.String()
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protojson"
@@ -66,6 +67,7 @@
 	Orderer       Orderer
 	Log           logger.Logger
 
+	held  atomic.Bool
 	first time.Time
 	// misplaced is since when an instance's status has differed from its
 	// placement, so that an order is repeated but not in every round.
@@ -90,9 +92,18 @@
 	}
 }
 
+// Holds returns 1 where the newest round held the lease, else 0.
+func (p *Placer) Holds() int64 {
+	if p.held.Load() {
+		return 1
+	}
+	return 0
+}
+
 func (p *Placer) round(ctx context.Context) error {
 	err := p.Lease.Step(ctx)
-	if !p.Lease.Held(time.Now()) {
+	p.held.Store(p.Lease.Held(time.Now()))
+	if !p.held.Load() {
 		p.Prober.SetTargets(nil)
 		return err
 	}
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -15,6 +15,11 @@
 	Status(ctx context.Context, address string) (messenger.Status, error)
 }
 
+// Meter counts probes.
+type Meter interface {
+	Probed(answered bool)
+}
+
 // Target is an instance to probe.
 type Target struct {
 	Instance string
@@ -42,6 +47,9 @@
 // Prober probes its targets. Make it with New; Close it. It is safe for
 // concurrent use.
 type Prober struct {
+	// Meter may be nil. Set it before SetTargets.
+	Meter Meter
+
 	asker Asker
 	log   logger.Logger
 	group sync.WaitGroup
@@ -118,6 +126,9 @@
 	if ctx.Err() != nil {
 		return
 	}
+	if p.Meter != nil {
+		p.Meter.Probed(err == nil)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.evidence[t.Instance]
--- a/internal/server/chat.go
+++ b/internal/server/chat.go
@@ -88,9 +88,15 @@
 
 // readBody reads a whole body within the limit.
 func (s *Server) readBody(c *gin.Context) ([]byte, *responder.Problem) {
-	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, s.MaxBodyBytes))
+	// A length over the limit is refused before the body is sent.
+	announced := c.Request.ContentLength > s.MaxBodyBytes
+	var body []byte
+	var err error
+	if !announced {
+		body, err = io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, s.MaxBodyBytes))
+	}
 	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	if announced || errors.As(err, &large) {
 		return nil, &responder.Problem{
 			Status: http.StatusRequestEntityTooLarge, Code: "body-too-large", Message: fmt.Sprintf("the body is over %d bytes", s.MaxBodyBytes),
 			Outcome: responder.NotRun, Mend: "send a smaller body",
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -51,6 +51,13 @@
 	Finish(ctx context.Context, c *recorder.Claim, record *wire.CallRecord) error
 }
 
+// Meter measures requests.
+type Meter interface {
+	Ended(organisation, outcome string)
+	Refused(code string)
+	FirstToken(organisation string, after time.Duration)
+}
+
 // Server serves callers. Set the fields before Handler; they don't change
 // after.
 type Server struct {
@@ -60,6 +67,7 @@
 	Caller        Caller
 	Recorder      Recorder
 	Log           logger.Logger
+	Meter         Meter // may be nil
 	Process       string
 	DataCentre    string
 	MaxBodyBytes  int64
@@ -79,7 +87,7 @@
 	gin.SetMode(gin.ReleaseMode)
 	e := gin.New()
 	e.HandleMethodNotAllowed = true
-	e.Use(gin.CustomRecoveryWithWriter(nil, s.recovered), s.identify)
+	e.Use(gin.CustomRecoveryWithWriter(nil, s.recovered), s.measure, s.identify)
 	e.POST("/v1/chat/completions", s.chat)
 	e.GET("/v1/models", s.models)
 	e.Any("/services/:name/*path", s.service)
@@ -156,6 +164,9 @@
 		"request": who.request, "organisation": who.organisation, "code": p.Code,
 		"status": p.Status, "outcome": p.Outcome, "message": p.Message,
 	})
+	if s.Meter != nil {
+		s.Meter.Refused(p.Code)
+	}
 	p.Write(c.Writer)
 	c.Abort()
 }
--- a/internal/standin/program.go
+++ b/internal/standin/program.go
@@ -125,9 +125,11 @@
 		return err
 	}
 	defer res.Body.Close()
+	if _, err = io.Copy(output, res.Body); err != nil {
+		return err
+	}
 	if res.StatusCode != http.StatusOK {
 		return fmt.Errorf("ask %s: status %d", args[0], res.StatusCode)
 	}
-	_, err = io.Copy(output, res.Body)
-	return err
+	return nil
 }
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -60,8 +60,16 @@
 	ChecksFencing bool `json:"checks_fencing"`
 }
 
+// Meter counts calls of the platform.
+type Meter interface {
+	Called(call string, answered bool)
+}
+
 // Client calls the object API. It is safe for concurrent use.
 type Client struct {
+	// Meter may be nil. Set it before use.
+	Meter Meter
+
 	base string
 	http *http.Client
 }
@@ -196,7 +204,36 @@
 	if header != "" {
 		req.Header.Set(header, value)
 	}
-	return c.http.Do(req)
+	res, err := c.http.Do(req)
+	if c.Meter != nil {
+		c.Meter.Called(callName(method, path, header), err == nil && answered(res.StatusCode))
+	}
+	return res, err
+}
+
+// callName names a call for the metrics.
+func callName(method, path, header string) string {
+	switch {
+	case strings.HasPrefix(path, "/instances"):
+		return "instances"
+	case strings.HasPrefix(path, "/objects?"):
+		return "list"
+	case method == http.MethodGet && strings.Contains(path, "wait_ms="):
+		return "watch"
+	case method == http.MethodGet:
+		return "get"
+	case method == http.MethodDelete:
+		return "delete"
+	case header == "If-None-Match":
+		return "create"
+	default:
+		return "update"
+	}
+}
+
+// answered says that the platform took the call.
+func answered(status int) bool {
+	return status < http.StatusInternalServerError && status != http.StatusTooManyRequests
 }
 
 func readError(status int) error {
--- a/script_test.go
+++ b/script_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"os"
 	"os/exec"
 	"regexp"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -38,24 +40,35 @@
 //
 //	start NAME PROGRAM ARGS...   run a program with its output in NAME.log
 //	await NAME REGEX [VAR]       wait for a line of NAME.log; VAR gets the first group
+//	signal NAME                  send SIGTERM
 //	stop NAME [CODE]             send SIGTERM, and require the exit code
-//	send ADDRESS FILE            send a file over TCP, close that side, print the answer
+//	expand FILE                  replace $VAR in a file
+//	open NAME ADDRESS FILE       connect and send a file over TCP
+//	cut NAME                     close the sending side
+//	finish NAME                  print what comes until the other side closes
+//	code CODE PROGRAM ARGS...    run a program, and require the exit code
 //	eventually PROGRAM ARGS...   repeat a program until it exits 0
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/script", RequireExplicitExec: true, UpdateScripts: os.Getenv("UPDATE_SCRIPTS") != "",
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"start": start, "await": await, "stop": stop, "send": send, "eventually": eventually,
+			"start": start, "await": await, "signal": signal, "stop": stop, "expand": expand,
+			"open": open, "cut": cut, "finish": finish, "code": code, "eventually": eventually,
 		},
 		Setup: func(e *testscript.Env) error {
 			e.Values[_running] = make(map[string]*exec.Cmd)
-			return nil
+			e.Values[_opened] = make(map[string]*net.TCPConn)
+			e.Setenv("LBCTL_TOKEN", "operator-token")
+			return os.CopyFS(e.WorkDir, os.DirFS("testdata/world"))
 		},
 	})
 }
 
-// _running is the key of a script's running programs.
-const _running = "running"
+// Keys of a script's values.
+const (
+	_running = "running" // programs by name
+	_opened  = "opened"  // connections by name
+)
 
 func start(ts *testscript.TestScript, _ bool, args []string) {
 	path, err := exec.LookPath(args[1])
@@ -97,9 +110,13 @@
 	}
 }
 
-func stop(ts *testscript.TestScript, _ bool, args []string) {
+func signal(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(ts.Value(_running).(map[string]*exec.Cmd)[args[0]].Process.Signal(syscall.SIGTERM))
+}
+
+func stop(ts *testscript.TestScript, neg bool, args []string) {
+	signal(ts, neg, args)
 	c := ts.Value(_running).(map[string]*exec.Cmd)[args[0]]
-	ts.Check(c.Process.Signal(syscall.SIGTERM))
 	_ = c.Wait()
 	want := "0"
 	if len(args) > 1 {
@@ -110,19 +127,41 @@
 	}
 }
 
-func send(ts *testscript.TestScript, _ bool, args []string) {
-	conn, err := net.Dial("tcp", args[0])
-	ts.Check(err)
-	defer conn.Close()
-	_, err = io.WriteString(conn, ts.ReadFile(args[1]))
-	ts.Check(err)
-	ts.Check(conn.(*net.TCPConn).CloseWrite())
-	answer, err := io.ReadAll(conn)
+func expand(ts *testscript.TestScript, _ bool, args []string) {
+	text := os.Expand(ts.ReadFile(args[0]), ts.Getenv)
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(text), 0o600))
+}
+
+func open(ts *testscript.TestScript, _ bool, args []string) {
+	c, err := net.Dial("tcp", args[1])
 	ts.Check(err)
-	_, err = ts.Stdout().Write(answer)
+	ts.Defer(func() { _ = c.Close() })
+	ts.Value(_opened).(map[string]*net.TCPConn)[args[0]] = c.(*net.TCPConn)
+	_, err = io.WriteString(c, strings.ReplaceAll(ts.ReadFile(args[2]), "\n", "\r\n"))
 	ts.Check(err)
 }
 
+func cut(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(ts.Value(_opened).(map[string]*net.TCPConn)[args[0]].CloseWrite())
+}
+
+func finish(ts *testscript.TestScript, _ bool, args []string) {
+	c := ts.Value(_opened).(map[string]*net.TCPConn)[args[0]]
+	// What came before a reset still counts.
+	_, _ = io.Copy(ts.Stdout(), c)
+}
+
+func code(ts *testscript.TestScript, _ bool, args []string) {
+	got := 0
+	var exit *exec.ExitError
+	if err := ts.Exec(args[1], args[2:]...); errors.As(err, &exit) {
+		got = exit.ExitCode()
+	}
+	if fmt.Sprint(got) != args[0] {
+		ts.Fatalf("%v ended with exit code %d, want %s", args[1:], got, args[0])
+	}
+}
+
 func eventually(ts *testscript.TestScript, _ bool, args []string) {
 	until(ts, fmt.Sprintf("%v did not succeed", args), func() bool { return ts.Exec(args[0], args[1:]...) == nil })
 }
