--- a/internal/composer/entry.go
+++ b/internal/composer/entry.go
@@ -1,9 +1,7 @@
 package composer
 
 import (
-	"context"
 	"io"
-	"time"
 
 	"go.uber.org/fx"
 
@@ -11,7 +9,7 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/configurer"
 	"github.com/lycheebarrow/lycheebarrow/internal/dispatcher"
 	"github.com/lycheebarrow/lycheebarrow/internal/loader"
-	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/meter"
 	"github.com/lycheebarrow/lycheebarrow/internal/networker"
 	"github.com/lycheebarrow/lycheebarrow/internal/prober"
 	"github.com/lycheebarrow/lycheebarrow/internal/recorder"
@@ -24,7 +22,7 @@
 
 // Entry returns the application of an entry. Log lines go to output.
 func Entry(s loader.Settings, network networker.Network, output io.Writer) *fx.App {
-	return compose(s, network, output, buildShared, buildProber, buildDispatcher, buildServer, buildOperator)
+	return compose(s, network, output, buildMeter, buildShared, buildProber, buildDispatcher, buildServer, buildOperator, buildReadiness)
 }
 
 func buildDispatcher(k *kernel) error {
@@ -32,7 +30,18 @@
 	if err != nil {
 		return err
 	}
+	m, err := registrar.Find[*meter.Meter](&k.services, NameMeter)
+	if err != nil {
+		return err
+	}
 	d := dispatcher.New(k.settings.DataCentre(), c, w, p, k.log)
+	d.Meter = m
+	if err := m.Gauge("queue_length", "Requests that wait for a place in a replica.", d.Waiting); err != nil {
+		return err
+	}
+	if err := m.Gauge("in_flight", "Requests that hold a place in a replica.", d.InFlight); err != nil {
+		return err
+	}
 	k.run(d.Run)
 	return k.services.Register(NameDispatcher, d)
 }
@@ -50,33 +59,23 @@
 	if err != nil {
 		return err
 	}
+	m, err := registrar.Find[*meter.Meter](&k.services, NameMeter)
+	if err != nil {
+		return err
+	}
 	s := &server.Server{
 		Configuration: c, Dispatcher: d, Streamer: streamer.New(k.network, p), Caller: caller.New(k.network),
-		Recorder: recorder.New(store, k.log), Log: k.log, Process: k.settings.Name(),
+		Recorder: recorder.New(store, k.log), Log: k.log, Meter: m, Process: k.settings.Name(),
 		DataCentre: k.settings.DataCentre(), MaxBodyBytes: k.settings.MaxBodyBytes(),
 	}
 	l, err := k.listen("callers", k.settings.CallersListen())
 	if err != nil {
 		return err
 	}
-	k.serve("callers", l, s.Handler(), func(ctx context.Context) { k.drain(ctx, s) })
+	k.serve("callers", l, s.Handler(), s.Drain)
 	return k.services.Register(NameServer, s)
 }
 
-// drain ends readiness, goes on serving while balancers notice, and then lets
-// the server take no new work.
-func (k *kernel) drain(ctx context.Context, s *server.Server) {
-	close(k.stopping)
-	k.log.Event("drain", logger.Fields{"notice": k.settings.DrainNotice()})
-	t := time.NewTimer(k.settings.DrainNotice())
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-	s.Drain()
-}
-
 // views finds the services that most others read.
 func views(k *kernel) (*configurer.Configurer, *watcher.Watcher, *prober.Prober, error) {
 	c, err := registrar.Find[*configurer.Configurer](&k.services, NameConfigurer)
--- a/internal/composer/kernel.go
+++ b/internal/composer/kernel.go
@@ -12,8 +12,10 @@
 
 	"go.uber.org/fx"
 
+	"github.com/lycheebarrow/lycheebarrow/internal/journaler"
 	"github.com/lycheebarrow/lycheebarrow/internal/loader"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/meter"
 	"github.com/lycheebarrow/lycheebarrow/internal/networker"
 	"github.com/lycheebarrow/lycheebarrow/internal/registrar"
 )
@@ -38,15 +40,14 @@
 	settings loader.Settings
 	network  networker.Network
 	log      logger.Logger
+	journal  *journaler.Journal
+	health   meter.Health
 	services registrar.Registrar
 	life     fx.Lifecycle
 
 	ctx    context.Context
 	cancel context.CancelFunc
 	group  sync.WaitGroup
-
-	// stopping is closed when a graceful shutdown begins; readiness ends then.
-	stopping chan struct{}
 }
 
 // build makes one service.
@@ -58,7 +59,8 @@
 		fx.NopLogger,
 		fx.StopTimeout(stopTimeout(s)),
 		fx.Provide(func(l fx.Lifecycle) *kernel {
-			k := &kernel{settings: s, network: network, log: logger.New(output, s.Name()), life: l, stopping: make(chan struct{})}
+			k := &kernel{settings: s, network: network, journal: new(journaler.Journal), life: l}
+			k.log = logger.New(output, s.Name()).With(k.journal)
 			k.ctx, k.cancel = context.WithCancel(context.Background())
 			l.Append(fx.StopHook(func() {
 				k.cancel()
@@ -84,7 +86,7 @@
 	if s.DrainLimit() == 0 {
 		return endless
 	}
-	return s.DrainLimit() + 10*time.Second
+	return s.DrainNotice() + s.DrainLimit() + 10*time.Second
 }
 
 // run runs a service's loop from the start to the stop of the application.
@@ -106,12 +108,13 @@
 
 // serve serves h on l; at the stop it calls before, and waits until every
 // request has its answer or the drain limit has passed.
-func (k *kernel) serve(name string, l net.Listener, h http.Handler, before func(ctx context.Context)) {
+func (k *kernel) serve(name string, l net.Listener, h http.Handler, before func()) {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: _headerTimeout, MaxHeaderBytes: 64 << 10}
 	k.life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			k.group.Go(func() {
 				if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+					k.health.Break(name)
 					k.log.Failure("serve-failed", err, logger.Fields{"service": name})
 				}
 			})
@@ -119,7 +122,7 @@
 		},
 		OnStop: func(ctx context.Context) error {
 			if before != nil {
-				before(ctx)
+				before()
 			}
 			if d := k.settings.DrainLimit(); d > 0 {
 				var cancel context.CancelFunc
