internal/gossiper, internal/replicator, internal/transporter: peers exchange digests

Cause: a process learned configuration and placements from the platform alone, so it stood still in an outage and each process cost platform calls. The peer key is derived from the shared secret; shown failing first: with the key comparison taken out, 'another secret' and the impostor test fail.

--- /dev/null
+++ b/internal/configurer/advance.go
@@ -0,0 +1,57 @@
+package configurer
+
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	jsonpatch "github.com/evanphx/json-patch/v5"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/wire"
+)
+
+// Advance applies accepted changes, in order, to the configuration in force and
+// puts the result in force. It reports whether the last change is in force
+// afterwards; false says that the whole configuration is needed. Source names
+// where the changes came from.
+func (c *Configurer) Advance(changes []*wire.ConfigurationChange, source string) bool {
+	record := c.Current().Record()
+	if record == nil {
+		record = &wire.ConfigurationRecord{Document: "{}"}
+	}
+	start := record.GetNumber()
+	for _, x := range changes {
+		if x.GetNumber() <= record.GetNumber() {
+			continue
+		}
+		next, err := advance(record, x)
+		if err != nil {
+			c.log.Failure("configuration-change-unfit", err, logger.Fields{"number": x.GetNumber(), "source": source})
+			return false
+		}
+		record = next
+	}
+	if record.GetNumber() > start {
+		c.Offer(record, source)
+	}
+	return len(changes) == 0 || c.Current().Number() >= changes[len(changes)-1].GetNumber()
+}
+
+// advance returns the record that follows by one accepted change. The hash
+// proves that the document is the one that was accepted.
+func advance(record *wire.ConfigurationRecord, x *wire.ConfigurationChange) (*wire.ConfigurationRecord, error) {
+	if x.GetNumber() != record.GetNumber()+1 {
+		return nil, fmt.Errorf("configurer: apply change %d to number %d: changes between are missing", x.GetNumber(), record.GetNumber())
+	}
+	merged, err := jsonpatch.MergePatch([]byte(record.GetDocument()), []byte(x.GetPatch()))
+	if err != nil {
+		return nil, fmt.Errorf("configurer: apply change %d: %w", x.GetNumber(), err)
+	}
+	if merged, err = canonical(merged); err != nil {
+		return nil, err
+	}
+	if xxhash.Sum64(merged) != x.GetDocumentHash() {
+		return nil, fmt.Errorf("configurer: apply change %d: the document differs from the accepted one", x.GetNumber())
+	}
+	return follow(record, x, merged), nil
+}
--- a/internal/configurer/patch.go
+++ b/internal/configurer/patch.go
@@ -1,12 +1,15 @@
 package configurer
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	jsonpatch "github.com/evanphx/json-patch/v5"
 	"google.golang.org/protobuf/encoding/protojson"
 
@@ -117,6 +120,9 @@
 	if _, err := validator.Parse(merged); err != nil {
 		return nil, nil, err
 	}
+	if merged, err = canonical(merged); err != nil {
+		return nil, nil, err
+	}
 	values, err := compare([]byte(record.GetDocument()), merged)
 	if err != nil {
 		return nil, nil, err
@@ -124,12 +130,34 @@
 	change := &wire.ConfigurationChange{
 		Number: record.GetNumber() + 1, PatchId: p.ID, Author: p.Author, Reason: p.Reason,
 		AcceptedUnixMs: time.Now().UnixMilli(), Patch: string(p.Merge), Values: values,
+		DocumentHash: xxhash.Sum64(merged),
 	}
-	recent := append(record.GetRecent()[:len(record.GetRecent()):len(record.GetRecent())], change)
+	return follow(record, change, merged), change, nil
+}
+
+// follow returns the record that a change makes of another.
+func follow(record *wire.ConfigurationRecord, change *wire.ConfigurationChange, document []byte) *wire.ConfigurationRecord {
+	recent := append(slices.Clip(record.GetRecent()), change)
 	if len(recent) > _recentChanges {
 		recent = recent[len(recent)-_recentChanges:]
 	}
-	return &wire.ConfigurationRecord{Number: change.GetNumber(), Document: string(merged), Recent: recent}, change, nil
+	return &wire.ConfigurationRecord{Number: change.GetNumber(), Document: string(document), Recent: recent}
+}
+
+// canonical returns the one text of a document: members in the order of their
+// names, no spaces. So the same patch makes the same bytes in every process.
+func canonical(document []byte) ([]byte, error) {
+	dec := json.NewDecoder(bytes.NewReader(document))
+	dec.UseNumber()
+	var value any
+	if err := dec.Decode(&value); err != nil {
+		return nil, fmt.Errorf("configurer: decode the document: %w", err)
+	}
+	text, err := json.Marshal(value)
+	if err != nil {
+		return nil, fmt.Errorf("configurer: encode the document: %w", err)
+	}
+	return text, nil
 }
 
 func last(changes []*wire.ConfigurationChange) *wire.ConfigurationChange {
--- /dev/null
+++ b/internal/gossiper/compose.go
@@ -0,0 +1,117 @@
+package gossiper
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/wire"
+)
+
+// Introduce returns the first digest to a peer whose name is not known yet.
+func (g *Gossiper) Introduce(l Local) *wire.Digest {
+	d := &wire.Digest{ConfigurationNumber: l.Configuration.GetNumber()}
+	d.Sender = g.sender(nil)
+	return d
+}
+
+// Compose returns the next digest to the peer of that name.
+func (g *Gossiper) Compose(name string, l Local, now time.Time) *wire.Digest {
+	p := g.peers[name]
+	if p == nil {
+		known, _ := g.table.Get(name)
+		p = newPeer(known.record.GetStartedUnixMs())
+		p.seen = now
+		g.peers[name] = p
+	}
+	p.serial++
+	s := newSent()
+	d := &wire.Digest{
+		Serial: p.serial, Heard: p.heard, Sender: g.sender(p), ConfigurationNumber: l.Configuration.GetNumber(),
+		WantsConfiguration: p.asks, WantedProcesses: p.unknownProcesses, WantedPlacements: p.unknownPlacements,
+		Freshness: &wire.Freshness{
+			ConfigurationAgeMs: readAge(l.ConfigurationRead, now), PlacementsAgeMs: readAge(l.PlacementsRead, now),
+		},
+	}
+	p.asks, p.unknownProcesses, p.unknownPlacements = false, nil, nil
+	p.composeConfiguration(d, l.Configuration, now)
+	g.composeProcesses(name, p, d, s, now)
+	g.composePlacements(p, d, s, l, now)
+	g.composeLeaving(p, d, s, now)
+	p.await(p.serial, s)
+	return d
+}
+
+// sender returns the own record, short where the peer has the rest.
+func (g *Gossiper) sender(p *peer) *wire.ProcessRecord {
+	s := g.self
+	short := &wire.ProcessRecord{
+		Name: s.GetName(), StartedUnixMs: s.GetStartedUnixMs(), Sequence: s.GetSequence(), Draining: s.GetDraining(),
+	}
+	if p != nil {
+		if _, ok := p.has.processes[identify(s)]; ok && !slices.Contains(p.wantedProcesses, identify(s)) {
+			return short
+		}
+	}
+	short.Role, short.DataCentre, short.ConfigurationNumber = s.GetRole(), s.GetDataCentre(), s.GetConfigurationNumber()
+	short.PeerAddress, short.OperatorAddress = s.GetPeerAddress(), s.GetOperatorAddress()
+	return short
+}
+
+func (g *Gossiper) composeProcesses(name string, p *peer, d *wire.Digest, s sent, now time.Time) {
+	other, _ := g.table.Get(name)
+	near := other.record.GetDataCentre() == g.self.GetDataCentre()
+	for n, x := range g.table.byName {
+		if n == name {
+			continue
+		}
+		b := beatOf(x.record, x.said)
+		if n == g.self.GetName() {
+			s.processes[x.id] = b
+			continue
+		}
+		had, known := p.has.processes[x.id]
+		wanted := slices.Contains(p.wantedProcesses, x.id)
+		if wanted && len(d.Processes) < _maxRecords || !known && now.Sub(x.first) < _introduction {
+			d.Processes = append(d.Processes, x.aged(now))
+			s.processes[x.id] = b
+			continue
+		}
+		if known && !due(had, b, near && x.record.GetDataCentre() == g.self.GetDataCentre()) {
+			continue
+		}
+		if now.Sub(x.said) > _remoteLimit {
+			continue
+		}
+		d.Beats = append(d.Beats, &wire.ProcessBeat{
+			Id: x.id, Sequence: b.sequence, Behind: int64(d.ConfigurationNumber) - int64(b.number), Draining: b.draining,
+			AgeMs: millis(now.Sub(x.said)),
+		})
+		s.processes[x.id] = b
+	}
+	p.wantedProcesses = nil
+}
+
+// due says that a peer which had one word of a process should get a newer one.
+func due(had, b beat, near bool) bool {
+	if b.sequence <= had.sequence {
+		return false
+	}
+	return near || b.number != had.number || b.draining != had.draining || b.said.Sub(had.said) >= _remoteInterval
+}
+
+func (g *Gossiper) composePlacements(p *peer, d *wire.Digest, s sent, l Local, now time.Time) {
+	for key, x := range g.placements {
+		had, known := p.has.placements[x.id]
+		wanted := slices.Contains(p.wantedPlacements, x.id)
+		if !wanted && known && had >= x.revision {
+			continue
+		}
+		s.placements[x.id] = x.revision
+		if wanted || known || now.Sub(x.changed) < _introduction && p.contacted {
+			d.Placements = append(d.Placements, l.Placements[key])
+			continue
+		}
+		d.Marks = append(d.Marks, &wire.PlacementMark{Id: x.id, Revision: x.revision})
+	}
+	p.wantedPlacements = nil
+}
--- /dev/null
+++ b/internal/reader/turn.go
@@ -0,0 +1,93 @@
+package reader
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const (
+	// _staleLimit is how old the last read by any process may be.
+	_staleLimit = 4500 * time.Millisecond
+	// _staleJitter spreads the reads of processes that turn stale together.
+	_staleJitter = time.Second
+	// _ownInterval is how often a process reads the platform itself although
+	// its peers keep it fresh.
+	_ownInterval = 2 * time.Minute
+	// _review is how often Wait looks again.
+	_review = 250 * time.Millisecond
+)
+
+// Turn says when this process reads one kind of object. The zero value says
+// always. It is safe for concurrent use.
+type Turn struct {
+	// Duty says that this process is one of its data centre's readers; nil
+	// means always. Set it before use.
+	Duty func() bool
+	// Seed chooses the jitter, so that processes which turn stale together
+	// don't read together. Set it before use.
+	Seed uint64
+
+	mu     sync.Mutex
+	latest time.Time
+	own    time.Time
+	jitter time.Duration
+	random *rand.Rand
+}
+
+// OnDuty says that this process is one of its data centre's readers.
+func (t *Turn) OnDuty() bool { return t.Duty == nil || t.Duty() }
+
+// Note takes the time at which some process sent a read that was answered.
+func (t *Turn) Note(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if at.After(t.latest) {
+		t.latest = at
+	}
+}
+
+// Done takes the time at which this process sent a read that was answered.
+func (t *Turn) Done(at time.Time) {
+	t.Note(at)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.own = at
+	if t.random == nil {
+		t.random = rand.New(rand.NewPCG(t.Seed, 3))
+	}
+	t.jitter = time.Duration(t.random.Int64N(int64(_staleJitter)))
+}
+
+// Latest returns when the newest read that is known of was sent; zero where
+// there was none.
+func (t *Turn) Latest() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.latest
+}
+
+// Wait returns nil once this process should read, or the context's error.
+func (t *Turn) Wait(ctx context.Context) error {
+	ticker := time.NewTicker(_review)
+	defer ticker.Stop()
+	for {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if t.OnDuty() || t.due(time.Now()) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+func (t *Turn) due(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Sub(t.latest) >= _staleLimit+t.jitter || now.Sub(t.own) >= _ownInterval+60*t.jitter
+}
--- /dev/null
+++ b/internal/transporter/transporter_test.go
@@ -0,0 +1,112 @@
+package transporter_test
+
+import (
+	"context"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/transporter"
+	"github.com/lycheebarrow/lycheebarrow/internal/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// echo answers each digest with its configuration number plus one.
+type echo struct{ asked atomic.Int64 }
+
+func (e *echo) Answer(_ context.Context, d *wire.Digest) (*wire.Digest, error) {
+	e.asked.Add(1)
+	return &wire.Digest{ConfigurationNumber: d.GetConfigurationNumber() + 1, Configuration: d.GetConfiguration()}, nil
+}
+
+func listen(t *testing.T, secret string, a transporter.Answerer) *transporter.Transporter {
+	t.Helper()
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	x, err := transporter.Listen(c, secret)
+	require.NoError(t, err)
+	x.Serve(a)
+	t.Cleanup(func() { _ = x.Close() })
+	return x
+}
+
+func TestExchange(t *testing.T) {
+	testCases := []struct {
+		name    string
+		secret  string
+		bytes   int
+		refused bool
+	}{
+		{name: "small digest", secret: "the-shared-secret-1"},
+		{name: "whole configuration of a megabyte", secret: "the-shared-secret-1", bytes: 1 << 20},
+		{name: "another secret", secret: "the-shared-secret-2", refused: true},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			var server, client echo
+			to := listen(t, "the-shared-secret-1", &server)
+			from := listen(t, tc.secret, &client)
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			document := strings.Repeat("x", tc.bytes)
+			d := &wire.Digest{ConfigurationNumber: 7, Configuration: &wire.ConfigurationRecord{Document: document}}
+			answer, err := from.Exchange(ctx, to.Address(), d)
+			if tc.refused {
+				require.Error(t, err)
+				require.Nil(t, answer)
+				require.Zero(t, server.asked.Load(), "a stranger's digest was read")
+				return
+			}
+			require.NoError(t, err)
+			require.EqualValues(t, 8, answer.GetConfigurationNumber())
+			require.Equal(t, document, answer.GetConfiguration().GetDocument())
+		})
+	}
+}
+
+// A server with another secret must learn nothing from a client either.
+func TestExchangeWithImpostor(t *testing.T) {
+	var impostor, client echo
+	to := listen(t, "the-shared-secret-2", &impostor)
+	from := listen(t, "the-shared-secret-1", &client)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	_, err := from.Exchange(ctx, to.Address(), &wire.Digest{ConfigurationNumber: 7})
+	require.ErrorIs(t, err, transporter.ErrStranger)
+	require.Zero(t, impostor.asked.Load())
+}
+
+// A peer that was replaced at the same address is reached again.
+func TestExchangeAfterRestart(t *testing.T) {
+	const secret = "the-shared-secret-1"
+	var server, client echo
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	to, err := transporter.Listen(c, secret)
+	require.NoError(t, err)
+	to.Serve(&server)
+	from := listen(t, secret, &client)
+	_, err = from.Exchange(t.Context(), to.Address(), &wire.Digest{})
+	require.NoError(t, err)
+	address := to.Address()
+	require.NoError(t, to.Close())
+
+	c, err = net.ListenPacket("udp", address)
+	require.NoError(t, err)
+	to, err = transporter.Listen(c, secret)
+	require.NoError(t, err)
+	to.Serve(&server)
+	defer to.Close()
+	require.Eventually(t, func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := from.Exchange(ctx, address, &wire.Digest{})
+		return err == nil
+	}, 30*time.Second, 10*time.Millisecond)
+}
