internal/composer: entries and placers exchange digests with their peers

Cause: every process polled placements each second and held a watch, whatever the others knew. Outages are logged once. Instances that leave are told to peers and close their replicas to new work.

--- a/internal/composer/entry.go
+++ b/internal/composer/entry.go
@@ -13,6 +13,7 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/prober"
 	"github.com/lycheebarrow/lycheebarrow/internal/recorder"
 	"github.com/lycheebarrow/lycheebarrow/internal/registrar"
+	"github.com/lycheebarrow/lycheebarrow/internal/replicator"
 	"github.com/lycheebarrow/lycheebarrow/internal/server"
 	"github.com/lycheebarrow/lycheebarrow/internal/storer"
 	"github.com/lycheebarrow/lycheebarrow/internal/streamer"
@@ -21,7 +22,7 @@
 
 // Entry returns the application of an entry. Log lines go to output.
 func Entry(s loader.Settings, network networker.Network, output io.Writer) *fx.App {
-	return compose(s, network, output, buildShared, buildProber, buildDispatcher, buildServer, buildOperator)
+	return compose(s, network, output, buildShared, buildProber, buildPeers, buildDispatcher, buildServer, buildOperator)
 }
 
 func buildDispatcher(k *kernel) error {
@@ -29,7 +30,11 @@
 	if err != nil {
 		return err
 	}
-	d := dispatcher.New(k.settings.DataCentre(), c, w, p, k.log)
+	r, err := registrar.Find[*replicator.Replicator](&k.services, NameReplicator)
+	if err != nil {
+		return err
+	}
+	d := dispatcher.New(k.settings.DataCentre(), c, w, &evidence{Prober: p, departures: r}, k.log)
 	k.run(d.Run)
 	return k.services.Register(NameDispatcher, d)
 }
--- a/internal/composer/kernel.go
+++ b/internal/composer/kernel.go
@@ -28,6 +28,8 @@
 	NameServer     = "server"
 	NameOperator   = "operator"
 	NamePlacer     = "placer"
+	NameReplicator = "replicator"
+	NameTurns      = "turns"
 )
 
 // _headerTimeout bounds the wait for a request's headers.
@@ -40,6 +42,8 @@
 	log      logger.Logger
 	services registrar.Registrar
 	life     fx.Lifecycle
+	// operators is where operators are served.
+	operators net.Listener
 
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/internal/composer/placer.go
+++ b/internal/composer/placer.go
@@ -17,7 +17,7 @@
 
 // Placer returns the application of a placer. Log lines go to output.
 func Placer(s loader.Settings, network networker.Network, output io.Writer) *fx.App {
-	return compose(s, network, output, buildShared, buildProber, buildPlacer, buildOperator)
+	return compose(s, network, output, buildShared, buildProber, buildPeers, buildPlacer, buildOperator)
 }
 
 func buildPlacer(k *kernel) error {
--- a/internal/composer/shared.go
+++ b/internal/composer/shared.go
@@ -11,6 +11,8 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/messenger"
 	"github.com/lycheebarrow/lycheebarrow/internal/operator"
 	"github.com/lycheebarrow/lycheebarrow/internal/prober"
+	"github.com/lycheebarrow/lycheebarrow/internal/registrar"
+	"github.com/lycheebarrow/lycheebarrow/internal/replicator"
 	"github.com/lycheebarrow/lycheebarrow/internal/storer"
 	"github.com/lycheebarrow/lycheebarrow/internal/watcher"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
@@ -22,16 +24,26 @@
 	if err := k.services.Register(NameStore, store); err != nil {
 		return err
 	}
-	c := configurer.New(store, k.log)
+	t := newTurns(k)
+	if err := k.services.Register(NameTurns, t); err != nil {
+		return err
+	}
+	c := configurer.New(store, &t.configuration, k.log)
 	k.run(c.Run)
 	if err := k.services.Register(NameConfigurer, c); err != nil {
 		return err
 	}
-	w := watcher.New(store, k.log)
+	w := watcher.New(store, &t.placements, k.log)
 	if k.settings.Role() == loader.RoleEntry {
 		k.run(w.Run)
 	}
-	return k.services.Register(NameWatcher, w)
+	if err := k.services.Register(NameWatcher, w); err != nil {
+		return err
+	}
+	// Opened here, so that peers can be told the address.
+	var err error
+	k.operators, err = k.listen("operator", k.settings.OperatorListen())
+	return err
 }
 
 // buildProber builds the prober; an entry probes the members of all replicas.
@@ -83,17 +95,20 @@
 	if err != nil {
 		return err
 	}
+	r, err := registrar.Find[*replicator.Replicator](&k.services, NameReplicator)
+	if err != nil {
+		return err
+	}
 	a := &operator.API{Configuration: c, Placements: w, Tokens: k.settings.OperatorTokens(), Log: k.log}
 	a.Self = func() *wire.ProcessRecord {
-		return &wire.ProcessRecord{
-			Name: k.settings.Name(), Role: string(k.settings.Role()), DataCentre: k.settings.DataCentre(),
-			ConfigurationNumber: c.Current().Number(),
+		self := r.Self(k.ctx)
+		if self == nil {
+			self = &wire.ProcessRecord{Name: k.settings.Name(), Role: string(k.settings.Role()), DataCentre: k.settings.DataCentre()}
 		}
+		self.ConfigurationNumber = c.Current().Number()
+		return self
 	}
-	l, err := k.listen("operator", k.settings.OperatorListen())
-	if err != nil {
-		return err
-	}
-	k.serve("operator", l, a.Handler(), nil)
+	a.Processes = r.Processes
+	k.serve("operator", k.operators, a.Handler(), nil)
 	return k.services.Register(NameOperator, a)
 }
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/reader"
 	"github.com/lycheebarrow/lycheebarrow/internal/storer"
 	"github.com/lycheebarrow/lycheebarrow/internal/validator"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
@@ -19,10 +20,9 @@
 const Key = "configuration"
 
 const (
-	// _watchWait is how long one watch waits at the platform.
-	_watchWait = 25 * time.Second
-	// _retryWait is the pause after a failed watch.
-	_retryWait = 500 * time.Millisecond
+	// _watchWait is how long one watch waits at the platform. An answer is also
+	// the proof that the process's knowledge is fresh, so it must come often.
+	_watchWait = 2 * time.Second
 )
 
 // Store is what the configurer needs of the platform.
@@ -54,6 +54,7 @@
 // with New. It is safe for concurrent use.
 type Configurer struct {
 	store Store
+	turn  *reader.Turn
 	log   logger.Logger
 
 	mu      sync.Mutex
@@ -61,9 +62,9 @@
 	changed chan struct{}
 }
 
-// New returns a Configurer at number 0.
-func New(store Store, log logger.Logger) *Configurer {
-	return &Configurer{store: store, log: log, changed: make(chan struct{})}
+// New returns a Configurer at number 0 that reads the platform in its turn.
+func New(store Store, turn *reader.Turn, log logger.Logger) *Configurer {
+	return &Configurer{store: store, turn: turn, log: log, changed: make(chan struct{})}
 }
 
 // Current returns the configuration in force in this process.
@@ -109,30 +110,52 @@
 	return true
 }
 
-// Run watches the platform's object until ctx ends.
+// Run reads the platform's object, whenever it is this process's turn, until
+// ctx ends.
 func (c *Configurer) Run(ctx context.Context) {
 	var version uint64
-	for ctx.Err() == nil {
-		o, err := c.store.Watch(ctx, Key, version, _watchWait)
-		if errors.Is(err, storer.ErrUnchanged) {
+	for c.turn.Wait(ctx) == nil {
+		after, err := c.read(ctx, version)
+		if err != nil && ctx.Err() == nil {
+			c.turn.Failed(ctx, err)
 			continue
 		}
-		if err == nil {
-			var record *wire.ConfigurationRecord
-			record, err = decode(o.Value)
-			if err == nil {
-				version = o.Version
-				c.Offer(record, "platform")
-				continue
-			}
-		}
-		if ctx.Err() == nil {
-			c.log.Failure("configuration-watch", err, nil)
-			pause(ctx, _retryWait)
-		}
+		version = after
 	}
 }
 
+// read reads the object once, waiting for a change where this process is on
+// duty, and returns the newest version that was seen.
+func (c *Configurer) read(ctx context.Context, version uint64) (uint64, error) {
+	var wait time.Duration
+	if c.turn.OnDuty() {
+		wait = _watchWait
+	}
+	sent := time.Now()
+	o, err := c.store.Watch(ctx, Key, version, wait)
+	if errors.Is(err, storer.ErrUnchanged) {
+		// The platform looked once more when the wait ended.
+		c.turn.Done(sent.Add(wait))
+		return version, nil
+	}
+	if err != nil {
+		return version, err
+	}
+	record, err := decode(o.Value)
+	if err != nil {
+		return version, err
+	}
+	c.Offer(record, "platform")
+	if o.Version <= version {
+		return version, fmt.Errorf("configurer: watch: the platform answered with version %d after %d", o.Version, version)
+	}
+	// A number that peers have overtaken says nothing about the newest one.
+	if record.GetNumber() >= c.Current().Number() {
+		c.turn.Done(sent)
+	}
+	return o.Version, nil
+}
+
 func decode(value []byte) (*wire.ConfigurationRecord, error) {
 	var r wire.ConfigurationRecord
 	if err := protojson.Unmarshal(value, &r); err != nil {
@@ -140,12 +163,3 @@
 	}
 	return &r, nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/memorynet/network.go
+++ b/internal/memorynet/network.go
@@ -21,6 +21,7 @@
 	mu        sync.Mutex
 	listeners map[string]*listener
 	conns     map[*conn]bool
+	sockets   map[netip.AddrPort]*packets
 	held      map[[2]string]bool
 	changed   chan struct{}
 	port      int
@@ -46,7 +47,7 @@
 // Release lets traffic between two hosts go on.
 func (n *Network) Release(a, b string) { n.setHeld(a, b, false) }
 
-// Kill closes all listeners and connections of a host.
+// Kill closes all listeners, connections and sockets of a host.
 func (n *Network) Kill(ip string) {
 	n.mu.Lock()
 	var closing []interface{ Close() error }
@@ -55,6 +56,11 @@
 			closing = append(closing, l)
 		}
 	}
+	for a, p := range n.sockets {
+		if a.Addr().String() == ip {
+			closing = append(closing, p)
+		}
+	}
 	for c := range n.conns {
 		if c.from == ip || c.to == ip {
 			closing = append(closing, c)
--- a/internal/operator/doc.go
+++ b/internal/operator/doc.go
@@ -5,6 +5,7 @@
 //	                                           409 with the change that won, 422 with faults
 //	GET  /operator/v1/placements               placements by fabric domain
 //	GET  /operator/v1/instances                the list of instances with their evidence
+//	GET  /operator/v1/processes                all known processes, each with its number and age
 //	GET  /operator/v1/process                  this process and the number it runs
 //
 // Each call carries an operator's token as a bearer token.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -23,6 +23,9 @@
 // _maxPatchBytes bounds a patch.
 const _maxPatchBytes = 512 << 10
 
+// _marshaler writes messages with the names of their proto fields.
+var _marshaler = protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true}
+
 // Configuration reads and patches the configuration.
 type Configuration interface {
 	Current() configurer.Snapshot
@@ -40,6 +43,8 @@
 	Placements    Placements
 	// Self describes this process.
 	Self func() *wire.ProcessRecord
+	// Processes returns what is known of all processes, this one included.
+	Processes func(ctx context.Context) []*wire.ProcessRecord
 	// Tokens are operators' names by the hex SHA-256 of their tokens.
 	Tokens map[string]string
 	Log    logger.Logger
@@ -55,6 +60,7 @@
 	g.POST("/configuration", a.patch)
 	g.GET("/placements", a.placements)
 	g.GET("/instances", a.instances)
+	g.GET("/processes", a.processes)
 	g.GET("/process", func(c *gin.Context) { give(c, a.Self()) })
 	return e
 }
@@ -98,6 +104,17 @@
 	c.JSON(http.StatusOK, gin.H{"instances": list})
 }
 
+func (a *API) processes(c *gin.Context) {
+	list := make([]json.RawMessage, 0)
+	for _, p := range a.Processes(c.Request.Context()) {
+		text, err := _marshaler.Marshal(p)
+		if err == nil {
+			list = append(list, text)
+		}
+	}
+	c.JSON(http.StatusOK, gin.H{"processes": list})
+}
+
 func (a *API) patch(c *gin.Context) {
 	var p configurer.Patch
 	dec := json.NewDecoder(http.MaxBytesReader(c.Writer, c.Request.Body, _maxPatchBytes))
@@ -154,7 +171,7 @@
 }
 
 func give(c *gin.Context, m proto.Message) {
-	text, err := protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true}.Marshal(m)
+	text, err := _marshaler.Marshal(m)
 	if err != nil {
 		c.AbortWithStatus(http.StatusInternalServerError)
 		return
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -178,6 +178,20 @@
 	return false
 }
 
+// Departures returns the boots of the instances that said in their last word
+// that they leave, by name.
+func (p *Prober) Departures() map[string]string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[string]string)
+	for name, e := range p.evidence {
+		if e.status.Leaving {
+			out[name] = e.status.Boot
+		}
+	}
+	return out
+}
+
 func fits(s messenger.Status, r *wire.Replica) bool {
 	return s.State == messenger.StateReady && s.Replica == r.GetName() && s.Generation == r.GetGeneration() &&
 		s.Model == r.GetModel() && s.Version == r.GetVersion()
--- a/internal/reader/turn.go
+++ b/internal/reader/turn.go
@@ -15,6 +15,11 @@
 	// _ownInterval is how often a process reads the platform itself although
 	// its peers keep it fresh.
 	_ownInterval = 2 * time.Minute
+	// _retryWait and _retryJitter are the pause after a failed read, and
+	// _dutyRetryWait the pause of a process on duty.
+	_retryWait     = 2 * time.Second
+	_retryJitter   = time.Second
+	_dutyRetryWait = 500 * time.Millisecond
 	// _review is how often Wait looks again.
 	_review = 250 * time.Millisecond
 )
@@ -25,6 +30,8 @@
 	// Duty says that this process is one of its data centre's readers; nil
 	// means always. Set it before use.
 	Duty func() bool
+	// Outage hears of failed and answered reads; nil means nobody does.
+	Outage *Outage
 	// Seed chooses the jitter, so that processes which turn stale together
 	// don't read together. Set it before use.
 	Seed uint64
@@ -51,13 +58,42 @@
 // Done takes the time at which this process sent a read that was answered.
 func (t *Turn) Done(at time.Time) {
 	t.Note(at)
+	t.Outage.Answered(time.Now())
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.own = at
+	t.jitter = t.draw(_staleJitter)
+}
+
+// Failed pauses after a read that got no answer; those on duty try again
+// sooner.
+func (t *Turn) Failed(ctx context.Context, err error) {
+	t.Outage.Failed(err, time.Now())
+	t.mu.Lock()
+	d := _retryWait + t.draw(_retryJitter)
+	t.mu.Unlock()
+	if t.OnDuty() {
+		d = _dutyRetryWait
+	}
+	t.Rest(ctx, d)
+}
+
+// Rest waits for d or until ctx ends.
+func (t *Turn) Rest(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// draw returns a random part of d. The caller holds the lock.
+func (t *Turn) draw(d time.Duration) time.Duration {
 	if t.random == nil {
 		t.random = rand.New(rand.NewPCG(t.Seed, 3))
 	}
-	t.jitter = time.Duration(t.random.Int64N(int64(_staleJitter)))
+	return time.Duration(t.random.Int64N(int64(d)))
 }
 
 // Latest returns when the newest read that is known of was sent; zero where
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -102,6 +102,9 @@
 // on.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// Draining says that new requests are refused.
+func (s *Server) Draining() bool { return s.draining.Load() }
+
 // recovered refuses a request whose handler panicked.
 func (s *Server) recovered(c *gin.Context, why any) {
 	if err, ok := why.(error); ok && errors.Is(err, http.ErrAbortHandler) {
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/reader"
 	"github.com/lycheebarrow/lycheebarrow/internal/storer"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
 )
@@ -16,7 +17,7 @@
 // centre and the fabric domain.
 const Prefix = "placement/"
 
-// _pollInterval is the time between two reads of the platform.
+// _pollInterval is the least time between two reads of the platform.
 const _pollInterval = time.Second
 
 // Store is what the watcher needs of the platform.
@@ -46,6 +47,7 @@
 // use.
 type Watcher struct {
 	store Store
+	turn  *reader.Turn
 	log   logger.Logger
 
 	mu      sync.Mutex
@@ -53,9 +55,9 @@
 	changed chan struct{}
 }
 
-// New returns a Watcher with an empty view.
-func New(store Store, log logger.Logger) *Watcher {
-	return &Watcher{store: store, log: log, changed: make(chan struct{})}
+// New returns a Watcher with an empty view that polls in its turn.
+func New(store Store, turn *reader.Turn, log logger.Logger) *Watcher {
+	return &Watcher{store: store, turn: turn, log: log, changed: make(chan struct{})}
 }
 
 // View returns the newest view.
@@ -84,24 +86,20 @@
 	return Prefix + p.GetDataCentre() + "/" + p.GetDomain()
 }
 
-// Run polls the platform until ctx ends.
+// Run polls the platform, whenever it is this process's turn, until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
-	ticker := time.NewTicker(_pollInterval)
-	defer ticker.Stop()
-	for {
+	for w.turn.Wait(ctx) == nil {
 		if err := w.Poll(ctx); err != nil && ctx.Err() == nil {
-			w.log.Failure("placement-poll", err, nil)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
+			w.turn.Failed(ctx, err)
+			continue
 		}
+		w.turn.Rest(ctx, _pollInterval)
 	}
 }
 
 // Poll reads placements and instances once.
 func (w *Watcher) Poll(ctx context.Context) error {
+	sent := time.Now()
 	objects, err := w.store.List(ctx, Prefix)
 	if err != nil {
 		return err
@@ -121,11 +119,18 @@
 		w.merge(o.Key, o.Version, &p)
 	}
 	w.list(instances)
+	w.turn.Done(sent)
 	return nil
 }
 
 // merge puts a placement into a new view where it is newer. The caller holds
 // the lock.
+//
+// Two copies of one revision are the same placement: each write is conditional
+// on the version before it and raises the revision by one, so only one writer
+// can make a revision. That would end if an object were deleted and created
+// anew, which nothing does; so an equal revision from the platform only brings
+// the version, which a copy from a peer lacks.
 func (w *Watcher) merge(key string, version uint64, p *wire.Placement) bool {
 	old, known := w.view.placements[key]
 	if known && p.GetRevision() < old.GetRevision() {
