--- a/internal/gossiper/active.go
+++ b/internal/gossiper/active.go
@@ -15,7 +15,7 @@
 	// of the processes stays among itself.
 	_rotation = 5 * time.Minute
 	// _lostEvery is how many rounds pass between two tries of a silent process.
-	_lostEvery = 5
+	_lostEvery = 3
 	// _heardLimit is how recently a peer must have been heard from to be told
 	// news at once.
 	_heardLimit = 3 * time.Second
@@ -144,10 +144,11 @@
 	return before < readers
 }
 
-// Alone says that no other process is known to be live.
-func (g *Gossiper) Alone(now time.Time) bool {
-	for n, p := range g.table.byName {
-		if n != g.self.GetName() && g.table.Live(*p, now) {
+// Cut says that no other process, or none of another data centre, is known to
+// be live.
+func (g *Gossiper) Cut(now time.Time) bool {
+	for _, p := range g.table.byName {
+		if p.record.GetDataCentre() != g.self.GetDataCentre() && g.table.Live(*p, now) {
 			return false
 		}
 	}
--- /dev/null
+++ b/internal/gossiper/gossiper_test.go
@@ -0,0 +1,136 @@
+package gossiper_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/gossiper"
+	"github.com/lycheebarrow/lycheebarrow/internal/wire"
+)
+
+var _start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func record(name, dataCentre string, started int64, sequence uint64) *wire.ProcessRecord {
+	return &wire.ProcessRecord{
+		Name: name, Role: "entry", DataCentre: dataCentre, PeerAddress: name + ":1", StartedUnixMs: started, Sequence: sequence,
+	}
+}
+
+func TestTableMerge(t *testing.T) {
+	testCases := []struct {
+		name     string
+		started  int64
+		sequence uint64
+		age      uint64
+		newer    bool
+	}{
+		{name: "same word", started: 10, sequence: 5},
+		{name: "earlier word", started: 10, sequence: 4},
+		{name: "later word", started: 10, sequence: 6, newer: true},
+		{name: "later start with a lower sequence", started: 11, sequence: 1, newer: true},
+		{name: "earlier start with a higher sequence", started: 9, sequence: 100},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			var x gossiper.Table
+			require.True(t, x.Merge(record("n1", "a", 10, 5), _start))
+			require.Equal(t, tc.newer, x.Merge(record("n1", "a", tc.started, tc.sequence), _start))
+		})
+	}
+}
+
+// A silent process stays known long enough for two sides of a long partition to
+// find each other again.
+func TestTableExpire(t *testing.T) {
+	var x gossiper.Table
+	x.Merge(record("n1", "a", 10, 5), _start)
+	x.Expire(_start.Add(3 * time.Hour))
+	require.Len(t, x.Records(_start), 1)
+	x.Expire(_start.Add(25 * time.Hour))
+	require.Empty(t, x.Records(_start))
+}
+
+func TestReads(t *testing.T) {
+	testCases := []struct {
+		name   string
+		others []*wire.ProcessRecord
+		later  time.Duration
+		reads  bool
+	}{
+		{name: "alone", reads: true},
+		{name: "second", others: []*wire.ProcessRecord{record("n1", "a", 1, 1)}, reads: true},
+		{name: "third", others: []*wire.ProcessRecord{record("n1", "a", 1, 1), record("n2", "a", 1, 1)}},
+		{name: "others are in another data centre", others: []*wire.ProcessRecord{record("n1", "b", 1, 1), record("n2", "b", 1, 1)}, reads: true},
+		{name: "others are silent", others: []*wire.ProcessRecord{record("n1", "a", 1, 1), record("n2", "a", 1, 1)}, later: time.Minute, reads: true},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gossiper.New(record("n5", "a", 1, 0), 1, _start)
+			for _, r := range tc.others {
+				g.Table().Merge(r, _start)
+			}
+			require.Equal(t, tc.reads, g.Reads(_start.Add(tc.later)))
+		})
+	}
+}
+
+// exchange runs one exchange between two processes; a lost answer does not
+// reach the first.
+func exchange(a, b *gossiper.Gossiper, from, to string, la, lb gossiper.Local, now time.Time, lost bool) (there, back *wire.Digest) {
+	there = a.Compose(to, la, now)
+	b.Receive(there, lb, now)
+	back = b.Compose(from, lb, now)
+	if lost {
+		a.Failed(to)
+		return there, back
+	}
+	a.Receive(back, la, now)
+	return there, back
+}
+
+// What an exchange did not bring, since its answer was lost, comes with a later
+// one; what it brought is not sent again.
+func TestComposeAfterLostAnswer(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		a := gossiper.New(record("n1", "a", 1, 0), 1, _start)
+		b := gossiper.New(record("n2", "a", 1, 0), 2, _start)
+		a.Table().Merge(record("n2", "a", 1, 1), _start)
+		p := &wire.Placement{DataCentre: "a", Domain: "f1", Revision: 4}
+		lb := gossiper.Local{Placements: map[string]*wire.Placement{"placement/a/f1": p}}
+		b.Update(lb, _start)
+		var la gossiper.Local
+		now := _start.Add(time.Minute)
+		exchange(a, b, "n1", "n2", la, lb, now, lost)
+		for range 3 {
+			now = now.Add(time.Second)
+			_, back := exchange(a, b, "n1", "n2", la, lb, now, false)
+			for _, x := range back.GetPlacements() {
+				la.Placements = map[string]*wire.Placement{"placement/a/f1": x}
+			}
+			a.Update(la, now)
+		}
+		require.EqualValues(t, 4, la.Placements["placement/a/f1"].GetRevision(), "lost=%v", lost)
+		_, back := exchange(a, b, "n1", "n2", la, lb, now.Add(time.Second), false)
+		require.Empty(t, back.GetPlacements())
+		require.Empty(t, back.GetMarks())
+	}
+}
+
+// A peer that can't apply what it gets is not sent it without end.
+func TestComposePausesForRefusedConfiguration(t *testing.T) {
+	a := gossiper.New(record("n1", "a", 1, 0), 1, _start)
+	b := gossiper.New(record("n2", "a", 1, 0), 2, _start)
+	a.Table().Merge(record("n2", "a", 1, 1), _start)
+	la := gossiper.Local{Configuration: &wire.ConfigurationRecord{Number: 3, Document: "{}"}}
+	a.Update(la, _start)
+	whole := 0
+	for i := range 30 {
+		there, _ := exchange(a, b, "n1", "n2", la, gossiper.Local{}, _start.Add(time.Duration(i)*time.Second), false)
+		if there.GetConfiguration() != nil {
+			whole++
+		}
+	}
+	require.Equal(t, 3, whole, "once in ten seconds")
+}
--- a/internal/gossiper/table.go
+++ b/internal/gossiper/table.go
@@ -21,7 +21,7 @@
 	_remoteLimit = 150 * time.Second
 	// _forgetAfter is how long a silent process stays known, so that two sides
 	// of a long partition find each other again.
-	_forgetAfter = 2 * time.Hour
+	_forgetAfter = 24 * time.Hour
 )
 
 // Process is what a table knows of one process.
@@ -106,7 +106,7 @@
 	return *p, true
 }
 
-// Expire forgets processes that have been silent for hours.
+// Expire forgets processes that have been silent for a day.
 func (t *Table) Expire(now time.Time) {
 	for name, p := range t.byName {
 		if now.Sub(p.said) > _forgetAfter {
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -24,6 +24,8 @@
 	_newsPause = 50 * time.Millisecond
 	// _exchangeTimeout bounds one exchange.
 	_exchangeTimeout = time.Second
+	// _seedEvery is the number of rounds between two tries of the seeds.
+	_seedEvery = 3
 	// _tidyEvery is the number of rounds between two cleanings of the tables.
 	_tidyEvery = 10
 	// _maxFollowUps bounds the exchanges that follow one another at once with
@@ -67,7 +69,7 @@
 	// Leaving returns the boots of the instances that this process itself found
 	// to leave, by name; nil means none.
 	Leaving func() map[string]string
-	// Seeds are addresses to ask while no peer is known.
+	// Seeds are addresses to ask while no process of another data centre is live.
 	Seeds []string
 	Log   logger.Logger
 	// Seed chooses the random peers.
@@ -204,7 +206,7 @@
 	r.noteLeaving(now)
 	r.reads.Store(r.gossiper.Reads(now))
 	targets := r.gossiper.Round(now)
-	if r.gossiper.Alone(now) {
+	if r.gossiper.Cut(now) && r.rounds%_seedEvery == 1 {
 		for _, a := range r.options.Seeds {
 			targets = append(targets, gossiper.Target{Address: a})
 		}
