--- a/internal/replicator/fleet_test.go
+++ b/internal/replicator/fleet_test.go
@@ -150,6 +150,13 @@
 	return proto.CloneOf(answer), nil
 }
 
+// counts returns the bytes and the number of the exchanges so far.
+func (f *fleet) counts() (bytes, exchanges int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.bytes, f.exchanges
+}
+
 func (f *fleet) reach(from *member, address string) *member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -116,7 +116,8 @@
 	t.Helper()
 	value, err := protojson.Marshal(p)
 	require.NoError(t, err)
-	_, err = s.Update(context.Background(), watcher.KeyOf(p), s.objects[watcher.KeyOf(p)].Version, value)
+	old, _ := s.Get(context.Background(), watcher.KeyOf(p))
+	_, err = s.Update(context.Background(), watcher.KeyOf(p), old.Version, value)
 	require.NoError(t, err)
 }
 
