--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -93,7 +93,7 @@
 // What an exchange did not bring, since its answer was lost, comes with a later
 // one; what it brought is not sent again.
 func TestComposeAfterLostAnswer(t *testing.T) {
-	for _, lost := range []bool{false, true} {
+	for lost := range 4 {
 		a := gossiper.New(record("n1", "a", 1, 0), 1, _start)
 		b := gossiper.New(record("n2", "a", 1, 0), 2, _start)
 		a.Table().Merge(record("n2", "a", 1, 1), _start)
@@ -102,16 +102,18 @@
 		b.Update(lb, _start)
 		var la gossiper.Local
 		now := _start.Add(time.Minute)
-		exchange(a, b, "n1", "n2", la, lb, now, lost)
-		for range 3 {
+		for i := range 5 {
 			now = now.Add(time.Second)
-			_, back := exchange(a, b, "n1", "n2", la, lb, now, false)
+			_, back := exchange(a, b, "n1", "n2", la, lb, now, i == lost)
+			if i == lost {
+				continue
+			}
 			for _, x := range back.GetPlacements() {
 				la.Placements = map[string]*wire.Placement{"placement/a/f1": x}
 			}
 			a.Update(la, now)
 		}
-		require.EqualValues(t, 4, la.Placements["placement/a/f1"].GetRevision(), "lost=%v", lost)
+		require.EqualValues(t, 4, la.Placements["placement/a/f1"].GetRevision(), "exchange %d was lost", lost)
 		_, back := exchange(a, b, "n1", "n2", la, lb, now.Add(time.Second), false)
 		require.Empty(t, back.GetPlacements())
 		require.Empty(t, back.GetMarks())
--- a/internal/replicator/fleet_test.go
+++ b/internal/replicator/fleet_test.go
@@ -33,6 +33,7 @@
 
 	mu        sync.Mutex
 	cut       map[string]bool // data centres without any outside
+	severed   bool            // no peer reaches another data centre
 	bytes     int
 	exchanges int
 }
@@ -130,6 +131,13 @@
 	f.cut[dataCentre] = cut
 }
 
+// sever cuts peers of different data centres from each other.
+func (f *fleet) sever() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.severed = true
+}
+
 // Exchange carries a digest to another process and counts both messages.
 func (m *member) Exchange(ctx context.Context, address string, d *wire.Digest) (*wire.Digest, error) {
 	to := m.fleet.reach(m, address)
@@ -161,7 +169,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	to := f.byPeer[address]
-	if to != nil && to.dataCentre != from.dataCentre && (f.cut[to.dataCentre] || f.cut[from.dataCentre]) {
+	if to != nil && to.dataCentre != from.dataCentre && (f.severed || f.cut[to.dataCentre] || f.cut[from.dataCentre]) {
 		return nil
 	}
 	return to
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -45,8 +45,11 @@
 		name string
 		// before runs on the fleet ahead of the patch, after right after it.
 		before, after func(t *testing.T, f *fleet)
-		// without are processes that no longer run.
+		// without is how many of the first processes are not looked at, since they
+		// don't run at the end.
 		without int
+		// patcher takes the patch.
+		patcher int
 	}{
 		{name: "all well"},
 		{
@@ -58,6 +61,31 @@
 			},
 			without: 4,
 		},
+		{
+			name: "readers die while peers of other data centres are out of reach",
+			before: func(_ *testing.T, f *fleet) {
+				f.sever()
+				f.members[0].stop()
+				f.members[3].stop()
+			},
+			without: 4,
+			patcher: 1,
+		},
+		{
+			name: "data centre comes back when its seed is gone and the platform is out",
+			before: func(_ *testing.T, f *fleet) {
+				f.setCut("qld-tsv", true)
+				time.Sleep(20 * time.Minute)
+				f.members[0].stop()
+			},
+			after: func(_ *testing.T, f *fleet) {
+				time.Sleep(time.Minute)
+				f.store.setOut(true)
+				f.setCut("qld-tsv", false)
+			},
+			without: 1,
+			patcher: 2,
+		},
 		{
 			name: "entry starts during an outage of the platform",
 			after: func(_ *testing.T, f *fleet) {
@@ -90,7 +118,7 @@
 				if tc.before != nil {
 					tc.before(t, f)
 				}
-				number := patch(t, f.members[0])
+				number := patch(t, f.members[tc.patcher])
 				if tc.after != nil {
 					tc.after(t, f)
 				}
