--- a/internal/composer/placer.go
+++ b/internal/composer/placer.go
@@ -18,7 +18,7 @@
 
 // Placer returns the application of a placer. Log lines go to output.
 func Placer(s loader.Settings, network networker.Network, output io.Writer) *fx.App {
-	return compose(s, network, output, buildMeter, buildShared, buildProber, buildPlacer, buildOperator, buildReadiness)
+	return compose(s, network, output, buildMeter, buildShared, buildProber, buildPeers, buildPlacer, buildOperator, buildReadiness)
 }
 
 func buildPlacer(k *kernel) error {
