--- a/internal/standin/chat.go
+++ b/internal/standin/chat.go
@@ -20,6 +20,9 @@
 // set with "[tokens=N]".
 const _defaultTokens = 64
 
+// _otherAttempt is the id of an attempt that no caller made.
+const _otherAttempt = "another-attempt"
+
 // _garbage is what a leader generates without all of its members.
 const _garbage = "garbage "
 
@@ -120,28 +123,38 @@
 
 func (e *Engine) generate(ctx context.Context, w http.ResponseWriter, q messenger.ChatRequest, o messenger.Order, attempt string) {
 	prompt := q.Messages[len(q.Messages)-1].Content
+	f := e.current()
+	header, id := attempt, attempt
+	if f.CrossHeaders {
+		header = _otherAttempt
+	}
+	if f.CrossChunks {
+		id = _otherAttempt
+	}
+	if f.CrossHeaders || f.CrossChunks {
+		prompt += " of another caller"
+	}
 	words := Words(prompt, q.MaxTokens)
 	first := 0
 	if q.Resume != nil {
 		first = min(q.Resume.Tokens, len(words))
 	}
-	echo := attempt
-	if e.current().WrongAttempt {
-		echo = "other-" + attempt
-	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set(messenger.HeaderAttempt, echo)
+	w.Header().Set(messenger.HeaderAttempt, header)
 	w.Header().Set(messenger.HeaderReplica, o.Replica)
 	w.Header().Set(messenger.HeaderGeneration, strconv.FormatUint(o.Generation, 10))
 	checked := time.Now()
 	for i := first; i < len(words); i++ {
-		f := e.current()
+		f = e.current()
 		if !wait(ctx, e.options.TokenTime*time.Duration(max(1, f.SlowFactor))) {
 			panic(http.ErrAbortHandler)
 		}
 		if f.CutAfterTokens > 0 && i-first >= f.CutAfterTokens {
 			panic(http.ErrAbortHandler)
 		}
+		if f.EndAfterTokens > 0 && i-first >= f.EndAfterTokens {
+			return
+		}
 		if time.Since(checked) >= _memberCheck && !f.IgnoreMembers {
 			e.requireMembers(ctx, o)
 			checked = time.Now()
@@ -149,9 +162,9 @@
 		if f.IgnoreMembers && !e.membersPresent(ctx, o) {
 			words[i] = _garbage
 		}
-		e.emit(w, q, echo, i, words[i], i == len(words)-1)
+		e.emit(w, q, id, i, words[i], i == len(words)-1)
 		if f.Repeat {
-			e.emit(w, q, echo, i, words[i], i == len(words)-1)
+			e.emit(w, q, id, i, words[i], i == len(words)-1)
 		}
 	}
 	fmt.Fprint(w, "data: [DONE]\n\n")
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -20,8 +20,15 @@
 	Frozen bool `json:"frozen"`
 	// CutAfterTokens breaks each answer's connection after that many tokens.
 	CutAfterTokens int `json:"cut_after_tokens"`
-	// WrongAttempt echoes another attempt's id.
-	WrongAttempt bool `json:"wrong_attempt"`
+	// EndAfterTokens ends each answer in good order after that many tokens, but
+	// without the end marker.
+	EndAfterTokens int `json:"end_after_tokens"`
+	// CrossHeaders gives each caller another one's answer, under that one's id in
+	// the headers.
+	CrossHeaders bool `json:"cross_headers"`
+	// CrossChunks gives each caller another one's answer, under that one's id in
+	// the chunks.
+	CrossChunks bool `json:"cross_chunks"`
 	// Repeat sends each chunk twice.
 	Repeat bool `json:"repeat"`
 	// SlowFactor multiplies the time for a token; 0 means 1.
