--- a/internal/session/commands_test.go
+++ b/internal/session/commands_test.go
@@ -43,6 +43,8 @@
 //	list NAME leaving|gone            changes the platform's list
 //	crash NAME...  restart NAME...  shutdown NAME...
 //	hold NAME NAME  release NAME NAME   freeze with the same name twice
+//	cut DATA-CENTRE  mend DATA-CENTRE   from everything outside, the platform too
+//	numbers PROCESS...                prints the configuration numbers they run
 //	log PROCESS EVENT...              prints the decision log
 //	runs SERVICE                      prints how often each key ran
 func commands() map[string]func(ts *testscript.TestScript, neg bool, args []string) {
@@ -59,6 +61,9 @@
 				ts.Check(w.restart(n))
 			}
 		},
+		"cut":     func(_ *testscript.TestScript, w *world, a []string) { w.cut(a[0], w.network.Hold) },
+		"mend":    func(_ *testscript.TestScript, w *world, a []string) { w.cut(a[0], w.network.Release) },
+		"numbers": numbersCommand,
 		"hold": func(_ *testscript.TestScript, w *world, a []string) {
 			w.network.Hold(w.hosts[a[0]].ip, w.hosts[a[1]].ip)
 		},
@@ -93,6 +98,27 @@
 	w.group.Go(func() { _ = app.Stop(context.Background()) })
 }
 
+// cut applies to every pair of hosts of which one is in the data centre. The
+// hosts that the callers and operators use stay reachable.
+func (w *world) cut(dataCentre string, apply func(a, b string)) {
+	for _, a := range w.hosts {
+		for _, b := range w.hosts {
+			if a.dataCentre == dataCentre && b.dataCentre != dataCentre {
+				apply(a.ip, b.ip)
+			}
+		}
+	}
+}
+
+func numbersCommand(ts *testscript.TestScript, w *world, a []string) {
+	for _, n := range a {
+		c := lycheebarrow.Client{Address: w.hosts[n].ip + _operatorPort, Token: _operator, HTTP: w.client}
+		x, err := c.Configuration(context.Background())
+		ts.Check(err)
+		fmt.Fprintf(ts.Stdout(), "%s runs %s\n", n, x.Number)
+	}
+}
+
 func engineCommand(_ *testscript.TestScript, w *world, a []string) {
 	w.engine(a[0], a[1], a[2], len(a) < 4)
 }
