--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -279,3 +279,12 @@
 	i, ok := p.instances[name]
 	return i, ok
 }
+
+// Objects returns the values of all objects whose key starts with prefix.
+func (p *Platform) Objects(prefix string) map[string][]byte {
+	out := make(map[string][]byte)
+	for _, o := range p.prefix(prefix) {
+		out[o.Key] = o.Value
+	}
+	return out
+}
