internal/server: stalled uploads and callers that take nothing lose their place

A body that stopped arriving held its request without end, and a caller that stopped reading a streamed answer held a place in a replica without end. callers-read-limit and callers-write-limit (30s each; 0 for none) bound both: the first is refused as not-run (408 body-late), the second is cut without an end marker and its place is given to others. Both deadlines are taken back, so that a connection lives on.

--- a/internal/composer/entry.go
+++ b/internal/composer/entry.go
@@ -67,6 +67,7 @@
 		Configuration: c, Dispatcher: d, Streamer: streamer.New(k.network, p), Caller: caller.New(k.network),
 		Recorder: recorder.New(store, k.log), Log: k.log, Meter: m, Process: k.settings.Name(),
 		DataCentre: k.settings.DataCentre(), MaxBodyBytes: k.settings.MaxBodyBytes(),
+		ReadLimit: k.settings.CallersReadLimit(), WriteLimit: k.settings.CallersWriteLimit(),
 	}
 	l, err := k.listen("callers", k.settings.CallersListen())
 	if err != nil {
--- a/internal/loader/list.go
+++ b/internal/loader/list.go
@@ -96,6 +96,16 @@
 			key: "callers-listen", meaning: "`address` of the callers' API", allowed: _allowedAddress,
 			store: storeText(&s.callersListen, isAddress),
 		},
+		{
+			key: "callers-read-limit", meaning: "longest time for the body of one request to arrive; 0 waits without end",
+			allowed: _allowedDuration, byDefault: "30s",
+			store: storeDuration(&s.callersReadLimit),
+		},
+		{
+			key: "callers-write-limit", meaning: "longest time for a caller to take the next part of a streamed answer, before its place is given to others; 0 waits without end",
+			allowed: _allowedDuration, byDefault: "30s",
+			store: storeDuration(&s.callersWriteLimit),
+		},
 		{
 			key: "drain-limit", meaning: "longest graceful shutdown; 0 waits for every answer", allowed: _allowedDuration, byDefault: "0s",
 			store: storeDuration(&s.drainLimit),
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -21,22 +21,24 @@
 // Settings are the checked settings of an entry or a placer. They don't change
 // after Load.
 type Settings struct {
-	role            Role
-	name            string
-	dataCentre      string
-	platform        string
-	callersListen   string
-	operatorListen  string
-	operatorAddress string
-	operatorTokens  map[string]string
-	metricsListen   string
-	peerListen      string
-	peerAddress     string
-	peerSeeds       []string
-	peerSecret      string
-	drainNotice     time.Duration
-	drainLimit      time.Duration
-	maxBodyBytes    int64
+	role              Role
+	name              string
+	dataCentre        string
+	platform          string
+	callersListen     string
+	callersReadLimit  time.Duration
+	callersWriteLimit time.Duration
+	operatorListen    string
+	operatorAddress   string
+	operatorTokens    map[string]string
+	metricsListen     string
+	peerListen        string
+	peerAddress       string
+	peerSeeds         []string
+	peerSecret        string
+	drainNotice       time.Duration
+	drainLimit        time.Duration
+	maxBodyBytes      int64
 }
 
 // Load reads and checks the settings of a process. Usage and help go to output;
@@ -98,6 +100,14 @@
 // CallersListen returns the address of the callers' API.
 func (s Settings) CallersListen() string { return s.callersListen }
 
+// CallersReadLimit returns the longest time for the body of a request to arrive;
+// 0 means no limit.
+func (s Settings) CallersReadLimit() time.Duration { return s.callersReadLimit }
+
+// CallersWriteLimit returns the longest time for a caller to take the next part
+// of a streamed answer; 0 means no limit.
+func (s Settings) CallersWriteLimit() time.Duration { return s.callersWriteLimit }
+
 // OperatorListen returns the address of the operator API.
 func (s Settings) OperatorListen() string { return s.operatorListen }
 
--- a/internal/server/chat.go
+++ b/internal/server/chat.go
@@ -8,6 +8,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"os"
 	"slices"
 	"time"
 
@@ -47,7 +48,7 @@
 	}
 	var w answerWriter = &wholeWriter{gin: c, model: q.Model}
 	if q.Stream {
-		w = &streamWriter{gin: c, model: q.Model}
+		w = &streamWriter{gin: c, model: q.Model, limit: s.WriteLimit}
 	}
 	if problem := s.answer(c, q, w); problem != nil {
 		if w.started() {
@@ -93,7 +94,7 @@
 	var body []byte
 	var err error
 	if !announced {
-		body, err = io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, s.MaxBodyBytes))
+		body, err = s.readWithin(c)
 	}
 	var large *http.MaxBytesError
 	if announced || errors.As(err, &large) {
@@ -102,6 +103,12 @@
 			Outcome: responder.NotRun, Mend: "send a smaller body",
 		}
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, &responder.Problem{
+			Status: http.StatusRequestTimeout, Code: "body-late", Message: fmt.Sprintf("the body did not arrive within %s", s.ReadLimit),
+			Outcome: responder.NotRun, Mend: "send the request again, whole",
+		}
+	}
 	if err != nil {
 		return nil, &responder.Problem{
 			Status: http.StatusBadRequest, Code: "body-cut", Message: "the body ended early: " + err.Error(),
@@ -111,6 +118,17 @@
 	return body, nil
 }
 
+// readWithin reads a body within the limits of size and time.
+func (s *Server) readWithin(c *gin.Context) ([]byte, error) {
+	if s.ReadLimit > 0 {
+		control := http.NewResponseController(c.Writer)
+		_ = control.SetReadDeadline(time.Now().Add(s.ReadLimit))
+		// Left in place, the deadline would look like a caller that went away.
+		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	}
+	return io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, s.MaxBodyBytes))
+}
+
 // offers says whether a group serves the model to the organisation.
 func (s *Server) offers(organisation, model string) bool {
 	return slices.Contains(offered(s.Configuration.Current().Document(), organisation), model)
--- a/internal/server/measure.go
+++ b/internal/server/measure.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"net/http"
 	"strings"
 	"time"
 
@@ -48,6 +49,9 @@
 	first time.Time
 }
 
+// Unwrap lets http.ResponseController reach the connection.
+func (w *firstWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // Write writes a part of the answer.
 func (w *firstWriter) Write(p []byte) (int, error) {
 	if w.first.IsZero() {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -71,6 +71,11 @@
 	Process       string
 	DataCentre    string
 	MaxBodyBytes  int64
+	// ReadLimit bounds the time for a request's body to arrive; 0 means no limit.
+	ReadLimit time.Duration
+	// WriteLimit bounds the time for a caller to take the next part of a streamed
+	// answer; 0 means no limit.
+	WriteLimit time.Duration
 
 	draining atomic.Bool
 	turn     atomic.Uint64
--- a/internal/server/writer.go
+++ b/internal/server/writer.go
@@ -57,6 +57,8 @@
 type streamWriter struct {
 	gin   *gin.Context
 	model string
+	// limit bounds the time for the caller to take one event; 0 means no limit.
+	limit time.Duration
 	begun bool
 }
 
@@ -93,9 +95,14 @@
 func (w *streamWriter) end() { _ = w.send("[DONE]") }
 
 func (w *streamWriter) send(data string) error {
+	control := http.NewResponseController(w.gin.Writer)
+	if w.limit > 0 {
+		_ = control.SetWriteDeadline(time.Now().Add(w.limit))
+		// The connection may carry another request later.
+		defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
+	}
 	if _, err := fmt.Fprintf(w.gin.Writer, "data: %s\n\n", data); err != nil {
 		return err
 	}
-	w.gin.Writer.Flush()
-	return nil
+	return control.Flush()
 }
