--- a/internal/composer/entry.go
+++ b/internal/composer/entry.go
@@ -14,6 +14,7 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/prober"
 	"github.com/lycheebarrow/lycheebarrow/internal/recorder"
 	"github.com/lycheebarrow/lycheebarrow/internal/registrar"
+	"github.com/lycheebarrow/lycheebarrow/internal/replicator"
 	"github.com/lycheebarrow/lycheebarrow/internal/server"
 	"github.com/lycheebarrow/lycheebarrow/internal/storer"
 	"github.com/lycheebarrow/lycheebarrow/internal/streamer"
@@ -22,7 +23,7 @@
 
 // Entry returns the application of an entry. Log lines go to output.
 func Entry(s loader.Settings, network networker.Network, output io.Writer) *fx.App {
-	return compose(s, network, output, buildMeter, buildShared, buildProber, buildDispatcher, buildServer, buildOperator, buildReadiness)
+	return compose(s, network, output, buildMeter, buildShared, buildProber, buildPeers, buildDispatcher, buildServer, buildOperator, buildReadiness)
 }
 
 func buildDispatcher(k *kernel) error {
@@ -34,7 +35,11 @@
 	if err != nil {
 		return err
 	}
-	d := dispatcher.New(k.settings.DataCentre(), c, w, p, k.log)
+	r, err := registrar.Find[*replicator.Replicator](&k.services, NameReplicator)
+	if err != nil {
+		return err
+	}
+	d := dispatcher.New(k.settings.DataCentre(), c, w, &evidence{Prober: p, departures: r}, k.log)
 	d.Meter = m
 	if err := m.Gauge("queue_length", "Requests that wait for a place in a replica.", d.Waiting); err != nil {
 		return err
--- a/internal/composer/kernel.go
+++ b/internal/composer/kernel.go
@@ -30,6 +30,8 @@
 	NameServer     = "server"
 	NameOperator   = "operator"
 	NamePlacer     = "placer"
+	NameReplicator = "replicator"
+	NameTurns      = "turns"
 )
 
 // _headerTimeout bounds the wait for a request's headers.
@@ -44,6 +46,8 @@
 	health   meter.Health
 	services registrar.Registrar
 	life     fx.Lifecycle
+	// operators is where operators are served.
+	operators net.Listener
 
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/internal/loader/list.go
+++ b/internal/loader/list.go
@@ -79,7 +79,7 @@
 		},
 		{
 			key: "drain-notice", meaning: "how long the process goes on as usual after it reports that it is not ready, so that the balancer can notice",
-			allowed: _allowedDuration, byDefault: "0s",
+			allowed: _allowedDuration, byDefault: "3s",
 			store: storeDuration(&s.drainNotice),
 		},
 	}
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -10,6 +10,10 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
 )
 
+// _promptIntervals is how many intervals an answer may take to count as prompt.
+// An instance that was slower may have been paused, so its presence starts anew.
+const _promptIntervals = 2
+
 // Asker asks the instance at an address about itself.
 type Asker interface {
 	Status(ctx context.Context, address string) (messenger.Status, error)
@@ -25,13 +29,20 @@
 	Instance string
 	Address  string // host:port
 	Interval time.Duration
+	// Timeout bounds one probe; 0 means five intervals.
+	Timeout time.Duration
 }
 
 // Evidence is what is known of an instance.
 type Evidence struct {
 	status messenger.Status
 	sent   time.Time
+	since  time.Time
 	failed bool
+	// heard is when the last answered probe was sent, or the first one where
+	// none was answered.
+	heard   time.Time
+	silence time.Duration
 }
 
 // Status returns the instance's last word; the zero Status where there is none.
@@ -41,9 +52,19 @@
 // none.
 func (e Evidence) Sent() time.Time { return e.sent }
 
+// Since returns since when the instance has answered every probe promptly; zero
+// where there is no word of it.
+func (e Evidence) Since() time.Time { return e.since }
+
 // Failed says that the newest probe got no answer.
 func (e Evidence) Failed() bool { return e.failed }
 
+// Silence returns the time from the sending of the last answered probe, or of
+// the first one, to the sending of the newest failed probe; 0 where the newest
+// probe was answered. It does not grow while this process is paused, since only
+// a probe that was sent and failed counts.
+func (e Evidence) Silence() time.Duration { return e.silence }
+
 // Prober probes its targets. Make it with New; Close it. It is safe for
 // concurrent use.
 type Prober struct {
@@ -119,13 +140,18 @@
 func (p *Prober) probe(ctx context.Context, t Target) {
 	// A probe that takes many intervals says nothing that is worth waiting for.
 	const intervals = 5
-	call, cancel := context.WithTimeout(ctx, intervals*t.Interval)
+	limit := t.Timeout
+	if limit == 0 {
+		limit = intervals * t.Interval
+	}
+	call, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	sent := time.Now()
 	s, err := p.asker.Status(call, t.Address)
 	if ctx.Err() != nil {
 		return
 	}
+	answered := time.Now()
 	if p.Meter != nil {
 		p.Meter.Probed(err == nil)
 	}
@@ -136,15 +162,32 @@
 		if !e.failed {
 			p.log.Event("probe-failed", logger.Fields{"instance": t.Instance, "address": t.Address, "error": err})
 		}
-		e.failed = true
+		if e.heard.IsZero() {
+			e.heard = sent
+		}
+		e.failed, e.silence = true, sent.Sub(e.heard)
 	} else {
-		e = Evidence{status: s, sent: sent}
+		e = Evidence{status: s, sent: sent, since: presence(e, s.Boot, sent, answered, t.Interval), heard: sent}
 	}
 	p.evidence[t.Instance] = e
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
 
+// presence returns since when an instance has been present without a gap, after
+// one more answer.
+func presence(before Evidence, boot string, sent, answered time.Time, interval time.Duration) time.Time {
+	limit := _promptIntervals * interval
+	if answered.Sub(sent) > limit {
+		return answered
+	}
+	gap := sent.Sub(before.sent) > limit
+	if before.since.IsZero() || before.failed || gap || before.status.Boot != boot {
+		return sent
+	}
+	return before.since
+}
+
 // Evidence returns what is known of an instance.
 func (p *Prober) Evidence(instance string) Evidence {
 	p.mu.Lock()
@@ -177,6 +220,21 @@
 	return oldest
 }
 
+// Since returns since when every member of the replica has been present without
+// a gap that the probes could see. What the replica generated before may have
+// been generated without one of them.
+func (p *Prober) Since(r *wire.Replica) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var latest time.Time
+	for _, m := range r.GetMembers() {
+		if s := p.evidence[m].since; s.After(latest) {
+			latest = s
+		}
+	}
+	return latest
+}
+
 // Leaving says that a member of the replica announced that it leaves.
 func (p *Prober) Leaving(r *wire.Replica) bool {
 	p.mu.Lock()
@@ -189,6 +247,20 @@
 	return false
 }
 
+// Departures returns the boots of the instances that said in their last word
+// that they leave, by name.
+func (p *Prober) Departures() map[string]string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[string]string)
+	for name, e := range p.evidence {
+		if e.status.Leaving {
+			out[name] = e.status.Boot
+		}
+	}
+	return out
+}
+
 func fits(s messenger.Status, r *wire.Replica) bool {
 	return s.State == messenger.StateReady && s.Replica == r.GetName() && s.Generation == r.GetGeneration() &&
 		s.Model == r.GetModel() && s.Version == r.GetVersion()
