--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -3,23 +3,36 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/networker"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
 )
 
-// _maxAnswerBytes bounds the answer of a service, so that its record fits the
-// platform.
-const _maxAnswerBytes = 256 << 10
+// _maxAnswerBytes bounds the answer of a service.
+const _maxAnswerBytes = 1 << 20
+
+// _dialLimit bounds the wait for a connection, so that there is time left to
+// call another upstream.
+const _dialLimit = 2 * time.Second
 
 // HeaderOutcome is set by a service that refused a call before running it.
 const HeaderOutcome = "Lb-Outcome"
 
+// _notRun is the value of HeaderOutcome for a call that was not run.
+const _notRun = "not-run"
+
+// ErrNotSent says that no connection to the upstream was made, so that no byte
+// of the call was sent.
+var ErrNotSent = errors.New("call was not sent")
+
 // Call is one call to a service.
 type Call struct {
 	Method  string
@@ -31,10 +44,10 @@
 
 // Result is what became of a call.
 type Result struct {
-	Outcome     wire.Outcome
-	Status      int
-	ContentType string
-	Body        []byte
+	Outcome wire.Outcome
+	Status  int         // 0 where no whole answer came
+	Header  http.Header // end-to-end headers of the answer
+	Body    []byte
 }
 
 // Caller sends calls. Make it with New. It is safe for concurrent use.
@@ -43,10 +56,15 @@
 }
 
 // New returns a Caller that connects over network. It opens a connection for
-// each call, so that no call is lost or sent twice on a connection that the
-// service just closed.
+// each call: net/http sends a request with an Idempotency-Key again by itself
+// when a reused connection breaks.
 func New(network networker.Network) *Caller {
-	t := &http.Transport{DialContext: network.DialContext, DisableKeepAlives: true, DisableCompression: true}
+	dial := func(ctx context.Context, kind, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, _dialLimit)
+		defer cancel()
+		return network.DialContext(ctx, kind, address)
+	}
+	t := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
 	return &Caller{http: &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error {
 		return http.ErrUseLastResponse
 	}}}
@@ -63,16 +81,17 @@
 	if err != nil {
 		return Result{Outcome: wire.Outcome_OUTCOME_NOT_RUN}, fmt.Errorf("caller: call %s: %w", call.Address, err)
 	}
-	// Without GetBody the transport can't send the call a second time.
+	// Without GetBody the transport can't send the body a second time.
 	req.GetBody = nil
-	req.Header = call.Header
+	req.Header = EndToEnd(call.Header)
+	// A body that waits for "100 Continue" would be sent late or not at all.
+	req.Header.Del("Expect")
 	res, err := c.http.Do(req)
 	if err != nil {
-		outcome := wire.Outcome_OUTCOME_UNKNOWN
 		if !connected.Load() {
-			outcome = wire.Outcome_OUTCOME_NOT_RUN
+			return Result{Outcome: wire.Outcome_OUTCOME_NOT_RUN}, fmt.Errorf("caller: call %s: %w: %w", call.Address, ErrNotSent, err)
 		}
-		return Result{Outcome: outcome}, fmt.Errorf("caller: call %s: %w", call.Address, err)
+		return Result{Outcome: wire.Outcome_OUTCOME_UNKNOWN}, fmt.Errorf("caller: call %s: %w", call.Address, err)
 	}
 	defer res.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(res.Body, _maxAnswerBytes+1))
@@ -82,9 +101,16 @@
 	if err != nil {
 		return Result{Outcome: wire.Outcome_OUTCOME_UNKNOWN}, fmt.Errorf("caller: answer of %s: %w", call.Address, err)
 	}
-	r := Result{Outcome: wire.Outcome_OUTCOME_RAN, Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: body}
-	if res.Header.Get(HeaderOutcome) == "not-run" {
-		r.Outcome = wire.Outcome_OUTCOME_NOT_RUN
+	header := EndToEnd(res.Header)
+	header.Del("Content-Length")
+	return Result{Outcome: outcome(res), Status: res.StatusCode, Header: header, Body: body}, nil
+}
+
+// outcome reads what a whole answer says. An answer that reports success ran,
+// whatever its header says.
+func outcome(res *http.Response) wire.Outcome {
+	if res.StatusCode >= http.StatusBadRequest && res.Header.Get(HeaderOutcome) == _notRun {
+		return wire.Outcome_OUTCOME_NOT_RUN
 	}
-	return r, nil
+	return wire.Outcome_OUTCOME_RAN
 }
--- /dev/null
+++ b/internal/caller/caller_test.go
@@ -0,0 +1,234 @@
+package caller_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/caller"
+	"github.com/lycheebarrow/lycheebarrow/internal/networker"
+	"github.com/lycheebarrow/lycheebarrow/internal/wire"
+)
+
+const (
+	_ran     = wire.Outcome_OUTCOME_RAN
+	_notRun  = wire.Outcome_OUTCOME_NOT_RUN
+	_unknown = wire.Outcome_OUTCOME_UNKNOWN
+)
+
+// upstream is a service at the level of bytes: it answers each connection with
+// reply, and counts connections and requests.
+type upstream struct {
+	address     string
+	connections atomic.Int32
+	requests    atomic.Int32
+}
+
+// reset closes a connection so that the other side sees a reset.
+func reset(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+func newUpstream(t *testing.T, reply func(c net.Conn, read func() bool)) *upstream {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	u := &upstream{address: l.Addr().String()}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			u.connections.Add(1)
+			in := bufio.NewReader(c)
+			reply(c, func() bool {
+				r, err := http.ReadRequest(in)
+				if err != nil {
+					return false
+				}
+				u.requests.Add(1)
+				_, _ = io.Copy(io.Discard, r.Body)
+				return true
+			})
+			c.Close()
+		}
+	}()
+	t.Cleanup(func() {
+		l.Close()
+		<-done
+	})
+	return u
+}
+
+func write(c net.Conn, text string) { _, _ = c.Write([]byte(text)) }
+
+func TestSendOnce(t *testing.T) {
+	whole := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	testCases := []struct {
+		name     string
+		reply    func(c net.Conn, read func() bool)
+		want     wire.Outcome
+		requests int32
+	}{
+		{name: "whole", want: _ran, requests: 1, reply: func(c net.Conn, read func() bool) {
+			read()
+			write(c, whole)
+		}},
+		{name: "closed before the request is read", want: _unknown, reply: func(c net.Conn, _ func() bool) { c.Close() }},
+		{name: "reset before the request is read", want: _unknown, reply: func(c net.Conn, _ func() bool) {
+			_, _ = c.Read(make([]byte, 1))
+			reset(c)
+		}},
+		{name: "closed after the request is read", want: _unknown, requests: 1, reply: func(c net.Conn, read func() bool) {
+			read()
+			c.Close()
+		}},
+		{name: "reset after the request is read", want: _unknown, requests: 1, reply: func(c net.Conn, read func() bool) {
+			read()
+			reset(c)
+		}},
+		{name: "cut headers", want: _unknown, requests: 1, reply: func(c net.Conn, read func() bool) {
+			read()
+			write(c, "HTTP/1.1 200 OK\r\nContent-Le")
+		}},
+		{name: "cut body", want: _unknown, requests: 1, reply: func(c net.Conn, read func() bool) {
+			read()
+			write(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok")
+		}},
+		{name: "cut chunks", want: _unknown, requests: 1, reply: func(c net.Conn, read func() bool) {
+			read()
+			write(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n")
+		}},
+		{name: "another call's answer follows", want: _ran, requests: 1, reply: func(c net.Conn, read func() bool) {
+			read()
+			write(c, whole+whole)
+		}},
+		{name: "server error", want: _ran, requests: 1, reply: func(c net.Conn, read func() bool) {
+			read()
+			write(c, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+		}},
+		{name: "refused before running", want: _notRun, requests: 1, reply: func(c net.Conn, read func() bool) {
+			read()
+			write(c, "HTTP/1.1 503 Busy\r\nLb-Outcome: not-run\r\nContent-Length: 0\r\n\r\n")
+		}},
+		{name: "success that claims not to have run", want: _ran, requests: 1, reply: func(c net.Conn, read func() bool) {
+			read()
+			write(c, "HTTP/1.1 200 OK\r\nLb-Outcome: not-run\r\nContent-Length: 0\r\n\r\n")
+		}},
+		{name: "redirect", want: _ran, requests: 1, reply: func(c net.Conn, read func() bool) {
+			read()
+			write(c, "HTTP/1.1 307 Moved\r\nLocation: /again\r\nContent-Length: 0\r\n\r\n")
+		}},
+	}
+	// An empty body and a body take different ways through net/http.
+	for _, body := range []string{"", "fee=1"} {
+		for _, tc := range testCases {
+			t.Run(tc.name+" "+body, func(t *testing.T) {
+				u := newUpstream(t, tc.reply)
+				c := caller.New(networker.System{})
+				// A second call meets no connection that the first one left.
+				for i := range 2 {
+					r, err := c.Send(t.Context(), caller.Call{
+						Method: http.MethodPost, Path: "/lodge", Address: u.address, Body: []byte(body),
+						Header: http.Header{"Idempotency-Key": {"k"}},
+					})
+					assert.Equal(t, tc.want, r.Outcome, "error %v", err)
+					assert.Equal(t, r.Status == 0, err != nil)
+					assert.Equal(t, int32(i+1), u.connections.Load())
+				}
+				assert.Equal(t, 2*tc.requests, u.requests.Load())
+			})
+		}
+	}
+}
+
+func TestSendRefused(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l.Close()
+	r, err := caller.New(networker.System{}).Send(t.Context(), caller.Call{Method: http.MethodPost, Path: "/", Address: l.Addr().String()})
+	assert.ErrorIs(t, err, caller.ErrNotSent)
+	assert.Equal(t, _notRun, r.Outcome)
+}
+
+// silent is a network whose connections are pipes that nobody reads, or none at
+// all.
+type silent struct {
+	networker.System
+	connects bool
+}
+
+func (s silent) DialContext(ctx context.Context, _, _ string) (net.Conn, error) {
+	if !s.connects {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	near, _ := net.Pipe()
+	return near, nil
+}
+
+func TestSendTimeout(t *testing.T) {
+	testCases := []struct {
+		name     string
+		connects bool
+		want     wire.Outcome
+		takes    time.Duration
+	}{
+		{name: "no connection", want: _notRun, takes: 2 * time.Second},
+		{name: "no answer", connects: true, want: _unknown, takes: 30 * time.Second},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+				defer cancel()
+				began := time.Now()
+				r, err := caller.New(silent{connects: tc.connects}).Send(ctx, caller.Call{Method: http.MethodPost, Path: "/", Address: "10.0.0.1:80", Body: []byte("x")})
+				assert.ErrorIs(t, err, context.DeadlineExceeded)
+				assert.Equal(t, tc.want, r.Outcome)
+				assert.Equal(t, tc.takes, time.Since(began))
+			})
+		})
+	}
+}
+
+func TestEndToEnd(t *testing.T) {
+	h := http.Header{
+		"Connection": {"close, X-Hop", "x-other"}, "X-Hop": {"1"}, "X-Other": {"1"}, "Te": {"trailers"}, "Upgrade": {"h2c"},
+		"Proxy-Authorization": {"secret"}, "Idempotency-Key": {"k"}, "Content-Type": {"text/plain"},
+	}
+	assert.Equal(t, http.Header{"Idempotency-Key": {"k"}, "Content-Type": {"text/plain"}}, caller.EndToEnd(h))
+	assert.Len(t, h, 8, "the original stays")
+	assert.NotNil(t, caller.EndToEnd(nil))
+}
+
+// net/http repeats a request with an Idempotency-Key and no body when a reused
+// connection breaks; a caller must not reuse one.
+func TestSendReusesNoConnection(t *testing.T) {
+	u := newUpstream(t, func(c net.Conn, read func() bool) {
+		if read() {
+			write(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			read()
+		}
+	})
+	c := caller.New(networker.System{})
+	for range 2 {
+		_, err := c.Send(t.Context(), caller.Call{
+			Method: http.MethodPost, Path: "/", Address: u.address, Header: http.Header{"Idempotency-Key": {"k"}},
+		})
+		require.NoError(t, err)
+	}
+	assert.Equal(t, int32(2), u.requests.Load())
+}
--- a/internal/composer/entry.go
+++ b/internal/composer/entry.go
@@ -14,14 +14,13 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/recorder"
 	"github.com/lycheebarrow/lycheebarrow/internal/registrar"
 	"github.com/lycheebarrow/lycheebarrow/internal/server"
-	"github.com/lycheebarrow/lycheebarrow/internal/storer"
 	"github.com/lycheebarrow/lycheebarrow/internal/streamer"
 	"github.com/lycheebarrow/lycheebarrow/internal/watcher"
 )
 
 // Entry returns the application of an entry. Log lines go to output.
 func Entry(s loader.Settings, network networker.Network, output io.Writer) *fx.App {
-	return compose(s, network, output, buildShared, buildProber, buildDispatcher, buildServer, buildOperator)
+	return compose(s, network, output, buildShared, buildProber, buildDispatcher, buildRecorder, buildServer, buildOperator)
 }
 
 func buildDispatcher(k *kernel) error {
@@ -43,13 +42,13 @@
 	if err != nil {
 		return err
 	}
-	store, err := registrar.Find[*storer.Client](&k.services, NameStore)
+	r, err := registrar.Find[*recorder.Recorder](&k.services, NameRecorder)
 	if err != nil {
 		return err
 	}
 	s := &server.Server{
 		Configuration: c, Dispatcher: d, Streamer: streamer.New(k.network, p), Caller: caller.New(k.network),
-		Recorder: recorder.New(store, k.log), Log: k.log, Process: k.settings.Name(),
+		Recorder: r, Log: k.log, Process: k.settings.Name(),
 		DataCentre: k.settings.DataCentre(), MaxBodyBytes: k.settings.MaxBodyBytes(),
 	}
 	l, err := k.listen("callers", k.settings.CallersListen())
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protojson"
@@ -18,6 +19,17 @@
 // Prefix is the prefix of call records in the platform.
 const Prefix = "call/"
 
+const (
+	// _beginLimit bounds Begin.
+	_beginLimit = 5 * time.Second
+	// _beginTries bounds the writes of one Begin.
+	_beginTries = 4
+	// _sendLimit is the greatest age of a claim whose call may still be sent. It
+	// is far below any retention, so that a record is not trimmed before its
+	// call is sent.
+	_sendLimit = 10 * time.Second
+)
+
 // Errors of Begin. In each case the call was not sent by this attempt.
 var (
 	// ErrDifferentBody says that the key was used for another call.
@@ -30,19 +42,31 @@
 // Store is what the recorder needs of the platform.
 type Store interface {
 	Get(ctx context.Context, key string) (storer.Object, error)
+	Watch(ctx context.Context, key string, after uint64, wait time.Duration) (storer.Object, error)
 	Create(ctx context.Context, key string, value []byte) (uint64, error)
 	Update(ctx context.Context, key string, version uint64, value []byte) (uint64, error)
 }
 
-// Recorder keeps records. Make it with New. It is safe for concurrent use.
+// Recorder keeps records. Make it with New and Close it. It is safe for
+// concurrent use.
 type Recorder struct {
-	store Store
-	log   logger.Logger
+	store   Store
+	log     logger.Logger
+	ctx     context.Context
+	cancel  context.CancelFunc
+	settles sync.WaitGroup
+
+	mu sync.Mutex
+	// unsent holds the owners that gave up before sending and whose NOT_RUN is
+	// not stored yet.
+	unsent map[string]bool
 }
 
 // New returns a Recorder over store.
 func New(store Store, log logger.Logger) *Recorder {
-	return &Recorder{store: store, log: log}
+	r := &Recorder{store: store, log: log, unsent: make(map[string]bool)}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	return r
 }
 
 // Claim is a record as an attempt found it.
@@ -51,14 +75,23 @@
 	version uint64
 	record  *wire.CallRecord
 	mine    bool
+	begun   time.Time
 }
 
-// Mine says that this attempt created the record and may send the call.
+// Mine says that this attempt claimed the record and may send the call.
 func (c *Claim) Mine() bool { return c.mine }
 
 // Record returns the record. Callers must not change it.
 func (c *Claim) Record() *wire.CallRecord { return c.record }
 
+// Sendable says that the claim is fresh enough to send its call. A process
+// that was paused after Begin finds its claim too old. Both the monotonic and
+// the wall clock count, since either may stand still during a pause.
+func (c *Claim) Sendable(now time.Time) bool {
+	wall := now.Round(0).Sub(c.begun.Round(0))
+	return c.mine && now.Sub(c.begun) < _sendLimit && wall < _sendLimit
+}
+
 // Key returns the platform's key of a call's record.
 func Key(organisation, service, key string) string {
 	sum := sha256.Sum256([]byte(organisation + "\x00" + service + "\x00" + key))
@@ -66,53 +99,128 @@
 	return Prefix + text[:2] + "/" + text
 }
 
-// Begin creates the record of a call, or returns the one that exists.
-func (r *Recorder) Begin(ctx context.Context, record *wire.CallRecord) (*Claim, error) {
-	key := Key(record.GetOrganisation(), record.GetService(), record.GetKey())
+// Begin claims the record of a call, or returns the one that exists. The
+// record's owner must be unique to this attempt. Begin sets the times of the
+// record, goes on when ctx is cancelled, and ends within a few seconds.
+func (r *Recorder) Begin(ctx context.Context, record *wire.CallRecord, retention time.Duration) (*Claim, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), _beginLimit)
+	defer cancel()
+	c := &Claim{key: Key(record.GetOrganisation(), record.GetService(), record.GetKey()), record: record, begun: time.Now()}
+	if err := r.admit(ctx, record.GetKey(), c.begun, retention); err != nil {
+		return nil, err
+	}
+	record.CreatedUnixMs, record.ExpiresUnixMs = c.begun.UnixMilli(), c.begun.Add(retention).UnixMilli()
 	value, err := protojson.Marshal(record)
 	if err != nil {
 		return nil, fmt.Errorf("recorder: encode the record: %w", err)
 	}
-	version, err := r.store.Create(ctx, key, value)
-	if err == nil {
-		return &Claim{key: key, version: version, record: record, mine: true}, nil
+	uncertain := false
+	for range _beginTries {
+		base := c.version
+		version, writeErr := r.write(ctx, c.key, base, value)
+		if writeErr == nil {
+			c.version, c.mine = version, true
+			return c, nil
+		}
+		err = writeErr
+		if errors.Is(err, storer.ErrUnavailable) {
+			break
+		}
+		uncertain = uncertain || !errors.Is(err, storer.ErrConflict) && !errors.Is(err, storer.ErrNotFound)
+		// A conflict, or a lost answer: what is stored now decides.
+		var found *Claim
+		if found, err = r.find(ctx, c); err != nil {
+			break
+		}
+		if found == nil {
+			c.version = 0
+			continue
+		}
+		if found.record.GetBodySha256() != record.GetBodySha256() {
+			return nil, fmt.Errorf("recorder: begin: %w", ErrDifferentBody)
+		}
+		if found.mine || !r.claimable(found.record) {
+			return found, nil
+		}
+		// The same write again under the found version; an earlier one that is
+		// still out conflicts with it.
+		c.version = found.version
 	}
-	if errors.Is(err, storer.ErrUnavailable) {
-		return nil, fmt.Errorf("recorder: create the record: %w: %w", ErrUnavailable, err)
+	if uncertain {
+		r.Abandon(c)
 	}
-	// A conflict, or a lost answer: what is stored now decides.
-	o, err := r.store.Get(ctx, key)
-	if err != nil {
-		return nil, fmt.Errorf("recorder: read the record back: %w: %w", ErrUnavailable, err)
+	return nil, fmt.Errorf("recorder: claim the record: %w: %w", ErrUnavailable, err)
+}
+
+// find reads the record back; nil says that there is none.
+func (r *Recorder) find(ctx context.Context, c *Claim) (*Claim, error) {
+	o, err := r.store.Get(ctx, c.key)
+	if errors.Is(err, storer.ErrNotFound) {
+		return nil, nil
 	}
-	var found wire.CallRecord
-	if err := protojson.Unmarshal(o.Value, &found); err != nil {
-		return nil, fmt.Errorf("recorder: read the record back: %w: %w", ErrUnavailable, err)
+	if err != nil {
+		return nil, fmt.Errorf("read it back: %w", err)
 	}
-	if found.GetBodySha256() != record.GetBodySha256() {
-		return nil, fmt.Errorf("recorder: begin: %w", ErrDifferentBody)
+	found, err := decode(o)
+	if err != nil {
+		return nil, err
 	}
-	return &Claim{key: key, version: o.Version, record: &found, mine: found.GetOwner() == record.GetOwner()}, nil
+	mine := found.GetOwner() == c.record.GetOwner()
+	return &Claim{key: c.key, version: o.Version, record: found, mine: mine, begun: c.begun}, nil
 }
 
-// Finish stores the outcome of a call that this attempt sent.
-func (r *Recorder) Finish(ctx context.Context, c *Claim, record *wire.CallRecord) error {
-	value, err := protojson.Marshal(record)
-	if err != nil {
-		return fmt.Errorf("recorder: encode the outcome: %w", err)
+// claimable says that the record's attempt ended without sending the call.
+func (r *Recorder) claimable(record *wire.CallRecord) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return record.GetOutcome() == wire.Outcome_OUTCOME_NOT_RUN || r.unsent[record.GetOwner()]
+}
+
+// write creates the record where version is 0, else updates that version.
+func (r *Recorder) write(ctx context.Context, key string, version uint64, value []byte) (uint64, error) {
+	if version == 0 {
+		return r.store.Create(ctx, key, value)
 	}
-	const tries = 5
-	for range tries {
-		if _, err = r.store.Update(ctx, c.key, c.version, value); err == nil || errors.Is(err, storer.ErrConflict) {
-			// Only this attempt writes the record, so a conflict is its own
-			// earlier write whose answer was lost.
-			return nil
+	return r.store.Update(ctx, key, version, value)
+}
+
+// Wait returns the record as soon as its attempt stored an outcome, or as it
+// stands when ctx ends.
+func (r *Recorder) Wait(ctx context.Context, c *Claim) *wire.CallRecord {
+	const (
+		slice = 5 * time.Second
+		pause = 500 * time.Millisecond
+	)
+	record, version := c.record, c.version
+	for ctx.Err() == nil && record.GetOutcome() == wire.Outcome_OUTCOME_UNSPECIFIED {
+		o, err := r.store.Watch(ctx, c.key, version, slice)
+		if err == nil {
+			var next *wire.CallRecord
+			if next, err = decode(o); err == nil {
+				record, version = next, o.Version
+				continue
+			}
 		}
-		if ctx.Err() != nil {
-			break
+		if !errors.Is(err, storer.ErrUnchanged) {
+			sleep(ctx, pause)
 		}
-		time.Sleep(time.Second)
 	}
-	r.log.Failure("record-finish", err, logger.Fields{"key": c.key})
-	return fmt.Errorf("recorder: store the outcome: %w", err)
+	return record
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func decode(o storer.Object) (*wire.CallRecord, error) {
+	var record wire.CallRecord
+	if err := protojson.Unmarshal(o.Value, &record); err != nil {
+		return nil, fmt.Errorf("decode %s: %w", o.Key, err)
+	}
+	return &record, nil
 }
--- /dev/null
+++ b/internal/recorder/store_test.go
@@ -0,0 +1,140 @@
+package recorder_test
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/storer"
+)
+
+// fault is what happens to one write.
+type fault string
+
+const (
+	faultNone   fault = ""
+	faultRefuse fault = "refuse" // nothing written, and said so
+	faultLose   fault = "lose"   // written, and the answer lost
+	faultDrop   fault = "drop"   // not written, and no answer
+	faultLate   fault = "late"   // no answer, and written a while later
+)
+
+// _late is how much later a late write takes effect.
+const _late = 1300 * time.Millisecond
+
+// store is a platform in memory; writes takes one fault each. The zero value is
+// ready for use.
+type store struct {
+	mu      sync.Mutex
+	objects map[string]storer.Object
+	version uint64
+	writes  []fault
+	noReads bool
+	calls   int
+}
+
+// fail sets the faults of the next writes, and whether reads fail.
+func (s *store) fail(noReads bool, writes ...fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noReads, s.writes = noReads, writes
+}
+
+func (s *store) next() fault {
+	s.calls++
+	if len(s.writes) == 0 {
+		return faultNone
+	}
+	f := s.writes[0]
+	s.writes = s.writes[1:]
+	return f
+}
+
+func (s *store) Get(_ context.Context, key string) (storer.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.noReads {
+		return storer.Object{}, storer.ErrUnavailable
+	}
+	o, ok := s.objects[key]
+	if !ok {
+		return storer.Object{}, storer.ErrNotFound
+	}
+	return o, nil
+}
+
+func (s *store) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (storer.Object, error) {
+	const poll = 10 * time.Millisecond
+	for end := time.Now().Add(wait); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(poll) {
+		if o, err := s.Get(ctx, key); err == nil && o.Version > after {
+			return o, nil
+		}
+	}
+	return storer.Object{}, storer.ErrUnchanged
+}
+
+func (s *store) List(_ context.Context, prefix string) ([]storer.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []storer.Object
+	for k, o := range s.objects {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, o)
+		}
+	}
+	return out, nil
+}
+
+func (s *store) Create(_ context.Context, key string, value []byte) (uint64, error) {
+	return s.write(key, 0, value)
+}
+
+func (s *store) Update(_ context.Context, key string, version uint64, value []byte) (uint64, error) {
+	return s.write(key, version, value)
+}
+
+func (s *store) Delete(_ context.Context, key string, version uint64) error {
+	_, err := s.write(key, version, nil)
+	return err
+}
+
+func (s *store) write(key string, version uint64, value []byte) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch s.next() {
+	case faultRefuse:
+		return 0, storer.ErrUnavailable
+	case faultDrop:
+		return 0, storer.ErrUncertain
+	case faultLate:
+		time.AfterFunc(_late, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			_, _ = s.apply(key, version, value)
+		})
+		return 0, storer.ErrUncertain
+	case faultLose:
+		_, _ = s.apply(key, version, value)
+		return 0, storer.ErrUncertain
+	default:
+		return s.apply(key, version, value)
+	}
+}
+
+// apply writes, or deletes for a nil value. The caller holds the lock.
+func (s *store) apply(key string, version uint64, value []byte) (uint64, error) {
+	if s.objects[key].Version != version {
+		return 0, storer.ErrConflict
+	}
+	if s.objects == nil {
+		s.objects = make(map[string]storer.Object)
+	}
+	s.version++
+	if value == nil {
+		delete(s.objects, key)
+	} else {
+		s.objects[key] = storer.Object{Key: key, Version: s.version, Value: value}
+	}
+	return s.version, nil
+}
--- /dev/null
+++ b/internal/recorder/trimmer_test.go
@@ -0,0 +1,109 @@
+package recorder_test
+
+import (
+	"encoding/binary"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/recorder"
+)
+
+// keyAt returns a UUIDv7 with the time given.
+func keyAt(at time.Time) string {
+	id := uuid.Must(uuid.NewV7())
+	low := binary.BigEndian.Uint16(id[6:8])
+	binary.BigEndian.PutUint64(id[:8], uint64(at.UnixMilli())<<16|uint64(low))
+	return id.String()
+}
+
+func TestCheckKey(t *testing.T) {
+	now := time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
+	testCases := []struct {
+		name    string
+		key     string
+		through time.Time
+		want    error
+	}{
+		{name: "opaque", key: "form-17"},
+		{name: "random UUID", key: "7f8c1c9e-6f5c-4f0e-9a43-0d7b9a6a1b11"},
+		{name: "now", key: keyAt(now)},
+		{name: "just within", key: keyAt(now.Add(-_retention))},
+		{name: "too old", key: keyAt(now.Add(-_retention - time.Millisecond)), want: recorder.ErrKeyExpired},
+		{name: "too old without dashes", key: "019c0000000070008000000000000000", want: recorder.ErrKeyExpired},
+		{name: "trimmed", key: keyAt(now.Add(-2 * time.Hour)), through: now.Add(-time.Hour), want: recorder.ErrKeyExpired},
+		{name: "after the trim", key: keyAt(now.Add(-time.Hour)), through: now.Add(-2 * time.Hour)},
+		{name: "clock a little ahead", key: keyAt(now.Add(recorder.ClockSkew))},
+		{name: "future", key: keyAt(now.Add(recorder.ClockSkew + time.Millisecond)), want: recorder.ErrKeyFuture},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			assert.ErrorIs(t, recorder.CheckKey(tc.key, now, _retention, tc.through), tc.want)
+		})
+	}
+}
+
+func trimmer(s *store, retention time.Duration) *recorder.Trimmer {
+	return &recorder.Trimmer{Store: s, Process: "p", Retention: func() (time.Duration, bool) { return retention, true }}
+}
+
+func TestTrim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{}
+		r := recorder.New(s, logger.Logger{})
+		_, err := r.Begin(t.Context(), call("a"), time.Hour)
+		require.NoError(t, err)
+		require.NoError(t, trimmer(s, time.Hour).Pass(t.Context()))
+		assert.Len(t, s.objects, 2, "a young record stays")
+
+		time.Sleep(2 * time.Hour)
+		require.NoError(t, trimmer(s, 3*time.Hour).Pass(t.Context()))
+		assert.Len(t, s.objects, 2, "the retention in force counts")
+
+		time.Sleep(2 * time.Hour)
+		calls := s.calls
+		began := time.Now()
+		require.NoError(t, trimmer(s, time.Hour).Pass(t.Context()))
+		assert.Len(t, s.objects, 1, "an expired record goes")
+		assert.Equal(t, 2, s.calls-calls)
+		assert.Greater(t, time.Since(began), 4*time.Minute, "256 lists at one a second")
+		require.NoError(t, trimmer(s, time.Hour).Pass(t.Context()))
+		assert.Equal(t, 2, s.calls-calls, "no second pass within the hour")
+		require.NoError(t, r.Close())
+	})
+}
+
+// A record is kept as long as was promised when it was made.
+func TestTrimKeepsPromise(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{}
+		r := recorder.New(s, logger.Logger{})
+		_, err := r.Begin(t.Context(), call("a"), 72*time.Hour)
+		require.NoError(t, err)
+		time.Sleep(10 * time.Hour)
+		require.NoError(t, trimmer(s, time.Hour).Pass(t.Context()))
+		assert.Len(t, s.objects, 2)
+		require.NoError(t, r.Close())
+	})
+}
+
+// A longer retention doesn't admit keys whose records are gone.
+func TestLongerRetentionAfterTrim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{}
+		r := recorder.New(s, logger.Logger{})
+		key := keyAt(time.Now())
+		time.Sleep(10 * time.Hour)
+		require.NoError(t, r.Admit(t.Context(), key, time.Now(), 72*time.Hour))
+		require.NoError(t, trimmer(s, time.Hour).Pass(t.Context()))
+		assert.ErrorIs(t, r.Admit(t.Context(), key, time.Now(), 72*time.Hour), recorder.ErrKeyExpired)
+		s.fail(true)
+		assert.ErrorIs(t, r.Admit(t.Context(), key, time.Now(), 72*time.Hour), recorder.ErrUnavailable)
+		require.NoError(t, r.Close())
+	})
+}
--- /dev/null
+++ b/internal/server/keyed.go
@@ -0,0 +1,182 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/authenticator"
+	"github.com/lycheebarrow/lycheebarrow/internal/caller"
+	"github.com/lycheebarrow/lycheebarrow/internal/recorder"
+	"github.com/lycheebarrow/lycheebarrow/internal/responder"
+	"github.com/lycheebarrow/lycheebarrow/internal/wire"
+)
+
+const (
+	// HeaderKey names a call that may not be repeated.
+	HeaderKey = "Idempotency-Key"
+	// HeaderRemembered says until when a call's outcome is remembered.
+	HeaderRemembered = "Lb-Remembered-Until"
+	// HeaderReplayed says that the answer is that of an earlier call.
+	HeaderReplayed = "Lb-Replayed"
+)
+
+const (
+	// _maxKeyBytes bounds an idempotency key.
+	_maxKeyBytes = 255
+	// _replayWait is the longest wait for the outcome of a call that another
+	// request with its key started.
+	_replayWait = 15 * time.Second
+	// _ownerGrace is how long after a call's timeout its owner may take to store
+	// the outcome.
+	_ownerGrace = 5 * time.Second
+	// _maxKeptBytes bounds the body of an answer that is kept in a record.
+	_maxKeptBytes = 64 << 10
+	// _maxKeptHeaderBytes bounds the headers of an answer that are kept.
+	_maxKeptHeaderBytes = 8 << 10
+)
+
+// Recorder keeps the records of calls that may not be repeated.
+type Recorder interface {
+	// Begin claims the record of a call, or returns the one that exists.
+	Begin(ctx context.Context, record *wire.CallRecord, retention time.Duration) (*recorder.Claim, error)
+	// Wait returns the record once it has an outcome, or as it is when ctx ends.
+	Wait(ctx context.Context, c *recorder.Claim) *wire.CallRecord
+	// Finish stores the outcome in the background.
+	Finish(c *recorder.Claim, record *wire.CallRecord)
+}
+
+// keyed runs a call at most once for its key.
+func (s *Server) keyed(c *gin.Context, key string, call serviceCall) {
+	record := &wire.CallRecord{
+		Key: key, Organisation: who(c).organisation, Service: call.name, Owner: s.Process + "/" + who(c).request,
+		BodySha256: authenticator.Digest(call.Method + " " + call.Path + "\n" + string(call.Body)),
+	}
+	retention := s.Configuration.Current().Document().Policy.Retention()
+	claim, err := s.Recorder.Begin(c.Request.Context(), record, retention)
+	if err != nil {
+		s.refuse(c, beginProblem(err))
+		return
+	}
+	c.Header(HeaderRemembered, time.UnixMilli(claim.Record().GetExpiresUnixMs()).UTC().Format(time.RFC3339))
+	if !claim.Mine() {
+		s.replay(c, claim, call.service.Timeout())
+		return
+	}
+	// The call goes on when its caller hangs up, so that its outcome is known.
+	work, cancel := context.WithTimeout(context.WithoutCancel(c.Request.Context()), call.service.Timeout())
+	defer cancel()
+	call.sendable = func() bool { return claim.Sendable(time.Now()) }
+	result, err := s.send(work, c, call)
+	keep(record, result)
+	s.Recorder.Finish(claim, record)
+	s.give(c, result, err)
+}
+
+func beginProblem(err error) *responder.Problem {
+	p := &responder.Problem{Status: http.StatusBadRequest, Outcome: responder.NotRun}
+	switch {
+	case errors.Is(err, recorder.ErrDifferentBody):
+		p.Status, p.Code = http.StatusUnprocessableEntity, "key-reused"
+		p.Message = "the key was used for a call with another method, path or body"
+		p.Mend = "use a new key for a new call"
+	case errors.Is(err, recorder.ErrKeyExpired):
+		p.Code, p.Message = "key-expired", "the key's time is longer ago than calls are remembered"
+		p.Mend = "look the call up at the service; if it did not run, send it under a new key"
+	case errors.Is(err, recorder.ErrKeyFuture):
+		p.Code, p.Message = "key-from-future", "the key's time is yet to come"
+		p.Mend = "set the clock of the caller right and send the call under a new key"
+	default:
+		p.Status, p.Code = http.StatusServiceUnavailable, "records-unavailable"
+		p.Message = "the call's record can't be created now: " + err.Error()
+		p.Mend, p.RetryAfter = "send the call again with the same key", 2*time.Second
+	}
+	return p
+}
+
+// replay gives the outcome of an earlier call with the key, and waits for it
+// while that call may still be running.
+func (s *Server) replay(c *gin.Context, claim *recorder.Claim, timeout time.Duration) {
+	deadline := time.UnixMilli(claim.Record().GetCreatedUnixMs()).Add(timeout + _ownerGrace)
+	wait := min(time.Until(deadline), _replayWait)
+	ctx, cancel := context.WithTimeout(c.Request.Context(), wait)
+	defer cancel()
+	r := s.Recorder.Wait(ctx, claim)
+	if r.GetOutcome() == wire.Outcome_OUTCOME_UNSPECIFIED && time.Now().Before(deadline) {
+		s.refuse(c, &responder.Problem{
+			Status: http.StatusConflict, Code: "call-in-progress", Message: "an earlier call with this key has no outcome yet",
+			Outcome: responder.Unknown, Mend: "send the same call with the same key again to learn its outcome", RetryAfter: time.Second,
+		})
+		return
+	}
+	c.Header(HeaderReplayed, "true")
+	if r.GetOutcome() == wire.Outcome_OUTCOME_RAN && r.GetAnswerDropped() {
+		s.refuse(c, &responder.Problem{
+			Status: http.StatusBadGateway, Code: "answer-not-kept", Message: "the call ran, and its answer was too large to keep",
+			Outcome: responder.Ran, Mend: "look the call up at the service",
+		})
+		return
+	}
+	s.give(c, kept(r), nil)
+}
+
+// keep puts the result of a call into its record.
+func keep(record *wire.CallRecord, r caller.Result) {
+	record.Outcome, record.Status = r.Outcome, uint32(r.Status)
+	if r.Outcome != wire.Outcome_OUTCOME_RAN {
+		return
+	}
+	record.AnswerDropped = len(r.Body) > _maxKeptBytes
+	if record.AnswerDropped {
+		return
+	}
+	record.Body = r.Body
+	record.Headers = keptHeaders(r.Header)
+}
+
+// keptHeaders returns the headers of an answer that fit its record. Cookies are
+// for the first caller alone.
+func keptHeaders(h http.Header) []*wire.HeaderField {
+	var out []*wire.HeaderField
+	size := 0
+	for _, n := range headerNames(h) {
+		for _, v := range h[n] {
+			if size += len(n) + len(v); size > _maxKeptHeaderBytes {
+				return out
+			}
+			out = append(out, &wire.HeaderField{Name: n, Value: v})
+		}
+	}
+	return out
+}
+
+// headerNames returns the names to keep, those that callers act on first.
+func headerNames(h http.Header) []string {
+	first := []string{"Content-Type", "Content-Encoding", "Location"}
+	skipped := append([]string{"Set-Cookie", "Date"}, first...)
+	names := slices.Clone(first)
+	for n := range h {
+		if !slices.Contains(skipped, n) {
+			names = append(names, n)
+		}
+	}
+	slices.Sort(names[len(first):])
+	return names
+}
+
+// kept returns the result that a record holds.
+func kept(r *wire.CallRecord) caller.Result {
+	out := caller.Result{Outcome: r.GetOutcome(), Body: r.GetBody(), Header: make(http.Header)}
+	if r.GetOutcome() != wire.Outcome_OUTCOME_RAN {
+		return out
+	}
+	out.Status = int(r.GetStatus())
+	for _, f := range r.GetHeaders() {
+		out.Header.Add(f.GetName(), f.GetValue())
+	}
+	return out
+}
--- /dev/null
+++ b/internal/server/keyed_test.go
@@ -0,0 +1,212 @@
+package server_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/server"
+)
+
+// show is one line of what a caller got.
+func show(w *httptest.ResponseRecorder) string {
+	out := fmt.Sprintf("%d %s", w.Code, w.Header().Get("Lb-Outcome"))
+	if w.Header().Get(server.HeaderReplayed) != "" {
+		out += " replayed"
+	}
+	if w.Header().Get("Retry-After") != "" {
+		out += " retry"
+	}
+	if _, code, ok := strings.Cut(w.Body.String(), `"code":"`); ok {
+		code, _, _ = strings.Cut(code, `"`)
+		return out + " " + code
+	}
+	return out + " " + w.Body.String()
+}
+
+func TestKeyedCalls(t *testing.T) {
+	// Each call goes to its entry in order; a fault is switched before it.
+	type step struct {
+		fault   serviceFault
+		options callOptions
+		entry   int
+		want    string
+	}
+	key := callOptions{key: "k"}
+	testCases := []struct {
+		name  string
+		steps []step
+		runs  int
+	}{
+		{name: "replayed", runs: 1, steps: []step{
+			{options: key, want: "201 ran receipt of k"},
+			{options: key, want: "201 ran replayed receipt of k"},
+			{options: key, entry: 1, want: "201 ran replayed receipt of k"},
+		}},
+		{name: "failure is an answer", runs: 1, steps: []step{
+			{fault: serviceFails, options: key, want: "500 ran receipt of k"},
+			{options: key, entry: 1, want: "500 ran replayed receipt of k"},
+		}},
+		{name: "refused by the service and sent again", runs: 1, steps: []step{
+			{fault: serviceRefuses, options: key, want: "503 not-run closed today"},
+			{options: key, entry: 1, want: "201 ran receipt of k"},
+			{options: key, want: "201 ran replayed receipt of k"},
+		}},
+		{name: "no connection and sent again", runs: 1, steps: []step{
+			{fault: serviceAway, options: key, want: "503 not-run retry service-unavailable"},
+			{options: key, entry: 1, want: "201 ran receipt of k"},
+		}},
+		{name: "cut after the run", runs: 1, steps: []step{
+			{fault: serviceCutsAfter, options: key, want: "502 unknown outcome-unknown"},
+			{options: key, want: "502 unknown replayed outcome-unknown"},
+			{options: key, entry: 1, want: "502 unknown replayed outcome-unknown"},
+		}},
+		{name: "cut before the run", runs: 0, steps: []step{
+			{fault: serviceCutsBefore, options: key, want: "502 unknown outcome-unknown"},
+			{options: key, entry: 1, want: "502 unknown replayed outcome-unknown"},
+		}},
+		{name: "too slow", runs: 1, steps: []step{
+			{fault: serviceSlow, options: key, want: "502 unknown outcome-unknown"},
+			{options: key, entry: 1, want: "502 unknown replayed outcome-unknown"},
+		}},
+		{name: "another body", runs: 1, steps: []step{
+			{options: key, want: "201 ran receipt of k"},
+			{options: callOptions{key: "k", body: "another"}, entry: 1, want: "422 not-run key-reused"},
+			{options: callOptions{key: "k", method: http.MethodPut}, want: "422 not-run key-reused"},
+		}},
+		{name: "keys belong to organisation and service", runs: 3, steps: []step{
+			{options: key, want: "201 ran receipt of k"},
+			{options: callOptions{key: "k", organisation: "bazaar"}, want: "201 ran receipt of k"},
+			{options: callOptions{key: "k", service: "status"}, want: "201 ran receipt of k"},
+		}},
+		{name: "old key", runs: 0, steps: []step{
+			{options: callOptions{key: "00000000-0000-7000-8000-000000000000"}, want: "400 not-run key-expired"},
+			{options: callOptions{key: "ffffffff-0000-7000-8000-000000000000"}, want: "400 not-run key-from-future"},
+			{options: callOptions{key: strings.Repeat("k", 256)}, want: "400 not-run bad-key-length"},
+		}},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, to := &platform{}, &services{}
+				entries := []*entry{newEntry("n1", store, to, nil), newEntry("n2", store, to, nil)}
+				for i, s := range tc.steps {
+					to.faults = map[string]serviceFault{"10.0.0.1:80": s.fault, "10.0.0.2:80": s.fault}
+					assert.Equal(t, s.want, show(entries[s.entry].call(t.Context(), s.options)), "step %d", i)
+					synctest.Wait()
+				}
+				assert.Equal(t, tc.runs, to.runs["k"])
+				for _, e := range entries {
+					require.NoError(t, e.recorder.Close())
+				}
+			})
+		})
+	}
+}
+
+func TestKeyedHeaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, to := &platform{}, &services{}
+		e := newEntry("n1", store, to, nil)
+		id := uuid.Must(uuid.NewV7()).String()
+		first := e.call(t.Context(), callOptions{key: id})
+		assert.Equal(t, id, to.last.Header.Get(server.HeaderKey))
+		assert.Empty(t, to.last.Header.Get("Authorization"))
+		assert.Equal(t, "/lodge%20it?fee=1", to.last.Path)
+		assert.Equal(t, time.Now().Add(72*time.Hour).UTC().Format(time.RFC3339), first.Header().Get(server.HeaderRemembered))
+		assert.Equal(t, "a=b", first.Header().Get("Set-Cookie"))
+		synctest.Wait()
+		again := e.call(t.Context(), callOptions{key: id})
+		for _, n := range []string{"Location", "Content-Type", server.HeaderRemembered} {
+			assert.Equal(t, first.Header().Get(n), again.Header().Get(n), n)
+		}
+		assert.Empty(t, again.Header().Get("Set-Cookie"))
+		require.NoError(t, e.recorder.Close())
+	})
+}
+
+func TestKeyedWhilePlatformIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, to := &platform{out: true}, &services{}
+		e := newEntry("n1", store, to, nil)
+		assert.Equal(t, "503 not-run retry records-unavailable", show(e.call(t.Context(), callOptions{key: "k"})))
+		assert.Equal(t, "201 ran receipt of ", show(e.call(t.Context(), callOptions{})))
+		assert.Zero(t, to.runs["k"])
+		require.NoError(t, e.recorder.Close())
+	})
+}
+
+// A second call waits for the outcome of the first, for a bounded time.
+func TestConcurrentCallsWithOneKey(t *testing.T) {
+	testCases := []struct {
+		name  string
+		delay time.Duration
+		fault serviceFault
+		want  string
+	}{
+		{name: "first ends in time", delay: 2 * time.Second, want: "201 ran replayed receipt of k"},
+		{name: "first times out", fault: serviceSlow, want: "502 unknown replayed outcome-unknown"},
+		{name: "first never ends", delay: time.Hour, want: "502 unknown replayed outcome-unknown"},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, to := &platform{}, &services{delay: tc.delay, faults: map[string]serviceFault{"10.0.0.1:80": tc.fault}}
+				a, b := newEntry("n1", store, to, nil), newEntry("n2", store, to, nil)
+				done := make(chan string, 1)
+				go func() { done <- show(a.call(t.Context(), callOptions{key: "k"})) }()
+				time.Sleep(100 * time.Millisecond)
+				assert.Equal(t, tc.want, show(b.call(t.Context(), callOptions{key: "k"})))
+				<-done
+				assert.Equal(t, 1, to.runs["k"])
+				require.NoError(t, a.recorder.Close())
+				require.NoError(t, b.recorder.Close())
+			})
+		})
+	}
+}
+
+// The call goes on when its caller hangs up.
+func TestKeyedCallerHangsUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, to := &platform{}, &services{}
+		e := newEntry("n1", store, to, nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		e.call(ctx, callOptions{key: "k"})
+		synctest.Wait()
+		assert.Equal(t, "201 ran replayed receipt of k", show(e.call(t.Context(), callOptions{key: "k"})))
+		require.NoError(t, e.recorder.Close())
+	})
+}
+
+// An entry that was paused between its claim and its call doesn't send the
+// call. Another caller was told unknown meanwhile, and a later one may run it.
+func TestKeyedAfterPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, to := &platform{}, &services{}
+		g := &gate{store: store, to: to}
+		paused, other := newEntry("n1", g, g, nil), newEntry("n2", store, to, nil)
+		g.freezeAfter(1)
+		done := make(chan string, 1)
+		go func() { done <- show(paused.call(t.Context(), callOptions{key: "k"})) }()
+		time.Sleep(time.Minute)
+		assert.Equal(t, "502 unknown replayed outcome-unknown", show(other.call(t.Context(), callOptions{key: "k"})))
+		g.thaw(false)
+		assert.Equal(t, "503 not-run retry service-unavailable", <-done)
+		synctest.Wait()
+		assert.Empty(t, to.sent)
+		assert.Equal(t, "201 ran receipt of k", show(other.call(t.Context(), callOptions{key: "k"})))
+		require.NoError(t, paused.recorder.Close())
+		require.NoError(t, other.recorder.Close())
+	})
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -11,12 +11,11 @@
 	"github.com/google/uuid"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/authenticator"
-	"github.com/lycheebarrow/lycheebarrow/internal/caller"
+	"github.com/lycheebarrow/lycheebarrow/internal/chooser"
 	"github.com/lycheebarrow/lycheebarrow/internal/configurer"
 	"github.com/lycheebarrow/lycheebarrow/internal/dispatcher"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 	"github.com/lycheebarrow/lycheebarrow/internal/messenger"
-	"github.com/lycheebarrow/lycheebarrow/internal/recorder"
 	"github.com/lycheebarrow/lycheebarrow/internal/responder"
 	"github.com/lycheebarrow/lycheebarrow/internal/streamer"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
@@ -40,17 +39,6 @@
 	Run(ctx context.Context, r *wire.Replica, q messenger.ChatRequest, l streamer.Limits, p *streamer.Progress, sink func(streamer.Piece) error) error
 }
 
-// Caller sends one call to a plain service.
-type Caller interface {
-	Send(ctx context.Context, c caller.Call) (caller.Result, error)
-}
-
-// Recorder keeps the records of calls that may not be repeated.
-type Recorder interface {
-	Begin(ctx context.Context, record *wire.CallRecord) (*recorder.Claim, error)
-	Finish(ctx context.Context, c *recorder.Claim, record *wire.CallRecord) error
-}
-
 // Server serves callers. Set the fields before Handler; they don't change
 // after.
 type Server struct {
@@ -59,13 +47,15 @@
 	Streamer      Streamer
 	Caller        Caller
 	Recorder      Recorder
-	Log           logger.Logger
-	Process       string
-	DataCentre    string
-	MaxBodyBytes  int64
+	// Leaving tells which upstreams of services are leaving; nil says none.
+	Leaving      Leaving
+	Log          logger.Logger
+	Process      string
+	DataCentre   string
+	MaxBodyBytes int64
 
 	draining atomic.Bool
-	turn     atomic.Uint64
+	chooser  chooser.Chooser
 }
 
 // identity is who makes a request.
--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -7,139 +7,177 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/gin-gonic/gin"
 
-	"github.com/lycheebarrow/lycheebarrow/internal/authenticator"
 	"github.com/lycheebarrow/lycheebarrow/internal/caller"
+	"github.com/lycheebarrow/lycheebarrow/internal/chooser"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
-	"github.com/lycheebarrow/lycheebarrow/internal/recorder"
 	"github.com/lycheebarrow/lycheebarrow/internal/responder"
 	"github.com/lycheebarrow/lycheebarrow/internal/validator"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
 )
 
-// HeaderKey names a call that may not be repeated.
-const HeaderKey = "Idempotency-Key"
+// _upstreamTries bounds the upstreams tried for one call.
+const _upstreamTries = 3
 
-// _maxKeyBytes bounds an idempotency key.
-const _maxKeyBytes = 255
+// Errors of a call that no upstream was asked to run.
+var (
+	errNoUpstream = errors.New("server: every upstream of the service is leaving")
+	errStale      = errors.New("server: the entry was paused before it could send the call")
+)
+
+// Caller sends one call to a plain service.
+type Caller interface {
+	Send(ctx context.Context, c caller.Call) (caller.Result, error)
+}
+
+// Leaving tells which upstreams of services are leaving.
+type Leaving interface {
+	// Leaving says that the upstream at address, a host:port, takes no new calls.
+	Leaving(address string) bool
+}
+
+// serviceCall is a call with the service that it is for.
+type serviceCall struct {
+	caller.Call
+	name    string
+	service validator.Service
+	// sendable is asked right before each attempt; nil always permits.
+	sendable func() bool
+}
 
 // service serves /services/NAME/....
 func (s *Server) service(c *gin.Context) {
-	name := c.Param("name")
-	d := s.Configuration.Current().Document()
-	v, ok := d.Services[name]
-	if !ok || len(v.Organisations) > 0 && !slices.Contains(v.Organisations, who(c).organisation) {
-		s.refuse(c, &responder.Problem{
-			Status: http.StatusNotFound, Code: "unknown-service", Message: fmt.Sprintf("no service %q is offered to you", name),
-			Outcome: responder.NotRun, Mend: "ask the operators for the name of the service",
-		})
-		return
-	}
-	key := c.GetHeader(HeaderKey)
-	if len(key) > _maxKeyBytes {
-		s.refuse(c, &responder.Problem{
-			Status: http.StatusBadRequest, Code: "bad-key-length", Message: HeaderKey + " is over 255 bytes",
-			Outcome: responder.NotRun, Mend: "send a key of 255 bytes or fewer, such as a UUID",
-		})
-		return
-	}
-	body, problem := s.readBody(c)
+	call, problem := s.readCall(c)
 	if problem != nil {
 		s.refuse(c, problem)
 		return
 	}
-	call := caller.Call{
-		Method: c.Request.Method, Path: c.Param("path"), Header: forwarded(c.Request.Header), Body: body,
-		Address: s.upstream(v),
-	}
-	if q := c.Request.URL.RawQuery; q != "" {
-		call.Path += "?" + q
-	}
-	if key != "" && v.Unrepeatable {
-		s.keyed(c, name, key, call, v.Timeout())
+	key := c.GetHeader(HeaderKey)
+	if key != "" && call.service.Unrepeatable {
+		s.keyed(c, key, call)
 		return
 	}
-	ctx, cancel := context.WithTimeout(c.Request.Context(), v.Timeout())
+	ctx := c.Request.Context()
+	if call.service.Unrepeatable {
+		// The call goes on when its caller hangs up, so that it isn't cut midway.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, call.service.Timeout())
 	defer cancel()
-	result, err := s.Caller.Send(ctx, call)
+	result, err := s.send(ctx, c, call)
 	s.give(c, result, err)
 }
 
-// keyed runs a call at most once for its key.
-func (s *Server) keyed(c *gin.Context, service, key string, call caller.Call, timeout time.Duration) {
-	ctx := c.Request.Context()
-	record := &wire.CallRecord{
-		Key: key, Organisation: who(c).organisation, Service: service, Owner: s.Process + "/" + who(c).request,
-		BodySha256:    authenticator.Digest(call.Method + " " + call.Path + "\n" + string(call.Body)),
-		CreatedUnixMs: time.Now().UnixMilli(),
-	}
-	claim, err := s.Recorder.Begin(ctx, record)
-	if err != nil {
-		s.refuse(c, beginProblem(err))
-		return
+// readCall finds the service and reads the call to it.
+func (s *Server) readCall(c *gin.Context) (serviceCall, *responder.Problem) {
+	name := c.Param("name")
+	v, ok := s.Configuration.Current().Document().Services[name]
+	if !ok || len(v.Organisations) > 0 && !slices.Contains(v.Organisations, who(c).organisation) {
+		return serviceCall{}, &responder.Problem{
+			Status: http.StatusNotFound, Code: "unknown-service", Message: fmt.Sprintf("no service %q is offered to you", name),
+			Outcome: responder.NotRun, Mend: "ask the operators for the name of the service",
+		}
 	}
-	if !claim.Mine() {
-		s.replay(c, claim.Record())
-		return
+	if len(c.GetHeader(HeaderKey)) > _maxKeyBytes {
+		return serviceCall{}, &responder.Problem{
+			Status: http.StatusBadRequest, Code: "bad-key-length", Message: HeaderKey + " is over 255 bytes",
+			Outcome: responder.NotRun, Mend: "send a key of 255 bytes or fewer, such as a UUID",
+		}
 	}
-	// The call goes on when its caller hangs up, so that its outcome is known.
-	work, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
-	defer cancel()
-	result, err := s.Caller.Send(work, call)
-	record.Outcome, record.Status = result.Outcome, uint32(result.Status)
-	record.ContentType, record.Body = result.ContentType, result.Body
-	if err := s.Recorder.Finish(context.WithoutCancel(ctx), claim, record); err != nil {
-		s.Log.Failure("call-outcome-lost", err, logger.Fields{"request": who(c).request})
+	body, problem := s.readBody(c)
+	if problem != nil {
+		return serviceCall{}, problem
+	}
+	call := serviceCall{name: name, service: v}
+	call.Method, call.Path, call.Body = c.Request.Method, escapedPath(c), body
+	call.Header = caller.EndToEnd(c.Request.Header)
+	// The caller's key of this system is no business of the service.
+	call.Header.Del("Authorization")
+	return call, nil
+}
+
+// escapedPath returns the path after the service's name, as the caller wrote
+// it, with the query.
+func escapedPath(c *gin.Context) string {
+	_, path, _ := strings.Cut(strings.TrimPrefix(c.Request.URL.EscapedPath(), "/services/"), "/")
+	path = "/" + path
+	if q := c.Request.URL.RawQuery; q != "" {
+		path += "?" + q
 	}
-	s.give(c, result, err)
+	return path
 }
 
-func beginProblem(err error) *responder.Problem {
-	if errors.Is(err, recorder.ErrDifferentBody) {
-		return &responder.Problem{
-			Status: http.StatusUnprocessableEntity, Code: "key-reused", Message: "the key was used for a call with another method, path or body",
-			Outcome: responder.NotRun, Mend: "use a new key for a new call",
+// send sends the call to one upstream, and to another one where that can't make
+// it run twice.
+func (s *Server) send(ctx context.Context, c *gin.Context, call serviceCall) (caller.Result, error) {
+	result, err := caller.Result{Outcome: wire.Outcome_OUTCOME_NOT_RUN}, errNoUpstream
+	tried := make(map[string]bool)
+	for range _upstreamTries {
+		choice, ok := s.chooser.Choose(time.Now(), s.DataCentre, s.upstreams(call.service), tried)
+		if !ok {
+			break
 		}
+		at := choice.Upstream.Address
+		s.Log.Event("call-route", logger.Fields{
+			"request": who(c).request, "organisation": who(c).organisation, "service": call.name,
+			"upstream": choice.Upstream.Name, "address": at, "reason": choice.Reason, "tried": len(tried),
+		})
+		if call.sendable != nil && !call.sendable() {
+			s.chooser.Done(time.Now(), at, false)
+			return caller.Result{Outcome: wire.Outcome_OUTCOME_NOT_RUN}, errStale
+		}
+		call.Address = at
+		result, err = s.Caller.Send(ctx, call.Call)
+		s.chooser.Done(time.Now(), at, errors.Is(err, caller.ErrNotSent))
+		if err == nil || ctx.Err() != nil || !call.repeatable(err) {
+			break
+		}
+		tried[at] = true
 	}
-	return &responder.Problem{
-		Status: http.StatusServiceUnavailable, Code: "records-unavailable", Message: "the call's record can't be created now: " + err.Error(),
-		Outcome: responder.NotRun, Mend: "send the call again with the same key", RetryAfter: 2 * time.Second,
+	return result, err
+}
+
+// repeatable says that the call may be sent again after err.
+func (c serviceCall) repeatable(err error) bool {
+	if errors.Is(err, caller.ErrNotSent) {
+		return true
 	}
+	idempotent := []string{http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete}
+	return !c.service.Unrepeatable && slices.Contains(idempotent, c.Method)
 }
 
-// replay gives the recorded outcome of an earlier call with the key.
-func (s *Server) replay(c *gin.Context, r *wire.CallRecord) {
-	c.Header("Lb-Replayed", "true")
-	result := caller.Result{Outcome: r.GetOutcome(), Status: int(r.GetStatus()), ContentType: r.GetContentType(), Body: r.GetBody()}
-	var err error
-	if r.GetOutcome() != wire.Outcome_OUTCOME_RAN {
-		err = errors.New("an earlier call with this key has no known answer")
+// upstreams returns the service's upstreams in the order of their names.
+func (s *Server) upstreams(v validator.Service) []chooser.Upstream {
+	out := make([]chooser.Upstream, 0, len(v.Upstreams))
+	for _, n := range slices.Sorted(maps.Keys(v.Upstreams)) {
+		u := v.Upstreams[n]
+		out = append(out, chooser.Upstream{
+			Name: n, Address: u.Address, DataCentre: u.DataCentre,
+			Leaving: s.Leaving != nil && s.Leaving.Leaving(u.Address),
+		})
 	}
-	s.give(c, result, err)
+	return out
 }
 
 // give answers with the result of a call.
 func (s *Server) give(c *gin.Context, r caller.Result, err error) {
-	outcome := map[wire.Outcome]responder.Outcome{
-		wire.Outcome_OUTCOME_RAN: responder.Ran, wire.Outcome_OUTCOME_NOT_RUN: responder.NotRun,
-	}[r.Outcome]
-	if outcome == "" {
-		outcome = responder.Unknown
-	}
-	s.Log.Event("call", logger.Fields{"request": who(c).request, "organisation": who(c).organisation, "outcome": outcome, "status": r.Status, "error": err})
-	if err == nil && outcome == responder.Ran {
-		c.Header("Lb-Outcome", string(outcome))
-		c.Data(r.Status, r.ContentType, r.Body)
+	o := outcome(r.Outcome)
+	s.Log.Event("call", logger.Fields{
+		"request": who(c).request, "organisation": who(c).organisation, "outcome": o, "status": r.Status, "error": err,
+	})
+	if err == nil && r.Status != 0 {
+		giveAnswer(c, r, o)
 		return
 	}
 	p := &responder.Problem{
-		Status: http.StatusServiceUnavailable, Code: "service-refused", Message: "the service did not run the call",
-		Outcome: outcome, Mend: "send the call again", RetryAfter: 2 * time.Second,
+		Status: http.StatusServiceUnavailable, Code: "service-unavailable", Message: "no upstream of the service was asked to run the call",
+		Outcome: o, Mend: "send the call again, with the same key if it has one", RetryAfter: 2 * time.Second,
 	}
-	if outcome == responder.Unknown {
+	if o != responder.NotRun {
 		p.Status, p.Code, p.RetryAfter = http.StatusBadGateway, "outcome-unknown", 0
 		p.Message = "whether the call ran is not known"
 		p.Mend = "look the call up at the service before sending it under a new key"
@@ -147,29 +185,27 @@
 	s.refuse(c, p)
 }
 
-// upstream chooses a server of a service: those of this data centre in turn,
-// else any.
-func (s *Server) upstream(v validator.Service) string {
-	var near, all []string
-	for _, n := range slices.Sorted(maps.Keys(v.Upstreams)) {
-		u := v.Upstreams[n]
-		all = append(all, u.Address)
-		if u.DataCentre == s.DataCentre {
-			near = append(near, u.Address)
+// giveAnswer passes a service's own answer on.
+func giveAnswer(c *gin.Context, r caller.Result, o responder.Outcome) {
+	h := c.Writer.Header()
+	for n, values := range r.Header {
+		if !strings.HasPrefix(n, "Lb-") {
+			h[n] = values
 		}
 	}
-	if len(near) == 0 {
-		near = all
-	}
-	return near[s.turn.Add(1)%uint64(len(near))]
+	h.Set("Lb-Outcome", string(o))
+	c.Status(r.Status)
+	c.Writer.WriteHeaderNow()
+	_, _ = c.Writer.Write(r.Body)
 }
 
-// forwarded returns the headers that go on to a service: not the caller's key
-// of this system, and none that belong to one connection.
-func forwarded(h http.Header) http.Header {
-	out := h.Clone()
-	for _, n := range []string{"Authorization", "Connection", "Keep-Alive", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade"} {
-		out.Del(n)
+func outcome(o wire.Outcome) responder.Outcome {
+	switch o {
+	case wire.Outcome_OUTCOME_RAN:
+		return responder.Ran
+	case wire.Outcome_OUTCOME_NOT_RUN:
+		return responder.NotRun
+	default:
+		return responder.Unknown
 	}
-	return out
 }
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -8,9 +8,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/networker"
@@ -172,7 +174,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, _callTimeout)
 	defer cancel()
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
 	res, err := c.do(ctx, method, "/objects/"+key, value, header, match)
+	if err != nil && !connected.Load() {
+		return 0, fmt.Errorf("storer: write %s at %s: %w: %w", key, c.base, ErrUnavailable, err)
+	}
 	if err != nil {
 		return 0, fmt.Errorf("storer: write %s at %s: %w: %w", key, c.base, ErrUncertain, err)
 	}
