--- a/internal/server/calls_test.go
+++ b/internal/server/calls_test.go
@@ -187,7 +187,7 @@
 }
 
 func newEntry(name string, store recorder.Store, to server.Caller, leaving server.Leaving) *entry {
-	c := configurer.New(nil, logger.Logger{})
+	c := configurer.New(nil, nil, logger.Logger{})
 	if !c.Offer(&wire.ConfigurationRecord{Number: 1, Document: callDocument}, "test") {
 		panic("the document is bad")
 	}
--- a/internal/server/chat.go
+++ b/internal/server/chat.go
@@ -88,9 +88,15 @@
 
 // readBody reads a whole body within the limit.
 func (s *Server) readBody(c *gin.Context) ([]byte, *responder.Problem) {
-	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, s.MaxBodyBytes))
+	// A length over the limit is refused before the body is sent.
+	announced := c.Request.ContentLength > s.MaxBodyBytes
+	var body []byte
+	var err error
+	if !announced {
+		body, err = io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, s.MaxBodyBytes))
+	}
 	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	if announced || errors.As(err, &large) {
 		return nil, &responder.Problem{
 			Status: http.StatusRequestEntityTooLarge, Code: "body-too-large", Message: fmt.Sprintf("the body is over %d bytes", s.MaxBodyBytes),
 			Outcome: responder.NotRun, Mend: "send a smaller body",
@@ -137,6 +143,7 @@
 // answer brings the whole answer, from as many replicas as it takes.
 func (s *Server) answer(c *gin.Context, q messenger.ChatRequest, w answerWriter) *responder.Problem {
 	ctx := c.Request.Context()
+	begun := time.Now()
 	policy := s.Configuration.Current().Document().Policy
 	cost := q.MaxTokens
 	if cost == 0 {
@@ -162,6 +169,10 @@
 		p.Release()
 		if err == nil {
 			w.end()
+			s.Log.Event("answer", logger.Fields{
+				"request": place.ID, "organisation": place.Organisation, "replica": r.GetName(),
+				"tokens": progress.Tokens(), "duration_ms": time.Since(begun).Milliseconds(),
+			})
 			return nil
 		}
 		if errors.Is(err, streamer.ErrCaller) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -39,6 +39,13 @@
 	Run(ctx context.Context, r *wire.Replica, q messenger.ChatRequest, l streamer.Limits, p *streamer.Progress, sink func(streamer.Piece) error) error
 }
 
+// Meter measures requests.
+type Meter interface {
+	Ended(organisation, outcome string)
+	Refused(code string)
+	FirstToken(organisation string, after time.Duration)
+}
+
 // Server serves callers. Set the fields before Handler; they don't change
 // after.
 type Server struct {
@@ -50,6 +57,7 @@
 	// Leaving tells which upstreams of services are leaving; nil says none.
 	Leaving      Leaving
 	Log          logger.Logger
+	Meter        Meter // may be nil
 	Process      string
 	DataCentre   string
 	MaxBodyBytes int64
@@ -69,7 +77,7 @@
 	gin.SetMode(gin.ReleaseMode)
 	e := gin.New()
 	e.HandleMethodNotAllowed = true
-	e.Use(gin.CustomRecoveryWithWriter(nil, s.recovered), s.identify)
+	e.Use(gin.CustomRecoveryWithWriter(nil, s.recovered), s.measure, s.identify)
 	e.POST("/v1/chat/completions", s.chat)
 	e.GET("/v1/models", s.models)
 	e.Any("/services/:name/*path", s.service)
@@ -92,6 +100,9 @@
 // on.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// Draining says that new requests are refused.
+func (s *Server) Draining() bool { return s.draining.Load() }
+
 // recovered refuses a request whose handler panicked.
 func (s *Server) recovered(c *gin.Context, why any) {
 	if err, ok := why.(error); ok && errors.Is(err, http.ErrAbortHandler) {
@@ -146,6 +157,9 @@
 		"request": who.request, "organisation": who.organisation, "code": p.Code,
 		"status": p.Status, "outcome": p.Outcome, "message": p.Message,
 	})
+	if s.Meter != nil {
+		s.Meter.Refused(p.Code)
+	}
 	p.Write(c.Writer)
 	c.Abort()
 }
--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -150,14 +150,16 @@
 	return !c.service.Unrepeatable && slices.Contains(idempotent, c.Method)
 }
 
-// upstreams returns the service's upstreams in the order of their names.
+// upstreams returns the service's upstreams in the order of their names. One
+// that an operator drains counts as leaving.
 func (s *Server) upstreams(v validator.Service) []chooser.Upstream {
+	instances := s.Configuration.Current().Document().Instances
 	out := make([]chooser.Upstream, 0, len(v.Upstreams))
 	for _, n := range slices.Sorted(maps.Keys(v.Upstreams)) {
 		u := v.Upstreams[n]
 		out = append(out, chooser.Upstream{
 			Name: n, Address: u.Address, DataCentre: u.DataCentre,
-			Leaving: s.Leaving != nil && s.Leaving.Leaving(u.Address),
+			Leaving: instances[n].Draining || s.Leaving != nil && s.Leaving.Leaving(u.Address),
 		})
 	}
 	return out
@@ -165,7 +167,7 @@
 
 // give answers with the result of a call.
 func (s *Server) give(c *gin.Context, r caller.Result, err error) {
-	o := outcome(r.Outcome)
+	o := toldOutcome(r.Outcome)
 	s.Log.Event("call", logger.Fields{
 		"request": who(c).request, "organisation": who(c).organisation, "outcome": o, "status": r.Status, "error": err,
 	})
@@ -177,6 +179,9 @@
 		Status: http.StatusServiceUnavailable, Code: "service-unavailable", Message: "no upstream of the service was asked to run the call",
 		Outcome: o, Mend: "send the call again, with the same key if it has one", RetryAfter: 2 * time.Second,
 	}
+	if errors.Is(err, errNoUpstream) {
+		p.Code, p.Message, p.RetryAfter = "no-upstream", "every upstream of the service is leaving", 5*time.Second
+	}
 	if o != responder.NotRun {
 		p.Status, p.Code, p.RetryAfter = http.StatusBadGateway, "outcome-unknown", 0
 		p.Message = "whether the call ran is not known"
@@ -199,7 +204,7 @@
 	_, _ = c.Writer.Write(r.Body)
 }
 
-func outcome(o wire.Outcome) responder.Outcome {
+func toldOutcome(o wire.Outcome) responder.Outcome {
 	switch o {
 	case wire.Outcome_OUTCOME_RAN:
 		return responder.Ran
--- a/internal/server/service_test.go
+++ b/internal/server/service_test.go
@@ -36,7 +36,7 @@
 		{name: "repeatable and cut", options: status, faults: map[string]serviceFault{near: serviceCutsBefore}, want: "201 ran receipt of ", sent: near + " " + far},
 		{name: "repeatable POST and cut", options: callOptions{service: "status"}, faults: both(serviceCutsBefore), want: "502 unknown outcome-unknown", sent: near},
 		{name: "leaving", leaving: leaving{near: true}, want: "201 ran receipt of ", sent: far},
-		{name: "all leaving", leaving: leaving{near: true, far: true}, want: "503 not-run retry service-unavailable"},
+		{name: "all leaving", leaving: leaving{near: true, far: true}, want: "503 not-run retry no-upstream"},
 		{name: "unknown service", options: callOptions{service: "nothing"}, want: "404 not-run unknown-service"},
 	}
 	for _, tc := range testCases {
