--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -53,6 +53,9 @@
 	seenAt time.Time
 	// unsure says that the last write may have taken effect or not.
 	unsure bool
+	// tried is the number of the last renewal that was sent, and triedAt is when.
+	tried   uint64
+	triedAt time.Time
 
 	mu   sync.Mutex
 	term uint64
@@ -149,6 +152,10 @@
 	}
 	l.seen = &found
 	if found.GetHolder() == l.holder {
+		if found.GetRenewals() == l.tried {
+			// The renewal took effect although its answer was lost.
+			l.hold(l.triedAt, found.GetTerm())
+		}
 		return l.write(ctx, sent, o.Version, found.GetTerm())
 	}
 	l.lose()
@@ -172,6 +179,7 @@
 	next := &wire.Lease{
 		Holder: l.holder, Term: term, DurationMs: uint32(Duration.Milliseconds()), Renewals: l.seen.GetRenewals() + 1,
 	}
+	l.tried, l.triedAt = next.GetRenewals(), sent
 	value, err := protojson.Marshal(next)
 	if err != nil {
 		return fmt.Errorf("leaser: encode: %w", err)
--- /dev/null
+++ b/internal/leaser/leaser_test.go
@@ -0,0 +1,134 @@
+package leaser_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/leaser"
+	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/storer"
+)
+
+// store holds one lease object.
+type store struct {
+	mu    sync.Mutex
+	o     storer.Object
+	out   bool
+	lose  bool
+	reads int
+}
+
+func (s *store) set(out, lose bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.out, s.lose = out, lose
+}
+
+func (s *store) Get(context.Context, string) (storer.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	switch {
+	case s.out:
+		return storer.Object{}, storer.ErrUnavailable
+	case s.o.Version == 0:
+		return storer.Object{}, storer.ErrNotFound
+	}
+	return s.o, nil
+}
+
+func (s *store) Create(ctx context.Context, key string, value []byte) (uint64, error) {
+	return s.Update(ctx, key, 0, value)
+}
+
+func (s *store) Update(_ context.Context, _ string, version uint64, value []byte) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.out:
+		return 0, storer.ErrUnavailable
+	case s.o.Version != version:
+		return 0, storer.ErrConflict
+	}
+	s.o = storer.Object{Version: version + 1, Value: value}
+	if s.lose {
+		return 0, storer.ErrUncertain
+	}
+	return s.o.Version, nil
+}
+
+// TestLease disturbs a holder and a seeker for ten seconds. At no time do both
+// hold the lease.
+func TestLease(t *testing.T) {
+	testCases := []struct {
+		name    string
+		disturb func(s *store, stop func())
+		// wantFirst says that the first process holds the lease at the end, and
+		// wantTerm in which term it is held.
+		wantFirst bool
+		wantTerm  uint64
+		// wantHeld is for how many tenths of the ten seconds it was held at all.
+		wantHeld int
+	}{
+		{"undisturbed", func(*store, func()) {}, true, 1, 100},
+		{"answers lost", func(s *store, _ func()) { s.set(false, true) }, true, 1, 100},
+		{"platform away for 6 s", func(s *store, _ func()) {
+			s.set(true, false)
+			time.Sleep(6 * time.Second)
+			s.set(false, false)
+		}, true, 1, 57},
+		{"platform away for good", func(s *store, _ func()) { s.set(true, false) }, false, 1, 19},
+		{"holder stops", func(_ *store, stop func()) { stop() }, false, 2, 75},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &store{}
+				first, stopFirst := start(s, "first")
+				defer stopFirst()
+				time.Sleep(10 * time.Millisecond)
+				second, stopSecond := start(s, "second")
+				defer stopSecond()
+				time.Sleep(4537 * time.Millisecond)
+				s.mu.Lock()
+				s.reads = 0
+				s.mu.Unlock()
+				go tc.disturb(s, stopFirst)
+				held := 0
+				for range 100 {
+					time.Sleep(100 * time.Millisecond)
+					a, b := first.Held(time.Now()), second.Held(time.Now())
+					assert.False(t, a && b)
+					if a || b {
+						held++
+					}
+				}
+				assert.Equal(t, tc.wantHeld, held)
+				assert.Equal(t, tc.wantFirst, first.Held(time.Now()))
+				assert.Equal(t, tc.wantTerm, max(first.Term(), second.Term()))
+				if tc.name == "undisturbed" {
+					assert.LessOrEqual(t, s.reads, 4, "only the seeker reads, once in 3 s")
+				}
+			})
+		})
+	}
+}
+
+func start(s *store, name string) (*leaser.Leaser, func()) {
+	l := leaser.New(s, "dc", name, logger.Logger{})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		l.Run(ctx)
+		close(done)
+	}()
+	return l, func() {
+		cancel()
+		<-done
+	}
+}
