--- a/internal/composer/kernel.go
+++ b/internal/composer/kernel.go
@@ -12,8 +12,10 @@
 
 	"go.uber.org/fx"
 
+	"github.com/lycheebarrow/lycheebarrow/internal/journaler"
 	"github.com/lycheebarrow/lycheebarrow/internal/loader"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/meter"
 	"github.com/lycheebarrow/lycheebarrow/internal/networker"
 	"github.com/lycheebarrow/lycheebarrow/internal/registrar"
 )
@@ -28,6 +30,8 @@
 	NameServer     = "server"
 	NameOperator   = "operator"
 	NamePlacer     = "placer"
+	NameReplicator = "replicator"
+	NameTurns      = "turns"
 )
 
 // _headerTimeout bounds the wait for a request's headers.
@@ -38,8 +42,12 @@
 	settings loader.Settings
 	network  networker.Network
 	log      logger.Logger
+	journal  *journaler.Journal
+	health   meter.Health
 	services registrar.Registrar
 	life     fx.Lifecycle
+	// operators is where operators are served.
+	operators net.Listener
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -55,7 +63,8 @@
 		fx.NopLogger,
 		fx.StopTimeout(stopTimeout(s)),
 		fx.Provide(func(l fx.Lifecycle) *kernel {
-			k := &kernel{settings: s, network: network, log: logger.New(output, s.Name()), life: l}
+			k := &kernel{settings: s, network: network, journal: new(journaler.Journal), life: l}
+			k.log = logger.New(output, s.Name()).With(k.journal)
 			k.ctx, k.cancel = context.WithCancel(context.Background())
 			l.Append(fx.StopHook(func() {
 				k.cancel()
@@ -81,7 +90,7 @@
 	if s.DrainLimit() == 0 {
 		return endless
 	}
-	return s.DrainLimit() + 10*time.Second
+	return s.DrainNotice() + s.DrainLimit() + 10*time.Second
 }
 
 // run runs a service's loop from the start to the stop of the application.
@@ -109,6 +118,7 @@
 		OnStart: func(context.Context) error {
 			k.group.Go(func() {
 				if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+					k.health.Break(name)
 					k.log.Failure("serve-failed", err, logger.Fields{"service": name})
 				}
 			})
--- a/internal/composer/shared.go
+++ b/internal/composer/shared.go
@@ -9,8 +9,11 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/configurer"
 	"github.com/lycheebarrow/lycheebarrow/internal/loader"
 	"github.com/lycheebarrow/lycheebarrow/internal/messenger"
+	"github.com/lycheebarrow/lycheebarrow/internal/meter"
 	"github.com/lycheebarrow/lycheebarrow/internal/operator"
 	"github.com/lycheebarrow/lycheebarrow/internal/prober"
+	"github.com/lycheebarrow/lycheebarrow/internal/registrar"
+	"github.com/lycheebarrow/lycheebarrow/internal/replicator"
 	"github.com/lycheebarrow/lycheebarrow/internal/storer"
 	"github.com/lycheebarrow/lycheebarrow/internal/watcher"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
@@ -18,26 +21,45 @@
 
 // buildShared builds what entries and placers both have.
 func buildShared(k *kernel) error {
+	m, err := registrar.Find[*meter.Meter](&k.services, NameMeter)
+	if err != nil {
+		return err
+	}
 	store := storer.New(k.settings.Platform(), k.network)
+	store.Meter = m
 	if err := k.services.Register(NameStore, store); err != nil {
 		return err
 	}
-	c := configurer.New(store, k.log)
+	t := newTurns(k)
+	if err := k.services.Register(NameTurns, t); err != nil {
+		return err
+	}
+	c := configurer.New(store, &t.configuration, k.log)
 	k.run(c.Run)
 	if err := k.services.Register(NameConfigurer, c); err != nil {
 		return err
 	}
-	w := watcher.New(store, k.log)
+	w := watcher.New(store, &t.placements, k.log)
 	if k.settings.Role() == loader.RoleEntry {
 		k.run(w.Run)
 	}
-	return k.services.Register(NameWatcher, w)
+	if err := k.services.Register(NameWatcher, w); err != nil {
+		return err
+	}
+	// Opened here, so that peers can be told the address.
+	k.operators, err = k.listen("operator", k.settings.OperatorListen())
+	return err
 }
 
 // buildProber builds the prober; an entry probes the members of all replicas.
 func buildProber(k *kernel) error {
+	m, err := registrar.Find[*meter.Meter](&k.services, NameMeter)
+	if err != nil {
+		return err
+	}
 	client := messenger.New(k.network)
 	p := prober.New(client, k.log)
+	p.Meter = m
 	k.life.Append(fx.StopHook(p.Close))
 	if err := k.services.Register(NameProber, p); err != nil {
 		return err
@@ -79,21 +101,24 @@
 }
 
 func buildOperator(k *kernel) error {
-	c, w, _, err := views(k)
+	c, w, p, err := views(k)
 	if err != nil {
 		return err
 	}
-	a := &operator.API{Configuration: c, Placements: w, Tokens: k.settings.OperatorTokens(), Log: k.log}
-	a.Self = func() *wire.ProcessRecord {
-		return &wire.ProcessRecord{
-			Name: k.settings.Name(), Role: string(k.settings.Role()), DataCentre: k.settings.DataCentre(),
-			ConfigurationNumber: c.Current().Number(),
-		}
-	}
-	l, err := k.listen("operator", k.settings.OperatorListen())
+	r, err := registrar.Find[*replicator.Replicator](&k.services, NameReplicator)
 	if err != nil {
 		return err
 	}
-	k.serve("operator", l, a.Handler(), nil)
+	a := &operator.API{Configuration: c, Placements: w, Evidence: p, Decisions: k.journal, Tokens: k.settings.OperatorTokens(), Log: k.log}
+	a.Self = func() *wire.ProcessRecord {
+		self := r.Self(k.ctx)
+		if self == nil {
+			self = &wire.ProcessRecord{Name: k.settings.Name(), Role: string(k.settings.Role()), DataCentre: k.settings.DataCentre()}
+		}
+		self.ConfigurationNumber = c.Current().Number()
+		return self
+	}
+	a.Processes = r.Processes
+	k.serve("operator", k.operators, a.Handler(), nil)
 	return k.services.Register(NameOperator, a)
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/configurer"
@@ -54,6 +55,8 @@
 	Orderer       Orderer
 	Log           logger.Logger
 
+	held atomic.Bool
+
 	// What follows belongs to Run's goroutine.
 	former former.Former
 	ledger ledger
@@ -89,9 +92,18 @@
 	}
 }
 
+// Holds returns 1 where the newest round held the lease, else 0.
+func (p *Placer) Holds() int64 {
+	if p.held.Load() {
+		return 1
+	}
+	return 0
+}
+
 // round decides once, where the lease is held.
 func (p *Placer) round(ctx context.Context) error {
-	if !p.Lease.Held(time.Now()) {
+	p.held.Store(p.Lease.Held(time.Now()))
+	if !p.held.Load() {
 		p.ledger.forget()
 		p.Prober.SetTargets(nil)
 		return nil
@@ -180,7 +192,7 @@
 		e := p.Prober.Evidence(n)
 		t := e.Status()
 		s.Instances[n] = former.Instance{
-			Name: n, Address: i.Address, Domain: i.Domain, Leaving: i.Leaving || t.Leaving,
+			Name: n, Address: i.Address, Domain: i.Domain, Leaving: i.Leaving || t.Leaving || s.Document.Instances[n].Draining,
 			Answered: !e.Sent().IsZero(), Silence: e.Silence(), Boot: t.Boot,
 			Ready: t.State == messenger.StateReady, Failed: t.State == messenger.StateFailed,
 			Replica: t.Replica, Generation: t.Generation, InFlight: int(t.InFlight + t.Queued),
--- a/internal/session/commands_test.go
+++ b/internal/session/commands_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -20,6 +21,9 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/standin"
 )
 
+// _callGap is the time between the starts of two calls.
+const _callGap = 10 * time.Millisecond
+
 // command is one command of a script.
 type command func(ts *testscript.TestScript, w *world, args []string)
 
@@ -39,6 +43,8 @@
 //	list NAME leaving|gone            changes the platform's list
 //	crash NAME...  restart NAME...  shutdown NAME...
 //	hold NAME NAME  release NAME NAME   freeze with the same name twice
+//	cut DATA-CENTRE  mend DATA-CENTRE   from everything outside, the platform too
+//	numbers PROCESS...                prints the configuration numbers they run
 //	log PROCESS EVENT...              prints the decision log
 //	runs SERVICE                      prints how often each key ran
 func commands() map[string]func(ts *testscript.TestScript, neg bool, args []string) {
@@ -55,6 +61,9 @@
 				ts.Check(w.restart(n))
 			}
 		},
+		"cut":     func(_ *testscript.TestScript, w *world, a []string) { w.cut(a[0], w.network.Hold) },
+		"mend":    func(_ *testscript.TestScript, w *world, a []string) { w.cut(a[0], w.network.Release) },
+		"numbers": numbersCommand,
 		"hold": func(_ *testscript.TestScript, w *world, a []string) {
 			w.network.Hold(w.hosts[a[0]].ip, w.hosts[a[1]].ip)
 		},
@@ -89,6 +98,27 @@
 	w.group.Go(func() { _ = app.Stop(context.Background()) })
 }
 
+// cut applies to every pair of hosts of which one is in the data centre. The
+// hosts that the callers and operators use stay reachable.
+func (w *world) cut(dataCentre string, apply func(a, b string)) {
+	for _, a := range w.hosts {
+		for _, b := range w.hosts {
+			if a.dataCentre == dataCentre && b.dataCentre != dataCentre {
+				apply(a.ip, b.ip)
+			}
+		}
+	}
+}
+
+func numbersCommand(ts *testscript.TestScript, w *world, a []string) {
+	for _, n := range a {
+		c := lycheebarrow.Client{Address: w.hosts[n].ip + _operatorPort, Token: _operator, HTTP: w.client}
+		x, err := c.Configuration(context.Background())
+		ts.Check(err)
+		fmt.Fprintf(ts.Stdout(), "%s runs %s\n", n, x.Number)
+	}
+}
+
 func engineCommand(_ *testscript.TestScript, w *world, a []string) {
 	w.engine(a[0], a[1], a[2], len(a) < 4)
 }
@@ -112,12 +142,37 @@
 		ID: a[2], Base: base, Author: "ann", Reason: "session", Merge: json.RawMessage(ts.ReadFile(a[3])),
 	})
 	if err != nil {
-		fmt.Fprintf(ts.Stdout(), "refused: %v\n", err)
+		fmt.Fprint(ts.Stdout(), refusedPatch(err))
 		return
 	}
 	fmt.Fprintf(ts.Stdout(), "accepted %s\n", change.Number)
 }
 
+// refusedPatch tells what the operator API said of a patch.
+func refusedPatch(err error) string {
+	var refused *lycheebarrow.APIError
+	if !errors.As(err, &refused) {
+		return "no answer\n"
+	}
+	var b struct {
+		Error  struct{ Code, Outcome string }
+		Winner struct {
+			Number, Author, Reason string
+			PatchID                string `json:"patchId"`
+		}
+		Faults []struct{ Path, Problem, Allowed string }
+	}
+	_ = json.Unmarshal(refused.Body, &b)
+	out := fmt.Sprintf("refused %d %s outcome=%s\n", refused.Status, b.Error.Code, b.Error.Outcome)
+	if b.Winner.Number != "" {
+		out += fmt.Sprintf("winner number=%s id=%s author=%s reason=%s\n", b.Winner.Number, b.Winner.PatchID, b.Winner.Author, b.Winner.Reason)
+	}
+	for _, f := range b.Faults {
+		out += fmt.Sprintf("fault %s: %s; allowed: %s\n", f.Path, f.Problem, f.Allowed)
+	}
+	return out
+}
+
 // awaitCommand waits until enough replicas of the group are ready, as their
 // engines say.
 func awaitCommand(ts *testscript.TestScript, w *world, a []string) {
@@ -140,6 +195,8 @@
 	done := make(chan string, 1)
 	w.calls[name] = done
 	w.group.Go(func() { done <- f() })
+	// Calls that start at one instant would run in any order.
+	time.Sleep(_callGap)
 }
 
 func draftCommand(stream bool) command {
