--- /dev/null
+++ b/internal/former/bench_test.go
@@ -0,0 +1,29 @@
+package former_test
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkDecide measures a decision about a settled data centre, the usual
+// one. Command: go test ./internal/former -run '^$' -bench Decide -benchmem
+func BenchmarkDecide(b *testing.B) {
+	for _, size := range []int{10, 50, 100, 200, 400} {
+		for _, replicas := range []int{1, size / 8} {
+			b.Run(fmt.Sprintf("instances=%d/replicas=%d", size, replicas), func(b *testing.B) {
+				m := newModel()
+				for i := range size {
+					_ = m.do("domain", fmt.Sprintf("f%d", i/16), fmt.Sprintf("i%03d", i))
+				}
+				_ = m.do("group", "forms", fmt.Sprintf("replicas=%d", replicas), "members=8", "version=v1")
+				m.state.Document.Policy.MaxLoads = size
+				for range 100 {
+					m.step(b)
+				}
+				for b.Loop() {
+					m.former.Decide(m.state, m.now)
+				}
+			})
+		}
+	}
+}
--- a/internal/placer/cost_test.go
+++ b/internal/placer/cost_test.go
@@ -1,8 +1,19 @@
 package placer_test
 
 import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"sync/atomic"
 	"syscall"
+	"testing"
 	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/messenger"
+	"github.com/lycheebarrow/lycheebarrow/internal/networker"
+	"github.com/lycheebarrow/lycheebarrow/internal/standin"
 )
 
 // processorTime returns the processor time that the test process used.
@@ -13,3 +24,55 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// meter is the machine's network, and counts the bytes of its connections.
+type meter struct {
+	networker.System
+	bytes atomic.Int64
+}
+
+type meteredConn struct {
+	net.Conn
+	meter *meter
+}
+
+func (m *meter) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := m.System.DialContext(ctx, network, address)
+	return meteredConn{c, m}, err
+}
+
+func (c meteredConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.meter.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c meteredConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.meter.bytes.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkProbe measures one probe of a member of a replica of 8 over loopback,
+// the stand-in engine's part included.
+// Command: go test ./internal/placer -run '^$' -bench Probe -benchmem
+func BenchmarkProbe(b *testing.B) {
+	m := &meter{}
+	e := standin.NewEngine(standin.EngineOptions{Name: "f0-00", Network: m})
+	s := httptest.NewServer(e)
+	defer s.Close()
+	c := messenger.New(m)
+	defer c.Close()
+	address := s.Listener.Addr().String()
+	members := []string{"f0-00", "f0-01", "f0-02", "f0-03", "f0-04", "f0-05", "f0-06", "f0-07"}
+	_, err := c.Order(b.Context(), address, messenger.Order{Replica: "forms/f0/1", Generation: 1, Model: "form-assistant", Version: "v1", Members: members, Slots: 8})
+	require.NoError(b, err)
+	m.bytes.Store(0)
+	start := processorTime()
+	for b.Loop() {
+		_, err = c.Status(b.Context(), address)
+	}
+	require.NoError(b, err)
+	b.ReportMetric(float64(m.bytes.Load())/float64(b.N), "bytes/op")
+	b.ReportMetric(float64((processorTime()-start).Microseconds())/float64(b.N), "cpu-µs/op")
+}
