internal/scheduler: pull the decision out of the dispatcher and measure it

Cause: the order of waiting requests and the counts of places stood inside the dispatcher's goroutine and could only run on the machine's clock.

internal/scheduler is pure: events and the time in, outcomes out.

--- /dev/null
+++ b/examples/crest/entry.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/router"
+	"github.com/lycheebarrow/lycheebarrow/internal/scheduler"
+	"github.com/lycheebarrow/lycheebarrow/internal/validator"
+	"github.com/lycheebarrow/lycheebarrow/internal/wire"
+)
+
+const (
+	// _hop is the time from an entry to an engine.
+	_hop = 500 * time.Microsecond
+	// _review is how often an entry looks at its queue.
+	_review = 20 * time.Millisecond
+	_model  = "drafts"
+)
+
+// product is the system's own decisions, one scheduler an entry.
+type product struct {
+	run      *run
+	replicas []*wire.Replica
+	entries  [_entries]*entry
+}
+
+// entry is one entry's decisions.
+type entry struct {
+	product   *product
+	scheduler scheduler.Scheduler
+	requests  map[uint64]*request
+}
+
+func newProduct(r *run) *product {
+	p := &product{run: r}
+	for i := range r.engines {
+		p.replicas = append(p.replicas, &wire.Replica{
+			Name: r.engines[i].name, Group: "drafts", Model: _model, Generation: 1, Slots: _slots,
+			State: wire.ReplicaState_REPLICA_STATE_SERVING,
+		})
+	}
+	var policy validator.Policy
+	for i := range p.entries {
+		e := &entry{product: p, requests: make(map[uint64]*request)}
+		e.scheduler.Router = router.Router{DataCentre: dataCentre(i), EvidenceLimit: time.Hour, LongShare: policy.LongShare()}
+		e.scheduler.QueueLimit = policy.QueueLimit()
+		p.entries[i] = e
+		r.clock.after(time.Duration(i)*time.Millisecond, e.tick)
+	}
+	return p
+}
+
+func dataCentre(i int) string { return "dc" + strconv.Itoa(i%_dataCentres) }
+
+func (p *product) arrive(r *request) { p.entries[r.entry].arrive(r) }
+
+func (e *entry) arrive(r *request) {
+	var policy validator.Policy
+	now := e.product.run.clock.time()
+	q := scheduler.Request{
+		Organisation: strconv.Itoa(r.organisation), Model: _model, Cost: r.limit, Long: r.limit >= policy.LongLimit(),
+		Deadline: now.Add(policy.FirstTokenTarget()),
+	}
+	id, err := e.scheduler.Add(q, now)
+	if err != nil {
+		e.product.run.refuse(r, time.Second)
+		return
+	}
+	e.requests[id] = r
+	e.review()
+}
+
+func (e *entry) tick() {
+	e.review()
+	e.product.run.clock.after(_review, e.tick)
+}
+
+func (e *entry) review() {
+	for _, o := range e.scheduler.Review(e.product.run.clock.time(), e.view) {
+		r := e.requests[o.ID()]
+		delete(e.requests, o.ID())
+		if o.Err() == nil {
+			e.product.run.clock.after(_hop, func() { e.send(o, r) })
+			continue
+		}
+		retry := time.Second
+		if errors.Is(o.Err(), scheduler.ErrNoReplica) {
+			retry = 5 * time.Second
+		}
+		e.product.run.refuse(r, retry)
+	}
+}
+
+func (e *entry) send(o scheduler.Outcome, r *request) {
+	name, long := o.Chosen().Replica.GetName(), o.Request().Long
+	w := &work{request: r, end: func() {
+		e.product.run.clock.after(_hop, func() {
+			e.scheduler.Release(name, long)
+			e.review()
+		})
+	}}
+	if !e.product.run.engine(name).accept(w) {
+		e.scheduler.Release(name, long)
+		e.retry(o, r)
+	}
+}
+
+// retry queues a request that a full engine refused, as the server does.
+func (e *entry) retry(o scheduler.Outcome, r *request) {
+	now := e.product.run.clock.time()
+	q := o.Request()
+	tried := map[string]bool{o.Chosen().Replica.GetName(): true}
+	for n := range q.Tried {
+		tried[n] = true
+	}
+	q.Tried = tried
+	const resumeWait = 30 * time.Second
+	q.Deadline = now.Add(resumeWait)
+	if id, err := e.scheduler.Add(q, now); err == nil {
+		e.requests[id] = r
+		return
+	}
+	e.product.run.refuse(r, time.Second)
+}
+
+func (e *entry) view(string, string) []router.Candidate {
+	out := make([]router.Candidate, len(e.product.replicas))
+	now := e.product.run.clock.time()
+	for i, r := range e.product.replicas {
+		out[i] = router.Candidate{
+			Replica: r, DataCentre: dataCentre(i), Confirmed: now, Reported: e.product.run.engines[i].reported,
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/dispatcher/view.go
@@ -0,0 +1,56 @@
+package dispatcher
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/router"
+	"github.com/lycheebarrow/lycheebarrow/internal/validator"
+	"github.com/lycheebarrow/lycheebarrow/internal/watcher"
+	"github.com/lycheebarrow/lycheebarrow/internal/wire"
+)
+
+// view is what one review of the queue sees.
+type view struct {
+	document   validator.Document
+	placements watcher.View
+	evidence   Evidence
+}
+
+func (d *Dispatcher) newView() view {
+	return view{document: d.configuration.Current().Document(), placements: d.placements.View(), evidence: d.evidence}
+}
+
+// candidates returns the replicas that may serve a model to an organisation, in
+// a fixed order.
+func (v view) candidates(model, organisation string) []router.Candidate {
+	var out []router.Candidate
+	for _, k := range slices.Sorted(maps.Keys(v.placements.Placements())) {
+		p := v.placements.Placements()[k]
+		for _, r := range p.GetReplicas() {
+			if r.GetModel() == model && v.allowed(r.GetGroup(), organisation) {
+				out = append(out, v.candidate(p, r))
+			}
+		}
+	}
+	return out
+}
+
+func (v view) candidate(p *wire.Placement, r *wire.Replica) router.Candidate {
+	leader := v.evidence.Evidence(r.GetMembers()[0]).Status()
+	c := router.Candidate{
+		Replica: r, DataCentre: p.GetDataCentre(), Confirmed: v.evidence.Confirmed(r), Leaving: v.evidence.Leaving(r),
+		Reported: int(leader.InFlight + leader.Queued),
+	}
+	for _, m := range r.GetMembers() {
+		if i, ok := v.placements.Instances()[m]; ok && i.Leaving {
+			c.Leaving = true
+		}
+	}
+	return c
+}
+
+func (v view) allowed(group, organisation string) bool {
+	g, ok := v.document.Groups[group]
+	return ok && (len(g.Organisations) == 0 || slices.Contains(g.Organisations, organisation))
+}
--- a/internal/server/chat.go
+++ b/internal/server/chat.go
@@ -13,10 +13,10 @@
 
 	"github.com/gin-gonic/gin"
 
-	"github.com/lycheebarrow/lycheebarrow/internal/dispatcher"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 	"github.com/lycheebarrow/lycheebarrow/internal/messenger"
 	"github.com/lycheebarrow/lycheebarrow/internal/responder"
+	"github.com/lycheebarrow/lycheebarrow/internal/scheduler"
 	"github.com/lycheebarrow/lycheebarrow/internal/streamer"
 	"github.com/lycheebarrow/lycheebarrow/internal/validator"
 )
@@ -142,7 +142,7 @@
 	if cost == 0 {
 		cost = _defaultMaxTokens
 	}
-	place := dispatcher.Request{
+	place := scheduler.Request{
 		ID: who(c).request, Organisation: who(c).organisation, Model: q.Model, Cost: cost,
 		Long: cost >= policy.LongLimit(), Tried: make(map[string]bool),
 		Deadline: time.Now().Add(policy.FirstTokenTarget()),
@@ -188,9 +188,9 @@
 	switch {
 	case ctx.Err() != nil:
 		p.Code, p.RetryAfter = "caller-gone", 0
-	case errors.Is(err, dispatcher.ErrQueueFull):
+	case errors.Is(err, scheduler.ErrQueueFull):
 		p.Status, p.Code = http.StatusTooManyRequests, "queue-full"
-	case errors.Is(err, dispatcher.ErrNoReplica):
+	case errors.Is(err, scheduler.ErrNoReplica):
 		p.Code, p.RetryAfter = "no-replica", 5*time.Second
 	}
 	if begun {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -18,6 +18,7 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/messenger"
 	"github.com/lycheebarrow/lycheebarrow/internal/recorder"
 	"github.com/lycheebarrow/lycheebarrow/internal/responder"
+	"github.com/lycheebarrow/lycheebarrow/internal/scheduler"
 	"github.com/lycheebarrow/lycheebarrow/internal/streamer"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
 )
@@ -32,7 +33,7 @@
 
 // Dispatcher gives requests a place in a replica.
 type Dispatcher interface {
-	Acquire(ctx context.Context, q dispatcher.Request) (*dispatcher.Place, error)
+	Acquire(ctx context.Context, q scheduler.Request) (*dispatcher.Place, error)
 }
 
 // Streamer brings the rest of an answer from a replica.
