internal/scheduler: a full engine's refusal and own changes correct the lagging reports

Cause: seven entries saw the same lagging report and all filled the same slot; a refused request was marked as having tried the replica, got a new deadline of 30 s and its own turn, so that refusals fed on themselves.

Now a candidate's load is the last report plus what this entry began and ended since, so that the entry which frees a slot refills it and others see it with the next report. A 429 gives the place back, keeps the request's turn and deadline, and closes the replica until its next report. Deadlines are kept before places are given. The queue keeps a lane for each organisation, class and length, so that one review asks once a lane. A tried replica is known by name and generation, since a repaired one keeps its name.

--- a/examples/crest/entry.go
+++ b/examples/crest/entry.go
@@ -94,35 +94,27 @@
 }
 
 func (e *entry) send(o scheduler.Outcome, r *request) {
-	name, long := o.Chosen().Replica.GetName(), o.Request().Long
+	key, long := router.KeyOf(o.Chosen().Replica), o.Request().Long
 	w := &work{request: r, end: func() {
 		e.product.run.clock.after(_hop, func() {
-			e.scheduler.Release(name, long)
+			e.scheduler.Release(key, long, e.product.run.clock.time())
 			e.review()
 		})
 	}}
-	if !e.product.run.engine(name).accept(w) {
-		e.scheduler.Release(name, long)
-		e.retry(o, r)
+	if !e.product.run.engine(key.Name).accept(w) {
+		e.scheduler.Refused(key, long, e.product.run.clock.time())
+		e.again(o.Request(), r)
 	}
 }
 
-// retry queues a request that a full engine refused, as the server does.
-func (e *entry) retry(o scheduler.Outcome, r *request) {
-	now := e.product.run.clock.time()
-	q := o.Request()
-	tried := map[string]bool{o.Chosen().Replica.GetName(): true}
-	for n := range q.Tried {
-		tried[n] = true
-	}
-	q.Tried = tried
-	const resumeWait = 30 * time.Second
-	q.Deadline = now.Add(resumeWait)
-	if id, err := e.scheduler.Add(q, now); err == nil {
-		e.requests[id] = r
+// again queues a request that a full engine refused; it keeps its turn.
+func (e *entry) again(q scheduler.Request, r *request) {
+	id, err := e.scheduler.Add(q, e.product.run.clock.time())
+	if err != nil {
+		e.product.run.refuse(r, time.Second)
 		return
 	}
-	e.product.run.refuse(r, time.Second)
+	e.requests[id] = r
 }
 
 func (e *entry) view(string, string) []router.Candidate {
@@ -131,6 +123,7 @@
 	for i, r := range e.product.replicas {
 		out[i] = router.Candidate{
 			Replica: r, DataCentre: dataCentre(i), Confirmed: now, Reported: e.product.run.engines[i].reported,
+			ReportedAt: time.Unix(0, 0).Add(e.product.run.engines[i].reportedAt),
 		}
 	}
 	return out
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/configurer"
@@ -40,6 +41,11 @@
 	Evidence(instance string) prober.Evidence
 }
 
+// Meter measures waits.
+type Meter interface {
+	Waited(d time.Duration)
+}
+
 // answer is what a waiting request receives.
 type answer struct {
 	place *Place
@@ -49,6 +55,9 @@
 // Dispatcher owns the queue of an entry. Make it with New, start it with Run.
 // It is safe for concurrent use.
 type Dispatcher struct {
+	// Meter may be nil. Set it before Run.
+	Meter Meter
+
 	dataCentre    string
 	configuration Configuration
 	placements    Placements
@@ -58,6 +67,9 @@
 	events chan func()
 	done   chan struct{}
 
+	queued   atomic.Int64
+	inFlight atomic.Int64
+
 	// What follows belongs to Run's goroutine.
 	scheduler scheduler.Scheduler
 	replies   map[uint64]chan answer
@@ -71,6 +83,12 @@
 	}
 }
 
+// Waiting returns how many requests wait.
+func (d *Dispatcher) Waiting() int64 { return d.queued.Load() }
+
+// InFlight returns how many requests hold a place.
+func (d *Dispatcher) InFlight() int64 { return d.inFlight.Load() }
+
 // Run owns the queue until ctx ends; then every waiting request is refused.
 // Call it once.
 func (d *Dispatcher) Run(ctx context.Context) {
@@ -89,6 +107,7 @@
 		case <-ticker.C:
 		}
 		d.review()
+		d.queued.Store(int64(d.scheduler.Len()))
 	}
 }
 
@@ -164,6 +183,10 @@
 	if o.Err() != nil {
 		return answer{err: fmt.Errorf("dispatcher: route %s: %w: %s", q.ID, o.Err(), o.Decision().Reason)}
 	}
+	d.inFlight.Add(1)
+	if d.Meter != nil {
+		d.Meter.Waited(o.Wait())
+	}
 	r := o.Chosen().Replica
 	d.log.Event("route", logger.Fields{
 		"request": q.ID, "organisation": q.Organisation, "model": q.Model,
--- a/internal/dispatcher/view.go
+++ b/internal/dispatcher/view.go
@@ -37,13 +37,14 @@
 }
 
 func (v view) candidate(p *wire.Placement, r *wire.Replica) router.Candidate {
-	leader := v.evidence.Evidence(r.GetMembers()[0]).Status()
+	evidence := v.evidence.Evidence(r.GetMembers()[0])
+	leader := evidence.Status()
 	c := router.Candidate{
 		Replica: r, DataCentre: p.GetDataCentre(), Confirmed: v.evidence.Confirmed(r), Leaving: v.evidence.Leaving(r),
-		Reported: int(leader.InFlight + leader.Queued),
+		Reported: int(leader.InFlight + leader.Queued), ReportedAt: evidence.Sent(),
 	}
 	for _, m := range r.GetMembers() {
-		if i, ok := v.placements.Instances()[m]; ok && i.Leaving {
+		if v.placements.Instances()[m].Leaving || v.document.Instances[m].Draining {
 			c.Leaving = true
 		}
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -30,17 +30,34 @@
 	Leaving   bool
 	// Reported is the work that the engine reported, with a lag.
 	Reported int
+	// ReportedAt is when the engine was asked for Reported.
+	ReportedAt time.Time
+	// Recent is what this entry added since then; below 0 where it finished more
+	// than it began.
+	Recent int
+	// Refused says that the engine was full and hasn't reported since.
+	Refused bool
 	// Local is the work that this entry has in the replica.
 	Local int
 	// LocalLong is the long part of Local.
 	LocalLong int
 }
 
+// Key tells a replica from another of its name: a repaired replica keeps the
+// name and gets a new generation.
+type Key struct {
+	Name       string
+	Generation uint64
+}
+
+// KeyOf returns the key of a replica.
+func KeyOf(r *wire.Replica) Key { return Key{Name: r.GetName(), Generation: r.GetGeneration()} }
+
 // Request is what the decision depends on.
 type Request struct {
 	Long bool
 	// Tried holds replicas that refused or broke this request.
-	Tried map[string]bool
+	Tried map[Key]bool
 }
 
 // Router routes requests. The zero value routes without limits on the age of
@@ -98,7 +115,7 @@
 
 func (r *Router) unusable(q Request, c *Candidate, now time.Time) Reason {
 	switch {
-	case q.Tried[c.Replica.GetName()]:
+	case q.Tried[KeyOf(c.Replica)]:
 		return ReasonTriedBefore
 	case c.Replica.GetState() == wire.ReplicaState_REPLICA_STATE_DRAINING:
 		return ReasonDraining
@@ -119,9 +136,12 @@
 	return load(a)*int(b.Replica.GetSlots()) < load(b)*int(a.Replica.GetSlots())
 }
 
-func load(c *Candidate) int { return max(c.Reported, c.Local) }
+// load is the best guess of the work in the replica. A place that this entry
+// gives back is free at once to itself and to others only with the next report,
+// so entries that never talk don't all fill the same one.
+func load(c *Candidate) int { return max(c.Reported+c.Recent, c.Local) }
 
-func full(c *Candidate) bool { return load(c) >= int(c.Replica.GetSlots()) }
+func full(c *Candidate) bool { return c.Refused || load(c) >= int(c.Replica.GetSlots()) }
 
 func (r *Router) longFull(c *Candidate) bool {
 	if r.LongShare == 0 {
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -29,7 +29,10 @@
 	// Cost is the predicted work in tokens.
 	Cost int
 	// Tried holds replicas that refused or broke this request before.
-	Tried map[string]bool
+	Tried map[router.Key]bool
+	// Arrived is when the request first came; zero means now. One that comes back
+	// after a refusal keeps its turn.
+	Arrived time.Time
 	// Deadline is when waiting ends.
 	Deadline time.Time
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -1,6 +1,9 @@
 package scheduler
 
 import (
+	"cmp"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/queuer"
@@ -22,21 +25,16 @@
 	queue   queuer.Queuer
 	waiting map[uint64]*waiting
 	lastID  uint64
-	used    map[string]used
+	used    map[router.Key]*used
 }
 
 // waiting is a request in the queue.
 type waiting struct {
 	request  Request
-	arrived  time.Time
+	item     queuer.Item
 	decision router.Decision
 }
 
-// used is the work that this entry has in a replica.
-type used struct {
-	all, long int
-}
-
 // Len returns the number of waiting requests.
 func (s *Scheduler) Len() int { return s.queue.Len() }
 
@@ -48,35 +46,59 @@
 	}
 	if s.waiting == nil {
 		s.waiting = make(map[uint64]*waiting)
-		s.used = make(map[string]used)
+		s.used = make(map[router.Key]*used)
+	}
+	if q.Arrived.IsZero() {
+		q.Arrived = now
 	}
 	s.lastID++
-	s.waiting[s.lastID] = &waiting{request: q, arrived: now}
-	s.queue.Push(queuer.Item{
-		ID: s.lastID, Organisation: q.Organisation, Weight: q.Weight, Long: q.Long, Cost: q.Cost, Arrived: now,
-	})
+	item := queuer.Item{
+		ID: s.lastID, Organisation: q.Organisation, Weight: q.Weight, Long: q.Long, Class: q.Model, Cost: q.Cost, Arrived: q.Arrived,
+	}
+	if len(q.Tried) > 0 || q.Arrived.Before(now) {
+		// What it tried may rule out replicas that others fit, and one that comes
+		// back goes before those that arrived later.
+		item.Class += "#" + strconv.FormatUint(s.lastID, 10)
+	}
+	s.waiting[s.lastID] = &waiting{request: q, item: item}
+	s.queue.Push(item)
 	return s.lastID, nil
 }
 
 // Cancel takes a request out of the queue; one that is not there is ignored.
 func (s *Scheduler) Cancel(id uint64) {
-	s.queue.Remove(id)
-	delete(s.waiting, id)
+	if w, ok := s.waiting[id]; ok {
+		s.queue.Remove(w.item)
+		delete(s.waiting, id)
+	}
 }
 
 // Release gives back a place in a replica.
-func (s *Scheduler) Release(replica string, long bool) { s.count(replica, long, -1) }
+func (s *Scheduler) Release(replica router.Key, long bool, now time.Time) {
+	s.count(replica, long, -1, now)
+}
+
+// Refused gives back a place in a replica that was full. The replica gets no
+// work until it reports its load again.
+func (s *Scheduler) Refused(replica router.Key, long bool, now time.Time) {
+	s.count(replica, long, -1, now)
+	s.used[replica].refused = now
+}
 
 // Review gives out places and refuses the requests whose deadline has passed.
 func (s *Scheduler) Review(now time.Time, view View) []Outcome {
-	var out []Outcome
+	out := s.expire(now)
 	for {
 		o, ok := s.next(now, view)
 		if !ok {
-			break
+			return out
 		}
 		out = append(out, o)
 	}
+}
+
+func (s *Scheduler) expire(now time.Time) []Outcome {
+	var out []Outcome
 	for id, w := range s.waiting {
 		if now.Before(w.request.Deadline) {
 			continue
@@ -85,9 +107,10 @@
 		if w.decision.Usable == 0 {
 			err = ErrNoReplica
 		}
-		out = append(out, Outcome{id: id, request: w.request, decision: w.decision, wait: now.Sub(w.arrived), err: err})
+		out = append(out, Outcome{id: id, request: w.request, decision: w.decision, wait: now.Sub(w.request.Arrived), err: err})
 		s.Cancel(id)
 	}
+	slices.SortFunc(out, func(a, b Outcome) int { return cmp.Compare(a.id, b.id) })
 	return out
 }
 
@@ -97,7 +120,7 @@
 	item, ok := s.queue.Next(now, func(i queuer.Item) bool {
 		w := s.waiting[i.ID]
 		q := router.Request{Long: w.request.Long, Tried: w.request.Tried}
-		w.decision = s.Router.Route(q, s.candidates(w.request, view), now)
+		w.decision = s.Router.Route(q, s.candidates(w.request, view, now), now)
 		if w.decision.Chosen == nil {
 			return false
 		}
@@ -109,27 +132,34 @@
 	}
 	w := s.waiting[item.ID]
 	delete(s.waiting, item.ID)
-	s.count(chosen.Replica.GetName(), w.request.Long, 1)
-	return Outcome{id: item.ID, request: w.request, decision: w.decision, chosen: chosen, wait: now.Sub(w.arrived)}, true
+	s.count(router.KeyOf(chosen.Replica), w.request.Long, 1, now)
+	return Outcome{id: item.ID, request: w.request, decision: w.decision, chosen: chosen, wait: now.Sub(w.request.Arrived)}, true
 }
 
-func (s *Scheduler) candidates(q Request, view View) []router.Candidate {
+func (s *Scheduler) candidates(q Request, view View, now time.Time) []router.Candidate {
 	list := view(q.Model, q.Organisation)
 	for i := range list {
-		u := s.used[list[i].Replica.GetName()]
-		list[i].Local, list[i].LocalLong = u.all, u.long
+		u, ok := s.used[router.KeyOf(list[i].Replica)]
+		if !ok {
+			continue
+		}
+		u.fill(&list[i], now)
+		if u.idle() {
+			delete(s.used, router.KeyOf(list[i].Replica))
+		}
 	}
 	return list
 }
 
-func (s *Scheduler) count(replica string, long bool, by int) {
-	u := s.used[replica]
+func (s *Scheduler) count(replica router.Key, long bool, by int, now time.Time) {
+	u, ok := s.used[replica]
+	if !ok {
+		u = &used{}
+		s.used[replica] = u
+	}
 	u.all += by
 	if long {
 		u.long += by
 	}
-	s.used[replica] = u
-	if u.all == 0 {
-		delete(s.used, replica)
-	}
+	u.changes = append(u.changes, change{at: now, by: by})
 }
--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -24,6 +24,9 @@
 var (
 	// ErrRefused says that the replica did not run the attempt.
 	ErrRefused = errors.New("replica refused")
+	// ErrFull says that the replica did not run the attempt because its queue
+	// was full.
+	ErrFull = errors.New("replica is full")
 	// ErrCut says that the answer ended before its end marker.
 	ErrCut = errors.New("answer was cut")
 	// ErrForeign says that the answer belongs to another attempt or generation.
@@ -45,6 +48,8 @@
 // Confirmer says when a replica was last seen whole.
 type Confirmer interface {
 	Confirmed(r *wire.Replica) time.Time
+	// Since says since when all members have been present without a gap.
+	Since(r *wire.Replica) time.Time
 	Changed() <-chan struct{}
 }
 
@@ -164,6 +169,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrCut, err)
 	}
+	if res.StatusCode == http.StatusTooManyRequests {
+		res.Body.Close()
+		return nil, ErrFull
+	}
 	if res.StatusCode != http.StatusOK {
 		res.Body.Close()
 		return nil, fmt.Errorf("status %d: %w", res.StatusCode, ErrRefused)
@@ -266,12 +275,12 @@
 	}
 	for {
 		changed := s.confirmer.Changed()
+		if s.lapsed(r, l) || s.confirmer.Since(r).After(h.arrived) {
+			return ErrUnconfirmed
+		}
 		if !s.confirmer.Confirmed(r).Before(h.arrived.Add(-l.Window)) {
 			return nil
 		}
-		if s.lapsed(r, l) {
-			return ErrUnconfirmed
-		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
