internal/estimator: length by organisation, model and limit; long work has its own account

Cause: the caller's max_tokens alone decided what is long, and many callers always ask for the same high limit. Each entry also capped long work by replica and for itself, so that seven entries together had no cap.

The estimator learns from finished answers. An answer that outgrows its estimate moves to the long account, engines get a priority, and each entry takes its part of the long slots of the fleet.

--- a/examples/crest/entry.go
+++ b/examples/crest/entry.go
@@ -44,8 +44,10 @@
 	var policy validator.Policy
 	for i := range p.entries {
 		e := &entry{product: p, requests: make(map[uint64]*request)}
-		e.scheduler.Router = router.Router{DataCentre: dataCentre(i), EvidenceLimit: time.Hour, LongShare: policy.LongShare()}
+		e.scheduler.Router = router.Router{DataCentre: dataCentre(i), EvidenceLimit: time.Hour, LongShare: policy.LongShare(), Entries: _entries}
 		e.scheduler.QueueLimit = policy.QueueLimit()
+		e.scheduler.Estimator.LongTokens = policy.LongLimit()
+		e.scheduler.ShortWait, e.scheduler.LongWait = policy.FirstTokenTarget(), policy.LongWait()
 		p.entries[i] = e
 		r.clock.after(time.Duration(i)*time.Millisecond, e.tick)
 	}
@@ -57,11 +59,9 @@
 func (p *product) arrive(r *request) { p.entries[r.entry].arrive(r) }
 
 func (e *entry) arrive(r *request) {
-	var policy validator.Policy
 	now := e.product.run.clock.time()
 	q := scheduler.Request{
-		Organisation: strconv.Itoa(r.organisation), Model: _model, Cost: r.limit, Long: r.limit >= policy.LongLimit(),
-		Deadline: now.Add(policy.FirstTokenTarget()),
+		Organisation: strconv.Itoa(r.organisation), Model: _model, MaxTokens: r.limit,
 	}
 	id, err := e.scheduler.Add(q, now)
 	if err != nil {
@@ -94,15 +94,18 @@
 }
 
 func (e *entry) send(o scheduler.Outcome, r *request) {
-	key, long := router.KeyOf(o.Chosen().Replica), o.Request().Long
-	w := &work{request: r, end: func() {
+	priority := 0
+	if o.Long() {
+		priority = 1
+	}
+	w := &work{request: r, priority: priority, token: func() { e.scheduler.Grow(o.ID(), _longTokens) }, end: func() {
 		e.product.run.clock.after(_hop, func() {
-			e.scheduler.Release(key, long, e.product.run.clock.time())
+			e.scheduler.Release(o.ID(), r.tokens, e.product.run.clock.time())
 			e.review()
 		})
 	}}
-	if !e.product.run.engine(key.Name).accept(w) {
-		e.scheduler.Refused(key, long, e.product.run.clock.time())
+	if !e.product.run.engine(o.Chosen().Replica.GetName()).accept(w) {
+		e.scheduler.Refused(o.ID(), e.product.run.clock.time())
 		e.again(o.Request(), r)
 	}
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -142,7 +142,7 @@
 	select {
 	case a := <-reply:
 		if a.place != nil {
-			a.place.Release()
+			a.place.Release(0)
 		}
 	default:
 	}
@@ -153,6 +153,8 @@
 	document := d.configuration.Current().Document()
 	q.Weight = document.Organisations[q.Organisation].Share()
 	d.scheduler.QueueLimit = document.Policy.QueueLimit()
+	d.scheduler.Estimator.LongTokens = document.Policy.LongLimit()
+	d.scheduler.ShortWait, d.scheduler.LongWait = document.Policy.FirstTokenTarget(), document.Policy.LongWait()
 	id, err := d.scheduler.Add(q, time.Now())
 	if err != nil {
 		reply <- answer{err: fmt.Errorf("dispatcher: queue %s: %w", q.ID, err)}
@@ -192,7 +194,7 @@
 		"request": q.ID, "organisation": q.Organisation, "model": q.Model,
 		"upstream": r.GetMembers()[0], "replica": r.GetName(), "group": r.GetGroup(),
 		"generation": r.GetGeneration(), "reason": o.Decision().Reason, "candidates": o.Decision().Usable,
-		"wait_ms": o.Wait().Milliseconds(), "long": q.Long,
+		"wait_ms": o.Wait().Milliseconds(), "long": o.Long(),
 	})
-	return answer{place: &Place{replica: r, long: q.Long, owner: d}}
+	return answer{place: &Place{id: o.ID(), replica: r, long: o.Long(), owner: d}}
 }
--- a/internal/dispatcher/place.go
+++ b/internal/dispatcher/place.go
@@ -3,12 +3,12 @@
 import (
 	"time"
 
-	"github.com/lycheebarrow/lycheebarrow/internal/router"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
 )
 
-// Place is a place in a replica; Release it.
+// Place is a place in a replica. Give it back with Release or Refused, once.
 type Place struct {
+	id      uint64
 	replica *wire.Replica
 	long    bool
 	owner   *Dispatcher
@@ -17,14 +17,23 @@
 // Replica returns the replica. Callers must not change it.
 func (p *Place) Replica() *wire.Replica { return p.replica }
 
-// Release gives the place back. Call it or Refused, once.
-func (p *Place) Release() {
+// Long says that the answer is expected to be long.
+func (p *Place) Long() bool { return p.long }
+
+// Grow says that the answer has that many tokens by now.
+func (p *Place) Grow(tokens int) {
+	p.owner.tell(func() { p.owner.scheduler.Grow(p.id, tokens) })
+}
+
+// Release gives the place back. Tokens is the length of the whole answer, 0
+// where it is not whole.
+func (p *Place) Release(tokens int) {
 	p.owner.inFlight.Add(-1)
-	p.owner.tell(func() { p.owner.scheduler.Release(router.KeyOf(p.replica), p.long, time.Now()) })
+	p.owner.tell(func() { p.owner.scheduler.Release(p.id, tokens, time.Now()) })
 }
 
-// Refused gives the place back because the replica was full.
+// Refused gives the place back because the replica was full and ran nothing.
 func (p *Place) Refused() {
 	p.owner.inFlight.Add(-1)
-	p.owner.tell(func() { p.owner.scheduler.Refused(router.KeyOf(p.replica), p.long, time.Now()) })
+	p.owner.tell(func() { p.owner.scheduler.Refused(p.id, time.Now()) })
 }
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -102,12 +102,18 @@
 		}
 		q.Remove(i)
 		q.floor = q.served[i.Organisation]
-		q.served[i.Organisation] += float64(max(1, i.Cost)) / float64(max(1, i.Weight))
+		q.Charge(i.Organisation, i.Weight, max(1, i.Cost))
 		return i, true
 	}
 	return Item{}, false
 }
 
+// Charge adds work to an organisation's share; below 0 it gives work back that
+// was charged and not done.
+func (q *Queuer) Charge(organisation string, weight, tokens int) {
+	q.served[organisation] += float64(tokens) / float64(max(1, weight))
+}
+
 // heads returns the first request of each lane in the order of the queue.
 func (q *Queuer) heads(now time.Time) []Item {
 	out := make([]Item, 0, len(q.lanes))
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -18,6 +18,7 @@
 	ReasonLeaving     Reason = "leaving"
 	ReasonDraining    Reason = "draining"
 	ReasonFull        Reason = "full"
+	ReasonLongShare   Reason = "long-share"
 	ReasonTriedBefore Reason = "tried-before"
 )
 
@@ -69,6 +70,9 @@
 	EvidenceLimit time.Duration
 	// LongShare is the part of the slots that long work may hold; 0 means all.
 	LongShare float64
+	// Entries is how many entries share the replicas; 0 means 1. Each takes an
+	// equal part of the slots that long work may hold.
+	Entries int
 }
 
 // Decision is the outcome of routing.
@@ -84,6 +88,7 @@
 // each slot.
 func (r *Router) Route(q Request, candidates []Candidate, now time.Time) Decision {
 	d := Decision{Reason: ReasonNoReplica}
+	var slots, long int
 	for i := range candidates {
 		c := &candidates[i]
 		if why := r.unusable(q, c, now); why != "" {
@@ -93,6 +98,8 @@
 			continue
 		}
 		d.Usable++
+		slots += int(c.Replica.GetSlots())
+		long += c.LocalLong
 		if full(c) || q.Long && r.longFull(c) {
 			if d.Chosen == nil {
 				d.Reason = ReasonFull
@@ -106,6 +113,10 @@
 	if d.Chosen == nil {
 		return d
 	}
+	if q.Long && r.LongShare > 0 && long >= r.longPart(slots) {
+		d.Chosen, d.Reason = nil, ReasonLongShare
+		return d
+	}
 	d.Reason = ReasonLeastLoad
 	if d.Chosen.DataCentre != r.DataCentre {
 		d.Reason = ReasonSpill
@@ -143,6 +154,11 @@
 
 func full(c *Candidate) bool { return c.Refused || load(c) >= int(c.Replica.GetSlots()) }
 
+// longPart returns how many long answers this entry may have in that many slots.
+func (r *Router) longPart(slots int) int {
+	return max(1, int(r.LongShare*float64(slots)/float64(max(1, r.Entries))))
+}
+
 func (r *Router) longFull(c *Candidate) bool {
 	if r.LongShare == 0 {
 		return false
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -25,15 +25,17 @@
 	// Weight is the organisation's part of a contended group; 0 means 1.
 	Weight int
 	Model  string
-	Long   bool
-	// Cost is the predicted work in tokens.
-	Cost int
+	// MaxTokens is the limit that the caller asked for; 0 means none.
+	MaxTokens int
+	// Done is how many tokens of the answer the caller has already.
+	Done int
 	// Tried holds replicas that refused or broke this request before.
 	Tried map[router.Key]bool
 	// Arrived is when the request first came; zero means now. One that comes back
 	// after a refusal keeps its turn.
 	Arrived time.Time
-	// Deadline is when waiting ends.
+	// Deadline is when waiting ends; zero means after the scheduler's wait for
+	// short or long work.
 	Deadline time.Time
 }
 
@@ -42,6 +44,7 @@
 type Outcome struct {
 	id       uint64
 	request  Request
+	long     bool
 	decision router.Decision
 	chosen   router.Candidate
 	wait     time.Duration
@@ -54,6 +57,9 @@
 // Request returns the request.
 func (o Outcome) Request() Request { return o.request }
 
+// Long says that the answer is expected to be long.
+func (o Outcome) Long() bool { return o.long }
+
 // Chosen returns the replica with the place; it means nothing where Err is not
 // nil.
 func (o Outcome) Chosen() router.Candidate { return o.chosen }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/lycheebarrow/lycheebarrow/internal/estimator"
 	"github.com/lycheebarrow/lycheebarrow/internal/queuer"
 	"github.com/lycheebarrow/lycheebarrow/internal/router"
 )
@@ -15,15 +16,21 @@
 type View func(model, organisation string) []router.Candidate
 
 // Scheduler holds waiting requests and counts the places given out. The zero
-// value is ready for use. It is not safe for concurrent use.
+// value refuses each request at its next review; set the fields before use. It
+// is not safe for concurrent use.
 type Scheduler struct {
 	// Router chooses replicas.
 	Router router.Router
+	// Estimator predicts lengths.
+	Estimator estimator.Estimator
 	// QueueLimit bounds the waiting requests; 0 means no limit.
 	QueueLimit int
+	// ShortWait and LongWait bound the wait of a request without a deadline.
+	ShortWait, LongWait time.Duration
 
 	queue   queuer.Queuer
 	waiting map[uint64]*waiting
+	places  map[uint64]*place
 	lastID  uint64
 	used    map[router.Key]*used
 }
@@ -35,6 +42,14 @@
 	decision router.Decision
 }
 
+// place is a place that was given out.
+type place struct {
+	request Request
+	replica router.Key
+	cost    int
+	long    bool
+}
+
 // Len returns the number of waiting requests.
 func (s *Scheduler) Len() int { return s.queue.Len() }
 
@@ -46,23 +61,47 @@
 	}
 	if s.waiting == nil {
 		s.waiting = make(map[uint64]*waiting)
+		s.places = make(map[uint64]*place)
 		s.used = make(map[router.Key]*used)
 	}
+	s.lastID++
+	w := s.wait(q, now)
+	s.waiting[s.lastID] = w
+	s.queue.Push(w.item)
+	return s.lastID, nil
+}
+
+// wait completes a request and makes its item of the queue.
+func (s *Scheduler) wait(q Request, now time.Time) *waiting {
 	if q.Arrived.IsZero() {
 		q.Arrived = now
 	}
-	s.lastID++
+	e := s.Estimator.Predict(kind(q))
+	long := e.Long || s.outgrown(q.Done)
+	if q.Deadline.IsZero() {
+		q.Deadline = q.Arrived.Add(s.ShortWait)
+		if long {
+			q.Deadline = q.Arrived.Add(s.LongWait)
+		}
+	}
 	item := queuer.Item{
-		ID: s.lastID, Organisation: q.Organisation, Weight: q.Weight, Long: q.Long, Class: q.Model, Cost: q.Cost, Arrived: q.Arrived,
+		ID: s.lastID, Organisation: q.Organisation, Weight: q.Weight, Long: long, Class: q.Model,
+		Cost: max(1, e.Tokens-q.Done), Arrived: q.Arrived,
 	}
 	if len(q.Tried) > 0 || q.Arrived.Before(now) {
 		// What it tried may rule out replicas that others fit, and one that comes
 		// back goes before those that arrived later.
 		item.Class += "#" + strconv.FormatUint(s.lastID, 10)
 	}
-	s.waiting[s.lastID] = &waiting{request: q, item: item}
-	s.queue.Push(item)
-	return s.lastID, nil
+	return &waiting{request: q, item: item}
+}
+
+func kind(q Request) estimator.Kind {
+	return estimator.Kind{Organisation: q.Organisation, Model: q.Model, MaxTokens: q.MaxTokens}
+}
+
+func (s *Scheduler) outgrown(tokens int) bool {
+	return s.Estimator.LongTokens > 0 && tokens >= s.Estimator.LongTokens
 }
 
 // Cancel takes a request out of the queue; one that is not there is ignored.
@@ -73,16 +112,43 @@
 	}
 }
 
-// Release gives back a place in a replica.
-func (s *Scheduler) Release(replica router.Key, long bool, now time.Time) {
-	s.count(replica, long, -1, now)
+// Grow says how many tokens the answer of a place has by now. An answer that
+// outgrew its estimate counts as long from then on.
+func (s *Scheduler) Grow(id uint64, tokens int) {
+	p, ok := s.places[id]
+	if !ok || p.long || !s.outgrown(tokens) {
+		return
+	}
+	p.long = true
+	s.used[p.replica].long++
 }
 
-// Refused gives back a place in a replica that was full. The replica gets no
-// work until it reports its load again.
-func (s *Scheduler) Refused(replica router.Key, long bool, now time.Time) {
-	s.count(replica, long, -1, now)
-	s.used[replica].refused = now
+// Release gives back a place. Tokens is the length of the whole answer, 0 where
+// it is not whole.
+func (s *Scheduler) Release(id uint64, tokens int, now time.Time) {
+	p, ok := s.places[id]
+	if !ok {
+		return
+	}
+	delete(s.places, id)
+	s.count(p.replica, p.long, -1, now)
+	if tokens > 0 {
+		s.Estimator.Observe(kind(p.request), tokens)
+		s.queue.Charge(p.request.Organisation, p.request.Weight, tokens-p.request.Done-p.cost)
+	}
+}
+
+// Refused gives back a place in a replica that was full and ran nothing. The
+// replica gets no work until it reports its load again.
+func (s *Scheduler) Refused(id uint64, now time.Time) {
+	p, ok := s.places[id]
+	if !ok {
+		return
+	}
+	delete(s.places, id)
+	s.count(p.replica, p.long, -1, now)
+	s.used[p.replica].refused = now
+	s.queue.Charge(p.request.Organisation, p.request.Weight, -p.cost)
 }
 
 // Review gives out places and refuses the requests whose deadline has passed.
@@ -107,7 +173,7 @@
 		if w.decision.Usable == 0 {
 			err = ErrNoReplica
 		}
-		out = append(out, Outcome{id: id, request: w.request, decision: w.decision, wait: now.Sub(w.request.Arrived), err: err})
+		out = append(out, Outcome{id: id, request: w.request, long: w.item.Long, decision: w.decision, wait: now.Sub(w.request.Arrived), err: err})
 		s.Cancel(id)
 	}
 	slices.SortFunc(out, func(a, b Outcome) int { return cmp.Compare(a.id, b.id) })
@@ -119,7 +185,7 @@
 	var chosen router.Candidate
 	item, ok := s.queue.Next(now, func(i queuer.Item) bool {
 		w := s.waiting[i.ID]
-		q := router.Request{Long: w.request.Long, Tried: w.request.Tried}
+		q := router.Request{Long: w.item.Long, Tried: w.request.Tried}
 		w.decision = s.Router.Route(q, s.candidates(w.request, view, now), now)
 		if w.decision.Chosen == nil {
 			return false
@@ -132,8 +198,10 @@
 	}
 	w := s.waiting[item.ID]
 	delete(s.waiting, item.ID)
-	s.count(router.KeyOf(chosen.Replica), w.request.Long, 1, now)
-	return Outcome{id: item.ID, request: w.request, decision: w.decision, chosen: chosen, wait: now.Sub(w.request.Arrived)}, true
+	p := &place{request: w.request, replica: router.KeyOf(chosen.Replica), cost: item.Cost, long: item.Long}
+	s.places[item.ID] = p
+	s.count(p.replica, p.long, 1, now)
+	return Outcome{id: item.ID, request: w.request, long: p.long, decision: w.decision, chosen: chosen, wait: now.Sub(w.request.Arrived)}, true
 }
 
 func (s *Scheduler) candidates(q Request, view View, now time.Time) []router.Candidate {
--- a/internal/server/answer.go
+++ b/internal/server/answer.go
@@ -23,8 +23,6 @@
 	_resumeWait = 30 * time.Second
 	// _attempts bounds the replicas tried for one answer.
 	_attempts = 8
-	// _defaultMaxTokens is the length taken for an answer without max_tokens.
-	_defaultMaxTokens = 256
 )
 
 // answer brings the whole answer, from as many replicas as it takes.
@@ -32,15 +30,9 @@
 	ctx := c.Request.Context()
 	begun := time.Now()
 	policy := s.Configuration.Current().Document().Policy
-	cost := q.MaxTokens
-	if cost == 0 {
-		cost = _defaultMaxTokens
-	}
-	now := time.Now()
 	place := scheduler.Request{
-		ID: who(c).request, Organisation: who(c).organisation, Model: q.Model, Cost: cost,
-		Long: cost >= policy.LongLimit(), Tried: make(map[router.Key]bool),
-		Arrived: now, Deadline: now.Add(policy.FirstTokenTarget()),
+		ID: who(c).request, Organisation: who(c).organisation, Model: q.Model, MaxTokens: q.MaxTokens,
+		Tried: make(map[router.Key]bool), Arrived: time.Now(),
 	}
 	limits := streamer.Limits{
 		Window: policy.UnconfirmedWindow(), Evidence: policy.EvidenceLimit(), Silence: _silence,
@@ -53,14 +45,20 @@
 			return s.unplaced(ctx, err, progress.Tokens() > 0)
 		}
 		r := p.Replica()
-		err = s.Streamer.Run(ctx, r, q, limits, &progress, w.piece)
+		q.Priority = priority(p.Long())
+		err = s.Streamer.Run(ctx, r, q, limits, &progress, func(x streamer.Piece) error {
+			if long := policy.LongLimit(); !p.Long() && progress.Tokens() < long && progress.Tokens()+x.Tokens >= long {
+				p.Grow(progress.Tokens() + x.Tokens)
+			}
+			return w.piece(x)
+		})
 		if errors.Is(err, streamer.ErrFull) {
 			// Nothing ran: the request goes back to its turn.
 			p.Refused()
 			continue
 		}
-		p.Release()
 		if err == nil {
+			p.Release(progress.Tokens())
 			w.end()
 			s.Log.Event("answer", logger.Fields{
 				"request": place.ID, "organisation": place.Organisation, "replica": r.GetName(),
@@ -68,6 +66,7 @@
 			})
 			return nil
 		}
+		p.Release(0)
 		if errors.Is(err, streamer.ErrCaller) {
 			return &responder.Problem{Status: http.StatusBadRequest, Code: "caller-gone", Message: err.Error(), Outcome: responder.Ran}
 		}
@@ -75,7 +74,7 @@
 			"request": place.ID, "replica": r.GetName(), "generation": r.GetGeneration(), "tokens": progress.Tokens(),
 		})
 		place.Tried[router.KeyOf(r)] = true
-		place.Cost = max(1, cost-progress.Tokens())
+		place.Done = progress.Tokens()
 		place.Deadline = time.Now().Add(_resumeWait)
 	}
 	return &responder.Problem{
@@ -84,6 +83,14 @@
 	}
 }
 
+// priority orders work inside an engine: short answers first.
+func priority(long bool) int {
+	if long {
+		return 1
+	}
+	return 0
+}
+
 // unplaced turns a failed Acquire into a refusal.
 func (s *Server) unplaced(ctx context.Context, err error, begun bool) *responder.Problem {
 	p := &responder.Problem{
--- a/internal/server/writer.go
+++ b/internal/server/writer.go
@@ -32,7 +32,7 @@
 
 func (w *wholeWriter) piece(p streamer.Piece) error {
 	w.text.WriteString(p.Text)
-	w.tokens++
+	w.tokens += p.Tokens
 	if p.Finish != "" {
 		w.finish = p.Finish
 	}
--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -69,6 +69,7 @@
 // Piece is a part of the answer that may be passed on.
 type Piece struct {
 	Text   string
+	Tokens int
 	Finish string // reason of the end, empty before it
 }
 
@@ -239,7 +240,7 @@
 			return fmt.Errorf("%w: %w", ErrCaller, err)
 		}
 		p.text.WriteString(piece.Text)
-		p.tokens += max(1, h.chunk.Tokens)
+		p.tokens += piece.Tokens
 	}
 }
 
@@ -296,9 +297,9 @@
 
 func pieceOf(c messenger.ChatChunk) Piece {
 	if len(c.Choices) == 0 {
-		return Piece{}
+		return Piece{Tokens: max(1, c.Tokens)}
 	}
-	p := Piece{Text: c.Choices[0].Delta.Content}
+	p := Piece{Text: c.Choices[0].Delta.Content, Tokens: max(1, c.Tokens)}
 	if c.Choices[0].FinishReason != nil {
 		p.Finish = *c.Choices[0].FinishReason
 	}
--- a/internal/validator/document.go
+++ b/internal/validator/document.go
@@ -88,6 +88,8 @@
 	// FirstTokenTargetMS is the wait for the first token past which a request
 	// is refused early.
 	FirstTokenTargetMS int `json:"first_token_target_ms,omitempty"`
+	// LongWaitMS is how long a request for a long answer may wait for a place.
+	LongWaitMS int `json:"long_wait_ms,omitempty"`
 	// LongTokens is the predicted length from which an answer counts as long.
 	LongTokens int `json:"long_tokens,omitempty"`
 	// LongSharePercent caps the slots of a replica that long answers may hold.
@@ -107,6 +109,7 @@
 	DefaultEvidenceLimit    = time.Second
 	DefaultMaxQueue         = 1024
 	DefaultFirstTokenTarget = 1500 * time.Millisecond
+	DefaultLongWait         = 30 * time.Second
 	DefaultLongTokens       = 512
 	DefaultLongSharePercent = 50
 	DefaultRetentionHours   = 72
@@ -150,6 +153,9 @@
 	return millis(p.FirstTokenTargetMS, DefaultFirstTokenTarget)
 }
 
+// LongWait returns how long a request for a long answer may wait for a place.
+func (p Policy) LongWait() time.Duration { return millis(p.LongWaitMS, DefaultLongWait) }
+
 // Retention returns how long call records are kept.
 func (p Policy) Retention() time.Duration {
 	return time.Duration(orDefault(p.RetentionHours, DefaultRetentionHours)) * time.Hour
--- a/internal/validator/validate.go
+++ b/internal/validator/validate.go
@@ -149,6 +149,7 @@
 	c.between("/policy/unconfirmed_window_ms", p.UnconfirmedWindowMS, 0, 60_000)
 	c.between("/policy/max_queue", p.MaxQueue, 0, 1_000_000)
 	c.between("/policy/first_token_target_ms", p.FirstTokenTargetMS, 0, _maxTimeoutMS)
+	c.between("/policy/long_wait_ms", p.LongWaitMS, 0, _maxTimeoutMS)
 	c.between("/policy/long_tokens", p.LongTokens, 0, _maxTokens)
 	c.between("/policy/long_share_percent", p.LongSharePercent, 0, 100)
 	c.between("/policy/max_loads", p.MaxLoads, 0, _maxReplicas)
