internal/router: entries that have waiting requests share free slots by a draw

Cause: a slot that one entry left free was seen by all others with the same report, and all took it: 333 of 633 late short answers waited in an engine. Ties between replicas were broken alike in all entries. The prior of the estimator kept short answers long until five were seen.

While requests wait, an entry refills what it freed and takes 1/entries of what others left free in each report interval, the fraction by a draw from its salt, the replica and the report. Ties break by the same draw. The prior counts for one answer.

--- a/examples/crest/entry.go
+++ b/examples/crest/entry.go
@@ -44,7 +44,7 @@
 	var policy validator.Policy
 	for i := range p.entries {
 		e := &entry{product: p, requests: make(map[uint64]*request)}
-		e.scheduler.Router = router.Router{DataCentre: dataCentre(i), EvidenceLimit: time.Hour, LongShare: policy.LongShare(), Entries: _entries}
+		e.scheduler.Router = router.Router{DataCentre: dataCentre(i), EvidenceLimit: time.Hour, LongShare: policy.LongShare(), Entries: _entries, Salt: uint64(i)}
 		e.scheduler.QueueLimit = policy.QueueLimit()
 		e.scheduler.Estimator.LongTokens = policy.LongLimit()
 		e.scheduler.ShortWait, e.scheduler.LongWait = policy.FirstTokenTarget(), policy.LongWait()
--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -4,7 +4,7 @@
 
 const (
 	// _prior is how many finished answers the caller's own limit counts for.
-	_prior = 4
+	_prior = 1
 	// _memory is how many finished answers the estimate looks back on.
 	_memory = 64
 	// _unlimited is the length, in tokens, expected of an answer without a limit
@@ -61,7 +61,7 @@
 	if k.MaxTokens > 0 {
 		tokens = min(tokens, k.MaxTokens)
 	}
-	return Estimate{Tokens: tokens, Long: h.long >= 0.5}
+	return Estimate{Tokens: tokens, Long: h.long > 0.5}
 }
 
 // Observe learns from an answer that ended by itself or at its limit.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
 )
 
@@ -57,6 +59,9 @@
 // Request is what the decision depends on.
 type Request struct {
 	Long bool
+	// Contended says that requests wait here; then this entry takes only its part
+	// of the slots that others left free.
+	Contended bool
 	// Tried holds replicas that refused or broke this request.
 	Tried map[Key]bool
 }
@@ -73,6 +78,8 @@
 	// Entries is how many entries share the replicas; 0 means 1. Each takes an
 	// equal part of the slots that long work may hold.
 	Entries int
+	// Salt tells entries apart, so that they don't all break ties alike.
+	Salt uint64
 }
 
 // Decision is the outcome of routing.
@@ -100,7 +107,7 @@
 		d.Usable++
 		slots += int(c.Replica.GetSlots())
 		long += c.LocalLong
-		if full(c) || q.Long && r.longFull(c) {
+		if full(c) || q.Long && r.longFull(c) || q.Contended && !r.mayTake(c) {
 			if d.Chosen == nil {
 				d.Reason = ReasonFull
 			}
@@ -144,7 +151,10 @@
 	if (a.DataCentre == r.DataCentre) != (b.DataCentre == r.DataCentre) {
 		return a.DataCentre == r.DataCentre
 	}
-	return load(a)*int(b.Replica.GetSlots()) < load(b)*int(a.Replica.GetSlots())
+	if x, y := load(a)*int(b.Replica.GetSlots()), load(b)*int(a.Replica.GetSlots()); x != y {
+		return x < y
+	}
+	return r.draw(a) < r.draw(b)
 }
 
 // load is the best guess of the work in the replica. A place that this entry
@@ -154,6 +164,32 @@
 
 func full(c *Candidate) bool { return c.Refused || load(c) >= int(c.Replica.GetSlots()) }
 
+// mayTake says whether a free slot is this entry's to take. What it gave back
+// itself is. Of the slots that others left free each entry takes an equal part
+// in each report interval, the fraction by a draw, so that about as many entries
+// come as there are slots.
+func (r *Router) mayTake(c *Candidate) bool {
+	if c.Recent < 0 {
+		return true
+	}
+	entries := uint64(max(1, r.Entries))
+	free := uint64(max(0, int(c.Replica.GetSlots())-c.Reported))
+	part := free / entries
+	if r.draw(c)%entries < free%entries {
+		part++
+	}
+	return uint64(c.Recent) < part
+}
+
+// draw is a random number of this entry for a replica and report.
+func (r *Router) draw(c *Candidate) uint64 {
+	x := xxhash.Sum64String(c.Replica.GetName()) ^ r.Salt ^ uint64(c.ReportedAt.UnixNano())
+	// The finalizer of SplitMix64 spreads nearby inputs.
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 // longPart returns how many long answers this entry may have in that many slots.
 func (r *Router) longPart(slots int) int {
 	return max(1, int(r.LongShare*float64(slots)/float64(max(1, r.Entries))))
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -15,6 +15,10 @@
 // scheduler fills in the local counts.
 type View func(model, organisation string) []router.Candidate
 
+// _contention is how long after requests last waited the entry goes on to leave
+// other entries their part of the free slots.
+const _contention = time.Second
+
 // Scheduler holds waiting requests and counts the places given out. The zero
 // value refuses each request at its next review; set the fields before use. It
 // is not safe for concurrent use.
@@ -33,6 +37,8 @@
 	places  map[uint64]*place
 	lastID  uint64
 	used    map[router.Key]*used
+	// contended is when a review last left a request without a place.
+	contended time.Time
 }
 
 // waiting is a request in the queue.
@@ -157,10 +163,14 @@
 	for {
 		o, ok := s.next(now, view)
 		if !ok {
-			return out
+			break
 		}
 		out = append(out, o)
 	}
+	if s.Len() > 0 {
+		s.contended = now
+	}
+	return out
 }
 
 func (s *Scheduler) expire(now time.Time) []Outcome {
@@ -185,7 +195,7 @@
 	var chosen router.Candidate
 	item, ok := s.queue.Next(now, func(i queuer.Item) bool {
 		w := s.waiting[i.ID]
-		q := router.Request{Long: w.item.Long, Tried: w.request.Tried}
+		q := router.Request{Long: w.item.Long, Contended: now.Sub(s.contended) < _contention, Tried: w.request.Tried}
 		w.decision = s.Router.Route(q, s.candidates(w.request, view, now), now)
 		if w.decision.Chosen == nil {
 			return false
