--- a/internal/server/chat.go
+++ b/internal/server/chat.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"time"
 
 	"github.com/gin-gonic/gin"
 
