internal/server: a replica that broke an answer is better than none

Cause: on a busy machine a scripted test of a shutdown saw its draft cut. With one replica, a slow probe or a cut connection left no replica that the answer had not tried, and it ended after the resume wait.

Change: a replica that only lost its confirmation is not ruled out, since evidence tells when it is whole again; one that broke the answer is left alone for a second and then tried again where no other serves. Eight attempts in a row that bring the answer no further end it, as before.

--- a/internal/server/answer.go
+++ b/internal/server/answer.go
@@ -21,7 +21,10 @@
 	_silence = 10 * time.Second
 	// _resumeWait is how long a broken answer waits for a place to go on.
 	_resumeWait = 30 * time.Second
-	// _attempts bounds the replicas tried for one answer.
+	// _triedRest is how long an answer that broke looks for another replica
+	// before it goes back to one that broke it.
+	_triedRest = time.Second
+	// _attempts bounds the attempts in a row that bring an answer no further.
 	_attempts = 8
 )
 
@@ -39,12 +42,19 @@
 		Hold: max(0, policy.ProbeInterval()*3/2-policy.UnconfirmedWindow()),
 	}
 	var progress streamer.Progress
-	for len(place.Tried) < _attempts {
+	var giveUp time.Time // zero until the answer breaks
+	for idle := 0; idle < _attempts; idle++ {
 		p, err := s.Dispatcher.Acquire(ctx, place)
+		if len(place.Tried) > 0 && errors.Is(err, scheduler.ErrNoReplica) && time.Now().Before(giveUp) {
+			// A replica that broke the answer is better than none.
+			place.Tried = make(map[router.Key]bool)
+			place.Deadline = giveUp
+			continue
+		}
 		if err != nil {
 			return s.unplaced(ctx, err, progress.Tokens() > 0)
 		}
-		r := p.Replica()
+		r, had := p.Replica(), progress.Tokens()
 		q.Priority = priority(p.Long())
 		err = s.Streamer.Run(ctx, r, q, limits, &progress, func(x streamer.Piece) error {
 			if long := policy.LongLimit(); !p.Long() && progress.Tokens() < long && progress.Tokens()+x.Tokens >= long {
@@ -55,6 +65,7 @@
 		if errors.Is(err, streamer.ErrFull) {
 			// Nothing ran: the request goes back to its turn.
 			p.Refused()
+			idle--
 			continue
 		}
 		if err == nil {
@@ -73,9 +84,17 @@
 		s.Log.Failure("attempt-broken", err, logger.Fields{
 			"request": place.ID, "replica": r.GetName(), "generation": r.GetGeneration(), "tokens": progress.Tokens(),
 		})
-		place.Tried[router.KeyOf(r)] = true
-		place.Done = progress.Tokens()
-		place.Deadline = time.Now().Add(_resumeWait)
+		giveUp = time.Now().Add(_resumeWait)
+		place.Done, place.Deadline = progress.Tokens(), giveUp
+		if !errors.Is(err, streamer.ErrUnconfirmed) {
+			// Evidence tells when a replica that lost a member is whole again;
+			// nothing tells when one that breaks answers is well.
+			place.Tried[router.KeyOf(r)] = true
+			place.Deadline = time.Now().Add(_triedRest)
+		}
+		if progress.Tokens() > had {
+			idle = 0
+		}
 	}
 	return &responder.Problem{
 		Status: http.StatusBadGateway, Code: "attempts-used-up", Message: "the answer broke on every replica tried",
