internal/composer: count the live entries for the dispatcher; long share 40%

Cause: the entries' parts of free and of long slots need the number of entries, which only the measuring program had.

--- a/internal/composer/entry.go
+++ b/internal/composer/entry.go
@@ -1,8 +1,11 @@
 package composer
 
 import (
+	"context"
 	"io"
 
+	"github.com/cespare/xxhash/v2"
+
 	"go.uber.org/fx"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/caller"
@@ -47,7 +50,9 @@
 	if err := m.Gauge("in_flight", "Requests that hold a place in a replica.", d.InFlight); err != nil {
 		return err
 	}
+	d.Salt = xxhash.Sum64String(k.settings.Name())
 	k.run(d.Run)
+	k.run(func(ctx context.Context) { countEntries(ctx, k.settings.Name(), r, d) })
 	return k.services.Register(NameDispatcher, d)
 }
 
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -57,6 +57,8 @@
 type Dispatcher struct {
 	// Meter may be nil. Set it before Run.
 	Meter Meter
+	// Salt tells this entry from others. Set it before Run.
+	Salt uint64
 
 	dataCentre    string
 	configuration Configuration
@@ -69,6 +71,7 @@
 
 	queued   atomic.Int64
 	inFlight atomic.Int64
+	entries  atomic.Int64
 
 	// What follows belongs to Run's goroutine.
 	scheduler scheduler.Scheduler
@@ -83,6 +86,9 @@
 	}
 }
 
+// SetEntries says how many entries share the replicas, this one included.
+func (d *Dispatcher) SetEntries(count int) { d.entries.Store(int64(count)) }
+
 // Waiting returns how many requests wait.
 func (d *Dispatcher) Waiting() int64 { return d.queued.Load() }
 
@@ -172,6 +178,7 @@
 	v := d.newView()
 	d.scheduler.Router = router.Router{
 		DataCentre: d.dataCentre, EvidenceLimit: v.document.Policy.EvidenceLimit(), LongShare: v.document.Policy.LongShare(),
+		Entries: int(d.entries.Load()), Salt: d.Salt,
 	}
 	for _, o := range d.scheduler.Review(time.Now(), v.candidates) {
 		reply := d.replies[o.ID()]
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -154,7 +154,7 @@
 	if x, y := load(a)*int(b.Replica.GetSlots()), load(b)*int(a.Replica.GetSlots()); x != y {
 		return x < y
 	}
-	return r.draw(a) < r.draw(b)
+	return r.Entries > 1 && r.draw(a) < r.draw(b)
 }
 
 // load is the best guess of the work in the replica. A place that this entry
--- a/internal/validator/document.go
+++ b/internal/validator/document.go
@@ -111,7 +111,7 @@
 	DefaultFirstTokenTarget = 1500 * time.Millisecond
 	DefaultLongWait         = 30 * time.Second
 	DefaultLongTokens       = 512
-	DefaultLongSharePercent = 50
+	DefaultLongSharePercent = 40
 	DefaultRetentionHours   = 72
 	DefaultMaxLoads         = 8
 )
