internal/configurer: patches are archived, retried with pauses and judged by fresh reads

Cause: Patch spun without pause on conflicts and lost answers, a patch id older than 50 changes was forgotten, and an overtaken operator was shown the newest change in place of the one that won. Changes are now kept by number and by patch id before they leave the configuration object; recents are bounded in bytes too, so that large patches can't fill the object. Found by the state machine: a stale read of the platform let an accepted patch be refused on repeat; a missing archive object now counts as a stale answer.

--- a/internal/configurer/patch.go
+++ b/internal/configurer/patch.go
@@ -9,20 +9,43 @@
 	"slices"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/cespare/xxhash/v2"
 	jsonpatch "github.com/evanphx/json-patch/v5"
 	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/storer"
 	"github.com/lycheebarrow/lycheebarrow/internal/validator"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
 )
 
-// _recentChanges is how many changes the configuration object itself keeps.
-const _recentChanges = 50
+const (
+	// _recentChanges and _recentBytes bound the changes that the configuration
+	// object itself keeps; the newest one always stays.
+	_recentChanges = 50
+	_recentBytes   = 256 << 10
+	// _patchLimit is how long Patch tries.
+	_patchLimit = 10 * time.Second
+	// _firstRetryWait and _lastRetryWait bound the pause between two tries.
+	_firstRetryWait = 50 * time.Millisecond
+	_lastRetryWait  = 2 * time.Second
+)
+
+// Errors of Patch. Test with errors.Is.
+var (
+	// ErrBase says that the patch is based on another number than the current
+	// one.
+	ErrBase = errors.New("patch is not based on the current configuration")
+	// ErrUnsure says that the patch was sent to the platform and it is not known
+	// whether it was accepted.
+	ErrUnsure = errors.New("it is not known whether the patch was accepted")
+	// ErrTooLarge says that the configuration would not fit the platform.
+	ErrTooLarge = errors.New("configuration is too large")
+)
 
-// ErrBase says that the patch is based on another number than the current one.
-var ErrBase = errors.New("patch is based on an older configuration")
+// errStale says that the platform answered with an older state than was seen.
+var errStale = errors.New("the platform's answer is older than what is known")
 
 // Patch is an operator's change.
 type Patch struct {
@@ -42,7 +65,8 @@
 
 // Error says which change won.
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("configurer: the configuration is at number %d, changed by %s: %s", e.Current, e.Winner.GetAuthor(), e.Winner.GetReason())
+	return fmt.Sprintf("configurer: the configuration is at number %d; number %d was accepted first, by %s: %s",
+		e.Current, e.Winner.GetNumber(), e.Winner.GetAuthor(), e.Winner.GetReason())
 }
 
 // Unwrap returns ErrBase.
@@ -50,50 +74,107 @@
 
 // Patch applies a patch and returns the accepted change. A patch whose id was
 // accepted before returns its first result. Faults of the document are
-// validator.Faults, an overtaken base a *ConflictError.
+// validator.Faults, an overtaken base a *ConflictError. ErrUnsure says that the
+// patch may have been accepted; any other error, that it was not.
+//
+// While the platform fails or other writers come first, Patch tries again for
+// up to _patchLimit.
 func (c *Configurer) Patch(ctx context.Context, p Patch) (*wire.ConfigurationChange, error) {
-	for {
+	unsure := false
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval = _firstRetryWait
+	wait.MaxInterval = _lastRetryWait
+	change, err := backoff.Retry(ctx, func() (*wire.ConfigurationChange, error) {
 		change, err := c.try(ctx, p)
-		if errors.Is(err, storer.ErrConflict) || errors.Is(err, storer.ErrUncertain) {
-			// The next try reads back what was written, and finds either this
-			// patch's own id or the change that won.
-			if ctx.Err() == nil {
-				continue
-			}
+		switch {
+		case err == nil:
+			return change, nil
+		case errors.Is(err, storer.ErrUncertain):
+			unsure = true
+		case !transient(err):
+			// The configuration was read back, so it is known what became of an
+			// earlier try.
+			unsure = false
+			err = backoff.Permanent(err)
 		}
-		return change, err
+		return nil, err
+	}, backoff.WithBackOff(wait), backoff.WithMaxElapsedTime(_patchLimit))
+	if err != nil && unsure {
+		err = fmt.Errorf("%w: %w", ErrUnsure, err)
 	}
+	return change, err
+}
+
+// transient says that another try may succeed: the next one reads back what is
+// stored, and finds this patch's own id or the change that won.
+func transient(err error) bool {
+	return errors.Is(err, storer.ErrConflict) || errors.Is(err, storer.ErrUncertain) ||
+		errors.Is(err, storer.ErrUnavailable) || errors.Is(err, errStale)
 }
 
 func (c *Configurer) try(ctx context.Context, p Patch) (*wire.ConfigurationChange, error) {
+	record, version, err := c.stored(ctx)
+	if err != nil {
+		return nil, err
+	}
+	first, err := c.accepted(ctx, record, p.ID)
+	if err != nil || first != nil {
+		return first, err
+	}
+	if p.Base != record.GetNumber() {
+		winner, err := c.winner(ctx, record, p.Base)
+		if err != nil || winner.GetPatchId() == p.ID {
+			return winner, err
+		}
+		return nil, &ConflictError{Current: record.GetNumber(), Winner: winner}
+	}
+	next, change, err := apply(record, p)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.archive(ctx, record, next); err != nil {
+		return nil, err
+	}
+	if err := c.write(ctx, version, next); err != nil {
+		return nil, err
+	}
+	c.Offer(next, "patch")
+	return change, nil
+}
+
+// stored reads the configuration and its version, 0 where there is none yet.
+func (c *Configurer) stored(ctx context.Context) (*wire.ConfigurationRecord, uint64, error) {
+	record := &wire.ConfigurationRecord{Document: "{}"}
 	o, err := c.store.Get(ctx, Key)
 	if err != nil && !errors.Is(err, storer.ErrNotFound) {
-		return nil, fmt.Errorf("configurer: read the configuration: %w", err)
+		return nil, 0, fmt.Errorf("configurer: read the configuration: %w", err)
 	}
-	record := &wire.ConfigurationRecord{Document: "{}"}
 	if err == nil {
 		if record, err = decode(o.Value); err != nil {
-			return nil, err
+			return nil, 0, err
 		}
 		c.Offer(record, "platform")
 	}
-	for _, x := range record.GetRecent() {
-		if x.GetPatchId() == p.ID {
-			return x, nil
-		}
+	if current := c.Current().Number(); record.GetNumber() < current {
+		return nil, 0, fmt.Errorf("configurer: read the configuration: number %d while %d is known: %w", record.GetNumber(), current, errStale)
 	}
-	if p.Base != record.GetNumber() {
-		return nil, &ConflictError{Current: record.GetNumber(), Winner: last(record.GetRecent())}
+	return record, o.Version, nil
+}
+
+// winner returns the change that took the number after base.
+func (c *Configurer) winner(ctx context.Context, record *wire.ConfigurationRecord, base uint64) (*wire.ConfigurationChange, error) {
+	if base > record.GetNumber() {
+		return last(record.GetRecent()), nil
 	}
-	next, change, err := apply(record, p)
+	changes, err := c.history(ctx, record, base, 1)
 	if err != nil {
 		return nil, err
 	}
-	if err := c.write(ctx, o.Version, next); err != nil {
-		return nil, err
+	if changes[0].GetNumber() != base+1 {
+		// Each number below the recent ones was archived before it left them.
+		return nil, fmt.Errorf("configurer: read the archive: change %d is missing: %w", base+1, errStale)
 	}
-	c.Offer(next, "patch")
-	return change, nil
+	return changes[0], nil
 }
 
 func (c *Configurer) write(ctx context.Context, version uint64, next *wire.ConfigurationRecord) error {
@@ -101,6 +182,9 @@
 	if err != nil {
 		return fmt.Errorf("configurer: encode the configuration: %w", err)
 	}
+	if len(value) > storer.MaxValueBytes {
+		return fmt.Errorf("configurer: %w: %d bytes with the change, allowed: %d", ErrTooLarge, len(value), storer.MaxValueBytes)
+	}
 	if version == 0 {
 		_, err = c.store.Create(ctx, Key, value)
 	} else {
@@ -138,12 +222,21 @@
 // follow returns the record that a change makes of another.
 func follow(record *wire.ConfigurationRecord, change *wire.ConfigurationChange, document []byte) *wire.ConfigurationRecord {
 	recent := append(slices.Clip(record.GetRecent()), change)
-	if len(recent) > _recentChanges {
-		recent = recent[len(recent)-_recentChanges:]
+	for len(recent) > 1 && (len(recent) > _recentChanges || size(recent) > _recentBytes) {
+		recent = recent[1:]
 	}
 	return &wire.ConfigurationRecord{Number: change.GetNumber(), Document: string(document), Recent: recent}
 }
 
+// size returns the bytes of changes in their binary form.
+func size(changes []*wire.ConfigurationChange) int {
+	n := 0
+	for _, x := range changes {
+		n += proto.Size(x)
+	}
+	return n
+}
+
 // canonical returns the one text of a document: members in the order of their
 // names, no spaces. So the same patch makes the same bytes in every process.
 func canonical(document []byte) ([]byte, error) {
--- a/internal/operator/doc.go
+++ b/internal/operator/doc.go
@@ -3,6 +3,7 @@
 //	GET  /operator/v1/configuration            number, document and recent changes
 //	POST /operator/v1/configuration            configurer.Patch; 200 with the change,
 //	                                           409 with the change that won, 422 with faults
+//	GET  /operator/v1/configuration/changes    up to 100 changes after ?after=N, oldest first
 //	GET  /operator/v1/placements               placements by fabric domain
 //	GET  /operator/v1/instances                the list of instances with their evidence
 //	GET  /operator/v1/processes                all known processes, each with its number and age
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/gin-gonic/gin"
@@ -30,6 +31,7 @@
 type Configuration interface {
 	Current() configurer.Snapshot
 	Patch(ctx context.Context, p configurer.Patch) (*wire.ConfigurationChange, error)
+	History(ctx context.Context, after uint64) ([]*wire.ConfigurationChange, error)
 }
 
 // Placements gives the view of placements and instances.
@@ -57,6 +59,7 @@
 	e.Use(gin.CustomRecoveryWithWriter(nil, func(c *gin.Context, _ any) { c.AbortWithStatus(http.StatusInternalServerError) }))
 	g := e.Group("/operator/v1", a.authenticate)
 	g.GET("/configuration", a.configuration)
+	g.GET("/configuration/changes", a.changes)
 	g.POST("/configuration", a.patch)
 	g.GET("/placements", a.placements)
 	g.GET("/instances", a.instances)
@@ -85,6 +88,32 @@
 	give(c, r)
 }
 
+// changes gives a page of the history.
+func (a *API) changes(c *gin.Context) {
+	after, err := strconv.ParseUint(c.DefaultQuery("after", "0"), 10, 64)
+	if err != nil {
+		p := bad("after must be a configuration number")
+		p.Mend = "send ?after=N, the number after which the page begins"
+		refuse(c, p)
+		return
+	}
+	changes, err := a.Configuration.History(c.Request.Context(), after)
+	if err != nil {
+		refuse(c, &responder.Problem{
+			Status: http.StatusServiceUnavailable, Code: "archive-away", Message: err.Error(), Outcome: responder.NotRun,
+			Mend: "older changes are in the platform; ask again once it answers",
+		})
+		return
+	}
+	list := make([]json.RawMessage, 0, len(changes))
+	for _, x := range changes {
+		if text, err := _marshaler.Marshal(x); err == nil {
+			list = append(list, text)
+		}
+	}
+	c.JSON(http.StatusOK, gin.H{"changes": list, "current": a.Configuration.Current().Number()})
+}
+
 func (a *API) placements(c *gin.Context) {
 	list := make([]json.RawMessage, 0)
 	for _, p := range a.Placements.View().Placements() {
@@ -150,6 +179,16 @@
 			"error":   gin.H{"code": "overtaken", "message": err.Error(), "outcome": "not-run", "mend": "look at the change that won, then patch its number"},
 			"current": conflict.Current, "winner": json.RawMessage(winner),
 		})
+	case errors.Is(err, configurer.ErrTooLarge):
+		refuse(c, &responder.Problem{
+			Status: http.StatusUnprocessableEntity, Code: "too-large", Message: err.Error(), Outcome: responder.NotRun,
+			Mend: "split the patch, or remove what is no longer used",
+		})
+	case !errors.Is(err, configurer.ErrUnsure):
+		refuse(c, &responder.Problem{
+			Status: http.StatusServiceUnavailable, Code: "platform-away", Message: err.Error(), Outcome: responder.NotRun,
+			Mend: "nothing was changed; send the same patch again once the platform answers",
+		})
 	default:
 		refuse(c, &responder.Problem{
 			Status: http.StatusServiceUnavailable, Code: "patch-unsure", Message: err.Error(), Outcome: responder.Unknown,
--- a/internal/replicator/fleet_test.go
+++ b/internal/replicator/fleet_test.go
@@ -14,6 +14,7 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 	"github.com/lycheebarrow/lycheebarrow/internal/reader"
 	"github.com/lycheebarrow/lycheebarrow/internal/replicator"
+	"github.com/lycheebarrow/lycheebarrow/internal/standin"
 	"github.com/lycheebarrow/lycheebarrow/internal/storer"
 	"github.com/lycheebarrow/lycheebarrow/internal/watcher"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
@@ -26,7 +27,7 @@
 
 // fleet is a number of processes before one store, without sockets.
 type fleet struct {
-	store   *store
+	store   *standin.Store
 	members []*member
 	byPeer  map[string]*member
 	direct  bool // every process watches the platform itself
@@ -52,7 +53,7 @@
 }
 
 func newFleet() *fleet {
-	return &fleet{store: newStore(), byPeer: make(map[string]*member), cut: make(map[string]bool)}
+	return &fleet{store: standin.NewStore(), byPeer: make(map[string]*member), cut: make(map[string]bool)}
 }
 
 // add makes a process that knows the seeds.
@@ -68,7 +69,7 @@
 	m.cancel = cancel
 	seed := uint64(len(m.fleet.members))
 	turns := [2]*reader.Turn{{Seed: seed}, {Seed: seed + 1<<32}}
-	view := &platform{store: m.fleet.store, cut: func() bool { return m.fleet.isCut(m.dataCentre) }}
+	view := &platform{Store: m.fleet.store, cut: func() bool { return m.fleet.isCut(m.dataCentre) }}
 	m.configuration = configurer.New(view, turns[0], logger.Logger{})
 	m.placements = watcher.New(view, turns[1], logger.Logger{})
 	address := m.name + ":1"
@@ -188,7 +189,7 @@
 
 // platform is one process's way to the store.
 type platform struct {
-	*store
+	*standin.Store
 	cut func() bool
 }
 
@@ -196,14 +197,14 @@
 	if p.cut() {
 		return storer.Object{}, storer.ErrUnavailable
 	}
-	return p.store.Get(ctx, key)
+	return p.Store.Get(ctx, key)
 }
 
 func (p *platform) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (storer.Object, error) {
 	if p.cut() {
 		return storer.Object{}, storer.ErrUnavailable
 	}
-	o, err := p.store.Watch(ctx, key, after, wait)
+	o, err := p.Store.Watch(ctx, key, after, wait)
 	if p.cut() {
 		return storer.Object{}, storer.ErrUnavailable
 	}
@@ -214,5 +215,5 @@
 	if p.cut() {
 		return nil, storer.ErrUnavailable
 	}
-	return p.store.List(ctx, prefix)
+	return p.Store.List(ctx, prefix)
 }
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/configurer"
+	"github.com/lycheebarrow/lycheebarrow/internal/standin"
 	"github.com/lycheebarrow/lycheebarrow/internal/watcher"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
 )
@@ -80,7 +81,7 @@
 			},
 			after: func(_ *testing.T, f *fleet) {
 				time.Sleep(time.Minute)
-				f.store.setOut(true)
+				f.store.SetOut(true)
 				f.setCut("qld-tsv", false)
 			},
 			without: 1,
@@ -90,7 +91,7 @@
 			name: "entry starts during an outage of the platform",
 			after: func(_ *testing.T, f *fleet) {
 				time.Sleep(time.Second)
-				f.store.setOut(true)
+				f.store.SetOut(true)
 				f.add("qld-tsv", 8, "qld-bne-000:1", "qld-bne-003:1")
 			},
 		},
@@ -104,7 +105,7 @@
 			before: func(_ *testing.T, f *fleet) { f.setCut("qld-tsv", true); time.Sleep(20 * time.Minute) },
 			after: func(_ *testing.T, f *fleet) {
 				time.Sleep(time.Minute)
-				f.store.setOut(true)
+				f.store.SetOut(true)
 				f.setCut("qld-tsv", false)
 			},
 		},
@@ -140,7 +141,7 @@
 	}
 }
 
-func write(t *testing.T, s *store, p *wire.Placement) {
+func write(t *testing.T, s *standin.Store, p *wire.Placement) {
 	t.Helper()
 	value, err := protojson.Marshal(p)
 	require.NoError(t, err)
@@ -163,7 +164,7 @@
 				require.Equal(t, revision, m.placements.View().Placements()["placement/qld-bne/f1"].GetRevision(), m.name)
 			}
 		}
-		f.store.setOut(true)
+		f.store.SetOut(true)
 		time.Sleep(10 * time.Minute)
 		late := f.add("qld-cns", 9, "qld-bne-000:1")
 		time.Sleep(limit)
--- a/internal/replicator/slope_test.go
+++ b/internal/replicator/slope_test.go
@@ -121,13 +121,13 @@
 	require.NoError(t, err)
 	load(t, f, n, warmUp)
 	bytes, exchanges := f.counts()
-	calls, spent := f.store.total(), cpu()
+	calls, spent := f.store.Calls(), cpu()
 	load(t, f, n, measured)
 	seconds := measured.Seconds() * float64(n)
 	bytesAfter, exchangesAfter := f.counts()
 	perProcess := 2 * float64(bytesAfter-bytes) / seconds
 	t.Logf("n=%d direct=%v: digests %.0f B/s sent and received, %.2f exchanges/s, cpu %.3f%% of a core, heap %.2f MB, each; platform %.2f calls/s, all together",
 		n, direct, perProcess, 2*float64(exchangesAfter-exchanges)/seconds, 100*(cpu()-spent).Seconds()/seconds,
-		float64(heap()-before)/float64(n)/(1<<20), float64(f.store.total()-calls)/measured.Seconds())
+		float64(heap()-before)/float64(n)/(1<<20), float64(f.store.Calls()-calls)/measured.Seconds())
 	require.Less(t, perProcess, float64(bytesLimit))
 }
