--- a/internal/composer/entry.go
+++ b/internal/composer/entry.go
@@ -9,20 +9,20 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/configurer"
 	"github.com/lycheebarrow/lycheebarrow/internal/dispatcher"
 	"github.com/lycheebarrow/lycheebarrow/internal/loader"
+	"github.com/lycheebarrow/lycheebarrow/internal/meter"
 	"github.com/lycheebarrow/lycheebarrow/internal/networker"
 	"github.com/lycheebarrow/lycheebarrow/internal/prober"
 	"github.com/lycheebarrow/lycheebarrow/internal/recorder"
 	"github.com/lycheebarrow/lycheebarrow/internal/registrar"
 	"github.com/lycheebarrow/lycheebarrow/internal/replicator"
 	"github.com/lycheebarrow/lycheebarrow/internal/server"
-	"github.com/lycheebarrow/lycheebarrow/internal/storer"
 	"github.com/lycheebarrow/lycheebarrow/internal/streamer"
 	"github.com/lycheebarrow/lycheebarrow/internal/watcher"
 )
 
 // Entry returns the application of an entry. Log lines go to output.
 func Entry(s loader.Settings, network networker.Network, output io.Writer) *fx.App {
-	return compose(s, network, output, buildShared, buildProber, buildPeers, buildDispatcher, buildServer, buildOperator)
+	return compose(s, network, output, buildMeter, buildShared, buildProber, buildPeers, buildDispatcher, buildRecorder, buildServer, buildOperator, buildReadiness)
 }
 
 func buildDispatcher(k *kernel) error {
@@ -30,11 +30,22 @@
 	if err != nil {
 		return err
 	}
+	m, err := registrar.Find[*meter.Meter](&k.services, NameMeter)
+	if err != nil {
+		return err
+	}
 	r, err := registrar.Find[*replicator.Replicator](&k.services, NameReplicator)
 	if err != nil {
 		return err
 	}
 	d := dispatcher.New(k.settings.DataCentre(), c, w, &evidence{Prober: p, departures: r}, k.log)
+	d.Meter = m
+	if err := m.Gauge("queue_length", "Requests that wait for a place in a replica.", d.Waiting); err != nil {
+		return err
+	}
+	if err := m.Gauge("in_flight", "Requests that hold a place in a replica.", d.InFlight); err != nil {
+		return err
+	}
 	k.run(d.Run)
 	return k.services.Register(NameDispatcher, d)
 }
@@ -48,14 +59,19 @@
 	if err != nil {
 		return err
 	}
-	store, err := registrar.Find[*storer.Client](&k.services, NameStore)
+	r, err := registrar.Find[*recorder.Recorder](&k.services, NameRecorder)
+	if err != nil {
+		return err
+	}
+	m, err := registrar.Find[*meter.Meter](&k.services, NameMeter)
 	if err != nil {
 		return err
 	}
 	s := &server.Server{
 		Configuration: c, Dispatcher: d, Streamer: streamer.New(k.network, p), Caller: caller.New(k.network),
-		Recorder: recorder.New(store, k.log), Log: k.log, Process: k.settings.Name(),
+		Recorder: r, Log: k.log, Meter: m, Process: k.settings.Name(),
 		DataCentre: k.settings.DataCentre(), MaxBodyBytes: k.settings.MaxBodyBytes(),
+		ReadLimit: k.settings.CallersReadLimit(), WriteLimit: k.settings.CallersWriteLimit(),
 	}
 	l, err := k.listen("callers", k.settings.CallersListen())
 	if err != nil {
--- a/internal/configurer/patch.go
+++ b/internal/configurer/patch.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/lycheebarrow/lycheebarrow/internal/comparer"
 	"github.com/lycheebarrow/lycheebarrow/internal/storer"
 	"github.com/lycheebarrow/lycheebarrow/internal/validator"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
@@ -207,7 +208,7 @@
 	if merged, err = canonical(merged); err != nil {
 		return nil, nil, err
 	}
-	values, err := compare([]byte(record.GetDocument()), merged)
+	values, err := changed([]byte(record.GetDocument()), merged)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -253,6 +254,19 @@
 	return text, nil
 }
 
+// changed returns the values that a patch changes.
+func changed(before, after []byte) ([]*wire.ValueChange, error) {
+	values, err := comparer.Compare(before, after)
+	if err != nil {
+		return nil, fmt.Errorf("configurer: compare: %w", err)
+	}
+	out := make([]*wire.ValueChange, len(values))
+	for i, v := range values {
+		out[i] = &wire.ValueChange{Path: v.Path, Before: v.Before, After: v.After}
+	}
+	return out, nil
+}
+
 func last(changes []*wire.ConfigurationChange) *wire.ConfigurationChange {
 	if len(changes) == 0 {
 		return nil
--- /dev/null
+++ b/internal/dispatcher/place.go
@@ -0,0 +1,39 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/wire"
+)
+
+// Place is a place in a replica. Give it back with Release or Refused, once.
+type Place struct {
+	id      uint64
+	replica *wire.Replica
+	long    bool
+	owner   *Dispatcher
+}
+
+// Replica returns the replica. Callers must not change it.
+func (p *Place) Replica() *wire.Replica { return p.replica }
+
+// Long says that the answer is expected to be long.
+func (p *Place) Long() bool { return p.long }
+
+// Grow says that the answer has that many tokens by now.
+func (p *Place) Grow(tokens int) {
+	p.owner.tell(func() { p.owner.scheduler.Grow(p.id, tokens) })
+}
+
+// Release gives the place back. Tokens is the length of the whole answer, 0
+// where it is not whole.
+func (p *Place) Release(tokens int) {
+	p.owner.inFlight.Add(-1)
+	p.owner.tell(func() { p.owner.scheduler.Release(p.id, tokens, time.Now()) })
+}
+
+// Refused gives the place back because the replica was full and ran nothing.
+func (p *Place) Refused() {
+	p.owner.inFlight.Add(-1)
+	p.owner.tell(func() { p.owner.scheduler.Refused(p.id, time.Now()) })
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -43,6 +43,9 @@
 type API struct {
 	Configuration Configuration
 	Placements    Placements
+	Evidence      Evidence
+	// Decisions may be nil.
+	Decisions Decisions
 	// Self describes this process.
 	Self func() *wire.ProcessRecord
 	// Processes returns what is known of all processes, this one included.
@@ -63,6 +66,7 @@
 	g.POST("/configuration", a.patch)
 	g.GET("/placements", a.placements)
 	g.GET("/instances", a.instances)
+	g.GET("/decisions", a.decisions)
 	g.GET("/processes", a.processes)
 	g.GET("/process", func(c *gin.Context) { give(c, a.Self()) })
 	return e
@@ -125,14 +129,6 @@
 	c.JSON(http.StatusOK, gin.H{"placements": list})
 }
 
-func (a *API) instances(c *gin.Context) {
-	list := make([]any, 0)
-	for _, i := range a.Placements.View().Instances() {
-		list = append(list, i)
-	}
-	c.JSON(http.StatusOK, gin.H{"instances": list})
-}
-
 func (a *API) processes(c *gin.Context) {
 	list := make([]json.RawMessage, 0)
 	for _, p := range a.Processes(c.Request.Context()) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -11,13 +11,13 @@
 	"github.com/google/uuid"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/authenticator"
-	"github.com/lycheebarrow/lycheebarrow/internal/caller"
+	"github.com/lycheebarrow/lycheebarrow/internal/chooser"
 	"github.com/lycheebarrow/lycheebarrow/internal/configurer"
 	"github.com/lycheebarrow/lycheebarrow/internal/dispatcher"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 	"github.com/lycheebarrow/lycheebarrow/internal/messenger"
-	"github.com/lycheebarrow/lycheebarrow/internal/recorder"
 	"github.com/lycheebarrow/lycheebarrow/internal/responder"
+	"github.com/lycheebarrow/lycheebarrow/internal/scheduler"
 	"github.com/lycheebarrow/lycheebarrow/internal/streamer"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
 )
@@ -32,7 +32,7 @@
 
 // Dispatcher gives requests a place in a replica.
 type Dispatcher interface {
-	Acquire(ctx context.Context, q dispatcher.Request) (*dispatcher.Place, error)
+	Acquire(ctx context.Context, q scheduler.Request) (*dispatcher.Place, error)
 }
 
 // Streamer brings the rest of an answer from a replica.
@@ -40,15 +40,11 @@
 	Run(ctx context.Context, r *wire.Replica, q messenger.ChatRequest, l streamer.Limits, p *streamer.Progress, sink func(streamer.Piece) error) error
 }
 
-// Caller sends one call to a plain service.
-type Caller interface {
-	Send(ctx context.Context, c caller.Call) (caller.Result, error)
-}
-
-// Recorder keeps the records of calls that may not be repeated.
-type Recorder interface {
-	Begin(ctx context.Context, record *wire.CallRecord) (*recorder.Claim, error)
-	Finish(ctx context.Context, c *recorder.Claim, record *wire.CallRecord) error
+// Meter measures requests.
+type Meter interface {
+	Ended(organisation, outcome string)
+	Refused(code string)
+	FirstToken(organisation string, after time.Duration)
 }
 
 // Server serves callers. Set the fields before Handler; they don't change
@@ -59,13 +55,21 @@
 	Streamer      Streamer
 	Caller        Caller
 	Recorder      Recorder
-	Log           logger.Logger
-	Process       string
-	DataCentre    string
-	MaxBodyBytes  int64
+	// Leaving tells which upstreams of services are leaving; nil says none.
+	Leaving      Leaving
+	Log          logger.Logger
+	Meter        Meter // may be nil
+	Process      string
+	DataCentre   string
+	MaxBodyBytes int64
+	// ReadLimit bounds the time for a request's body to arrive; 0 means no limit.
+	ReadLimit time.Duration
+	// WriteLimit bounds the time for a caller to take the next part of a streamed
+	// answer; 0 means no limit.
+	WriteLimit time.Duration
 
 	draining atomic.Bool
-	turn     atomic.Uint64
+	chooser  chooser.Chooser
 }
 
 // identity is who makes a request.
@@ -79,7 +83,7 @@
 	gin.SetMode(gin.ReleaseMode)
 	e := gin.New()
 	e.HandleMethodNotAllowed = true
-	e.Use(gin.CustomRecoveryWithWriter(nil, s.recovered), s.identify)
+	e.Use(gin.CustomRecoveryWithWriter(nil, s.recovered), s.measure, s.identify)
 	e.POST("/v1/chat/completions", s.chat)
 	e.GET("/v1/models", s.models)
 	e.Any("/services/:name/*path", s.service)
@@ -159,6 +163,9 @@
 		"request": who.request, "organisation": who.organisation, "code": p.Code,
 		"status": p.Status, "outcome": p.Outcome, "message": p.Message,
 	})
+	if s.Meter != nil {
+		s.Meter.Refused(p.Code)
+	}
 	p.Write(c.Writer)
 	c.Abort()
 }
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -8,9 +8,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/networker"
@@ -60,8 +62,16 @@
 	ChecksFencing bool `json:"checks_fencing"`
 }
 
+// Meter counts calls of the platform.
+type Meter interface {
+	Called(call string, answered bool)
+}
+
 // Client calls the object API. It is safe for concurrent use.
 type Client struct {
+	// Meter may be nil. Set it before use.
+	Meter Meter
+
 	base string
 	http *http.Client
 }
@@ -172,7 +182,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, _callTimeout)
 	defer cancel()
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
 	res, err := c.do(ctx, method, "/objects/"+key, value, header, match)
+	if err != nil && !connected.Load() {
+		return 0, fmt.Errorf("storer: write %s at %s: %w: %w", key, c.base, ErrUnavailable, err)
+	}
 	if err != nil {
 		return 0, fmt.Errorf("storer: write %s at %s: %w: %w", key, c.base, ErrUncertain, err)
 	}
@@ -196,7 +213,36 @@
 	if header != "" {
 		req.Header.Set(header, value)
 	}
-	return c.http.Do(req)
+	res, err := c.http.Do(req)
+	if c.Meter != nil {
+		c.Meter.Called(callName(method, path, header), err == nil && answered(res.StatusCode))
+	}
+	return res, err
+}
+
+// callName names a call for the metrics.
+func callName(method, path, header string) string {
+	switch {
+	case strings.HasPrefix(path, "/instances"):
+		return "instances"
+	case strings.HasPrefix(path, "/objects?"):
+		return "list"
+	case method == http.MethodGet && strings.Contains(path, "wait_ms="):
+		return "watch"
+	case method == http.MethodGet:
+		return "get"
+	case method == http.MethodDelete:
+		return "delete"
+	case header == "If-None-Match":
+		return "create"
+	default:
+		return "update"
+	}
+}
+
+// answered says that the platform took the call.
+func answered(status int) bool {
+	return status < http.StatusInternalServerError && status != http.StatusTooManyRequests
 }
 
 func readError(status int) error {
