internal/configurer: an unreadable platform leaves a patch's outcome open

Cause: a patch that could not be sent was called not-run, which would be false for the repeat of one whose answer was lost; the script test of lbctl found it. The conflict shows the newest change, as lbctl's script test expects.

--- a/internal/configurer/archive.go
+++ b/internal/configurer/archive.go
@@ -54,10 +54,6 @@
 		return fmt.Errorf("configurer: encode change %d: %w", x.GetNumber(), err)
 	}
 	_, err = c.store.Create(ctx, key, value)
-	if errors.Is(err, storer.ErrUncertain) {
-		// The configuration itself was not sent yet, so this is no unsure patch.
-		return fmt.Errorf("configurer: archive change %d: %w", x.GetNumber(), storer.ErrUnavailable)
-	}
 	if err != nil && !errors.Is(err, storer.ErrConflict) {
 		return fmt.Errorf("configurer: archive change %d: %w", x.GetNumber(), err)
 	}
--- a/internal/configurer/patch.go
+++ b/internal/configurer/patch.go
@@ -38,9 +38,6 @@
 	// ErrBase says that the patch is based on another number than the current
 	// one.
 	ErrBase = errors.New("patch is not based on the current configuration")
-	// ErrUnsure says that the patch was sent to the platform and it is not known
-	// whether it was accepted.
-	ErrUnsure = errors.New("it is not known whether the patch was accepted")
 	// ErrTooLarge says that the configuration would not fit the platform.
 	ErrTooLarge = errors.New("configuration is too large")
 )
@@ -75,35 +72,23 @@
 
 // Patch applies a patch and returns the accepted change. A patch whose id was
 // accepted before returns its first result. Faults of the document are
-// validator.Faults, an overtaken base a *ConflictError. ErrUnsure says that the
-// patch may have been accepted; any other error, that it was not.
+// validator.Faults, an overtaken base a *ConflictError. These and ErrTooLarge say
+// that the patch was not accepted; any other error leaves it open, also where
+// nothing was sent, since an earlier Patch with the id may have been accepted.
 //
 // While the platform fails or other writers come first, Patch tries again for
 // up to _patchLimit.
 func (c *Configurer) Patch(ctx context.Context, p Patch) (*wire.ConfigurationChange, error) {
-	unsure := false
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval = _firstRetryWait
 	wait.MaxInterval = _lastRetryWait
-	change, err := backoff.Retry(ctx, func() (*wire.ConfigurationChange, error) {
+	return backoff.Retry(ctx, func() (*wire.ConfigurationChange, error) {
 		change, err := c.try(ctx, p)
-		switch {
-		case err == nil:
-			return change, nil
-		case errors.Is(err, storer.ErrUncertain):
-			unsure = true
-		case !transient(err):
-			// The configuration was read back, so it is known what became of an
-			// earlier try.
-			unsure = false
+		if err != nil && !transient(err) {
 			err = backoff.Permanent(err)
 		}
-		return nil, err
+		return change, err
 	}, backoff.WithBackOff(wait), backoff.WithMaxElapsedTime(_patchLimit))
-	if err != nil && unsure {
-		err = fmt.Errorf("%w: %w", ErrUnsure, err)
-	}
-	return change, err
 }
 
 // transient says that another try may succeed: the next one reads back what is
@@ -123,11 +108,13 @@
 		return first, err
 	}
 	if p.Base != record.GetNumber() {
-		winner, err := c.winner(ctx, record, p.Base)
-		if err != nil || winner.GetPatchId() == p.ID {
-			return winner, err
+		if p.Base < record.GetNumber() {
+			first, err := c.next(ctx, record, p.Base)
+			if err != nil || first.GetPatchId() == p.ID {
+				return first, err
+			}
 		}
-		return nil, &ConflictError{Current: record.GetNumber(), Winner: winner}
+		return nil, &ConflictError{Current: record.GetNumber(), Winner: last(record.GetRecent())}
 	}
 	next, change, err := apply(record, p)
 	if err != nil {
@@ -162,11 +149,9 @@
 	return record, o.Version, nil
 }
 
-// winner returns the change that took the number after base.
-func (c *Configurer) winner(ctx context.Context, record *wire.ConfigurationRecord, base uint64) (*wire.ConfigurationChange, error) {
-	if base > record.GetNumber() {
-		return last(record.GetRecent()), nil
-	}
+// next returns the change that took the number after base. It has the patch's
+// own id where a stale answer hid that the patch was accepted.
+func (c *Configurer) next(ctx context.Context, record *wire.ConfigurationRecord, base uint64) (*wire.ConfigurationChange, error) {
 	changes, err := c.history(ctx, record, base, 1)
 	if err != nil {
 		return nil, err
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -180,11 +180,6 @@
 			Status: http.StatusUnprocessableEntity, Code: "too-large", Message: err.Error(), Outcome: responder.NotRun,
 			Mend: "split the patch, or remove what is no longer used",
 		})
-	case !errors.Is(err, configurer.ErrUnsure):
-		refuse(c, &responder.Problem{
-			Status: http.StatusServiceUnavailable, Code: "platform-away", Message: err.Error(), Outcome: responder.NotRun,
-			Mend: "nothing was changed; send the same patch again once the platform answers",
-		})
 	default:
 		refuse(c, &responder.Problem{
 			Status: http.StatusServiceUnavailable, Code: "patch-unsure", Message: err.Error(), Outcome: responder.Unknown,
