--- a/internal/server/chat.go
+++ b/internal/server/chat.go
@@ -1,37 +1,23 @@
 package server
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"maps"
 	"net/http"
+	"os"
 	"slices"
-	"time"
 
 	"github.com/gin-gonic/gin"
 
-	"github.com/lycheebarrow/lycheebarrow/internal/dispatcher"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 	"github.com/lycheebarrow/lycheebarrow/internal/messenger"
 	"github.com/lycheebarrow/lycheebarrow/internal/responder"
-	"github.com/lycheebarrow/lycheebarrow/internal/streamer"
 	"github.com/lycheebarrow/lycheebarrow/internal/validator"
 )
 
-const (
-	// _silence is the longest wait for an engine's next token.
-	_silence = 10 * time.Second
-	// _resumeWait is how long a broken answer waits for a place to go on.
-	_resumeWait = 30 * time.Second
-	// _attempts bounds the replicas tried for one answer.
-	_attempts = 8
-	// _defaultMaxTokens is the length taken for an answer without max_tokens.
-	_defaultMaxTokens = 256
-)
-
 // chat serves POST /v1/chat/completions.
 func (s *Server) chat(c *gin.Context) {
 	q, problem := s.readChat(c)
@@ -47,7 +33,7 @@
 	}
 	var w answerWriter = &wholeWriter{gin: c, model: q.Model}
 	if q.Stream {
-		w = &streamWriter{gin: c, model: q.Model}
+		w = &streamWriter{gin: c, model: q.Model, limit: s.WriteLimit}
 	}
 	if problem := s.answer(c, q, w); problem != nil {
 		if w.started() {
@@ -93,7 +79,7 @@
 	var body []byte
 	var err error
 	if !announced {
-		body, err = io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, s.MaxBodyBytes))
+		body, err = s.readWithin(c)
 	}
 	var large *http.MaxBytesError
 	if announced || errors.As(err, &large) {
@@ -102,6 +88,12 @@
 			Outcome: responder.NotRun, Mend: "send a smaller body",
 		}
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, &responder.Problem{
+			Status: http.StatusRequestTimeout, Code: "body-late", Message: fmt.Sprintf("the body did not arrive within %s", s.ReadLimit),
+			Outcome: responder.NotRun, Mend: "send the request again, whole",
+		}
+	}
 	if err != nil {
 		return nil, &responder.Problem{
 			Status: http.StatusBadRequest, Code: "body-cut", Message: "the body ended early: " + err.Error(),
@@ -111,6 +103,17 @@
 	return body, nil
 }
 
+// readWithin reads a body within the limits of size and time.
+func (s *Server) readWithin(c *gin.Context) ([]byte, error) {
+	if s.ReadLimit > 0 {
+		control := http.NewResponseController(c.Writer)
+		_ = control.SetReadDeadline(time.Now().Add(s.ReadLimit))
+		// Left in place, the deadline would look like a caller that went away.
+		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	}
+	return io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, s.MaxBodyBytes))
+}
+
 // offers says whether a group serves the model to the organisation.
 func (s *Server) offers(organisation, model string) bool {
 	return slices.Contains(offered(s.Configuration.Current().Document(), organisation), model)
@@ -139,73 +142,3 @@
 	}
 	c.JSON(http.StatusOK, gin.H{"object": "list", "data": list})
 }
-
-// answer brings the whole answer, from as many replicas as it takes.
-func (s *Server) answer(c *gin.Context, q messenger.ChatRequest, w answerWriter) *responder.Problem {
-	ctx := c.Request.Context()
-	begun := time.Now()
-	policy := s.Configuration.Current().Document().Policy
-	cost := q.MaxTokens
-	if cost == 0 {
-		cost = _defaultMaxTokens
-	}
-	place := dispatcher.Request{
-		ID: who(c).request, Organisation: who(c).organisation, Model: q.Model, Cost: cost,
-		Long: cost >= policy.LongLimit(), Tried: make(map[string]bool),
-		Deadline: time.Now().Add(policy.FirstTokenTarget()),
-	}
-	limits := streamer.Limits{
-		Window: policy.UnconfirmedWindow(), Evidence: policy.EvidenceLimit(), Silence: _silence,
-		Hold: max(0, policy.ProbeInterval()*3/2-policy.UnconfirmedWindow()),
-	}
-	var progress streamer.Progress
-	for range _attempts {
-		p, err := s.Dispatcher.Acquire(ctx, place)
-		if err != nil {
-			return s.unplaced(ctx, err, progress.Tokens() > 0)
-		}
-		r := p.Replica()
-		err = s.Streamer.Run(ctx, r, q, limits, &progress, w.piece)
-		p.Release()
-		if err == nil {
-			w.end()
-			s.Log.Event("answer", logger.Fields{
-				"request": place.ID, "organisation": place.Organisation, "replica": r.GetName(),
-				"tokens": progress.Tokens(), "duration_ms": time.Since(begun).Milliseconds(),
-			})
-			return nil
-		}
-		if errors.Is(err, streamer.ErrCaller) {
-			return &responder.Problem{Status: http.StatusBadRequest, Code: "caller-gone", Message: err.Error(), Outcome: responder.Ran}
-		}
-		s.Log.Failure("attempt-broken", err, logger.Fields{
-			"request": place.ID, "replica": r.GetName(), "generation": r.GetGeneration(), "tokens": progress.Tokens(),
-		})
-		place.Tried[r.GetName()] = true
-		place.Deadline = time.Now().Add(_resumeWait)
-	}
-	return &responder.Problem{
-		Status: http.StatusBadGateway, Code: "attempts-used-up", Message: "the answer broke on every replica tried",
-		Outcome: responder.Unknown, Mend: "send the request again", RetryAfter: time.Second,
-	}
-}
-
-// unplaced turns a failed Acquire into a refusal.
-func (s *Server) unplaced(ctx context.Context, err error, begun bool) *responder.Problem {
-	p := &responder.Problem{
-		Status: http.StatusServiceUnavailable, Code: "busy", Message: err.Error(),
-		Outcome: responder.NotRun, Mend: "send the request again later", RetryAfter: time.Second,
-	}
-	switch {
-	case ctx.Err() != nil:
-		p.Code, p.RetryAfter = "caller-gone", 0
-	case errors.Is(err, dispatcher.ErrQueueFull):
-		p.Status, p.Code = http.StatusTooManyRequests, "queue-full"
-	case errors.Is(err, dispatcher.ErrNoReplica):
-		p.Code, p.RetryAfter = "no-replica", 5*time.Second
-	}
-	if begun {
-		p.Outcome = responder.Ran
-	}
-	return p
-}
--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -24,6 +24,9 @@
 var (
 	// ErrRefused says that the replica did not run the attempt.
 	ErrRefused = errors.New("replica refused")
+	// ErrFull says that the replica did not run the attempt because its queue
+	// was full.
+	ErrFull = errors.New("replica is full")
 	// ErrCut says that the answer ended before its end marker.
 	ErrCut = errors.New("answer was cut")
 	// ErrForeign says that the answer belongs to another attempt or generation.
@@ -66,6 +69,7 @@
 // Piece is a part of the answer that may be passed on.
 type Piece struct {
 	Text   string
+	Tokens int
 	Finish string // reason of the end, empty before it
 }
 
@@ -166,6 +170,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrCut, err)
 	}
+	if res.StatusCode == http.StatusTooManyRequests {
+		res.Body.Close()
+		return nil, ErrFull
+	}
 	if res.StatusCode != http.StatusOK {
 		res.Body.Close()
 		return nil, fmt.Errorf("status %d: %w", res.StatusCode, ErrRefused)
@@ -232,7 +240,7 @@
 			return fmt.Errorf("%w: %w", ErrCaller, err)
 		}
 		p.text.WriteString(piece.Text)
-		p.tokens += max(1, h.chunk.Tokens)
+		p.tokens += piece.Tokens
 	}
 }
 
@@ -289,9 +297,9 @@
 
 func pieceOf(c messenger.ChatChunk) Piece {
 	if len(c.Choices) == 0 {
-		return Piece{}
+		return Piece{Tokens: max(1, c.Tokens)}
 	}
-	p := Piece{Text: c.Choices[0].Delta.Content}
+	p := Piece{Text: c.Choices[0].Delta.Content, Tokens: max(1, c.Tokens)}
 	if c.Choices[0].FinishReason != nil {
 		p.Finish = *c.Choices[0].FinishReason
 	}
