--- a/internal/placer/fleet_test.go
+++ b/internal/placer/fleet_test.go
@@ -36,6 +36,9 @@
 	calls   map[string]int
 	bytes   int
 	loads   int
+	// decoded is the placements at the version decodedAt.
+	decoded   []*wire.Placement
+	decodedAt uint64
 }
 
 // engine is a model of one instance. The fleet's lock guards it.
@@ -125,8 +128,11 @@
 	return nil
 }
 
-// placements decodes what is stored.
+// placements decodes what is stored. The caller holds the lock.
 func (f *fleet) placements() []*wire.Placement {
+	if f.decoded != nil && f.decodedAt == f.version {
+		return f.decoded
+	}
 	var out []*wire.Placement
 	for _, k := range slices.Sorted(maps.Keys(f.objects)) {
 		if strings.HasPrefix(k, "placement/") {
@@ -137,6 +143,7 @@
 			out = append(out, p)
 		}
 	}
+	f.decoded, f.decodedAt = out, f.version
 	return out
 }
 
