internal/surveyor: upstreams of services that leave get no new calls

Cause: an entry learned of a leaving service upstream from nowhere but an operator's drain. Each test case was seen failing with its rule taken out.

The service stand-in kept old faults when new ones were switched; it sets all of them anew, as the other stand-ins do. Session services shows a refusal sent again, a leaving upstream, failover and the end of both; a service's own answer prints as such, and log lines show service and address.

--- a/internal/composer/calls.go
+++ b/internal/composer/calls.go
@@ -6,13 +6,18 @@
 	"go.uber.org/fx"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/configurer"
+	"github.com/lycheebarrow/lycheebarrow/internal/messenger"
 	"github.com/lycheebarrow/lycheebarrow/internal/recorder"
 	"github.com/lycheebarrow/lycheebarrow/internal/registrar"
 	"github.com/lycheebarrow/lycheebarrow/internal/storer"
+	"github.com/lycheebarrow/lycheebarrow/internal/surveyor"
 )
 
-// NameRecorder is the name of the keeper of call records.
-const NameRecorder = "recorder"
+// Names of the services that calls to plain services need.
+const (
+	NameRecorder = "recorder"
+	NameSurveyor = "surveyor"
+)
 
 // buildRecorder builds the keeper of call records and what trims them. It is
 // closed after the server, which stands later in the order.
@@ -34,3 +39,16 @@
 	k.run(t.Run)
 	return k.services.Register(NameRecorder, r)
 }
+
+// buildSurveyor builds what learns of leaving upstreams of plain services.
+func buildSurveyor(k *kernel) error {
+	c, w, _, err := views(k)
+	if err != nil {
+		return err
+	}
+	client := messenger.New(k.network)
+	k.life.Append(fx.StopHook(client.Close))
+	s := &surveyor.Surveyor{Configuration: c, Listed: w, Asker: client, Log: k.log}
+	k.run(s.Run)
+	return k.services.Register(NameSurveyor, s)
+}
--- a/internal/composer/entry.go
+++ b/internal/composer/entry.go
@@ -17,12 +17,13 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/replicator"
 	"github.com/lycheebarrow/lycheebarrow/internal/server"
 	"github.com/lycheebarrow/lycheebarrow/internal/streamer"
+	"github.com/lycheebarrow/lycheebarrow/internal/surveyor"
 	"github.com/lycheebarrow/lycheebarrow/internal/watcher"
 )
 
 // Entry returns the application of an entry. Log lines go to output.
 func Entry(s loader.Settings, network networker.Network, output io.Writer) *fx.App {
-	return compose(s, network, output, buildMeter, buildShared, buildProber, buildPeers, buildDispatcher, buildRecorder, buildServer, buildOperator, buildReadiness)
+	return compose(s, network, output, buildMeter, buildShared, buildProber, buildPeers, buildDispatcher, buildRecorder, buildSurveyor, buildServer, buildOperator, buildReadiness)
 }
 
 func buildDispatcher(k *kernel) error {
@@ -67,9 +68,13 @@
 	if err != nil {
 		return err
 	}
+	v, err := registrar.Find[*surveyor.Surveyor](&k.services, NameSurveyor)
+	if err != nil {
+		return err
+	}
 	s := &server.Server{
 		Configuration: c, Dispatcher: d, Streamer: streamer.New(k.network, p), Caller: caller.New(k.network),
-		Recorder: r, Log: k.log, Meter: m, Process: k.settings.Name(),
+		Recorder: r, Leaving: v, Log: k.log, Meter: m, Process: k.settings.Name(),
 		DataCentre: k.settings.DataCentre(), MaxBodyBytes: k.settings.MaxBodyBytes(),
 	}
 	l, err := k.listen("callers", k.settings.CallersListen())
--- a/internal/session/commands_test.go
+++ b/internal/session/commands_test.go
@@ -274,6 +274,10 @@
 		Error struct{ Code, Outcome string }
 	}
 	_ = json.Unmarshal([]byte(text), &e)
+	if e.Error.Code == "" {
+		// A service's own answer, passed on.
+		return fmt.Sprintf("%d by the service outcome=%s", res.StatusCode, res.Header.Get("Lb-Outcome"))
+	}
 	s := fmt.Sprintf("%d %s outcome=%s", res.StatusCode, e.Error.Code, e.Error.Outcome)
 	if res.Header.Get("Retry-After") != "" {
 		s += " retry"
--- a/internal/session/world_test.go
+++ b/internal/session/world_test.go
@@ -230,7 +230,7 @@
 
 // _fields are the fields that a session shows, in this order.
 var _fields = []string{
-	"action", "organisation", "code", "outcome", "model", "replica", "group", "generation", "members", "instance", "number", "term", "reason", "long",
+	"action", "organisation", "service", "address", "code", "outcome", "model", "replica", "group", "generation", "members", "instance", "number", "term", "reason", "long",
 }
 
 // parse splits a key=value line.
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -55,8 +55,10 @@
 	s.mu.Unlock()
 	switch r.URL.Path {
 	case "/fault":
-		if decode(w, r, &f) {
-			s.SetFaults(f)
+		// All switches are set anew, as those of the other stand-ins.
+		var next ServiceFaults
+		if decode(w, r, &next) {
+			s.SetFaults(next)
 		}
 		return
 	case "/runs":
