--- a/internal/processes/processes_test.go
+++ b/internal/processes/processes_test.go
@@ -41,6 +41,9 @@
 )
 
 func TestMain(m *testing.M) {
+	if os.Getenv(_programVariable) != "" {
+		go endWithParent()
+	}
 	switch os.Getenv(_programVariable) {
 	case "entry":
 		os.Exit(composer.Program(loader.RoleEntry, os.Args[1:], os.Stdout, os.Stderr))
@@ -52,6 +55,12 @@
 	os.Exit(m.Run())
 }
 
+// endWithParent ends a program when the test binary that started it is gone.
+func endWithParent() {
+	_, _ = io.Copy(io.Discard, os.Stdin)
+	os.Exit(1)
+}
+
 // output gathers what a process prints.
 type output struct {
 	mu   sync.Mutex
@@ -85,6 +94,8 @@
 	p.cmd = exec.Command(os.Args[0], args...)
 	p.cmd.Env = append(os.Environ(), _programVariable+"="+program)
 	p.cmd.Stderr = &p.out
+	_, err := p.cmd.StdinPipe()
+	require.NoError(t, err)
 	require.NoError(t, p.cmd.Start())
 	go func() {
 		_ = p.cmd.Wait()
--- a/internal/recorder/settle.go
+++ b/internal/recorder/settle.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// _closeLimit bounds how long Close waits for outcomes to be stored.
-	_closeLimit = 20 * time.Second
+	// _closeLimit bounds how long Close waits for outcomes to be stored. It fits
+	// into the time that a shutdown has after its drain limit.
+	_closeLimit = 8 * time.Second
 	// _settleInterval is the longest pause between two tries to store an
 	// outcome.
 	_settleInterval = 5 * time.Second
