--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -194,6 +194,9 @@
 				waiting, cancel := context.WithTimeout(t.Context(), time.Minute)
 				defer cancel()
 				assert.Equal(t, tc.want, r.Wait(waiting, c).GetOutcome())
+				if len(tc.writes) == 0 {
+					assert.Equal(t, 2, s.calls, "a call costs two writes")
+				}
 				require.NoError(t, r.Close())
 			})
 		})
--- a/internal/server/calls_test.go
+++ b/internal/server/calls_test.go
@@ -51,6 +51,7 @@
 	mu     sync.Mutex
 	faults map[string]serviceFault // by address
 	delay  time.Duration
+	more   string         // follows each receipt
 	runs   map[string]int // by key
 	ranFor map[string]int // by request
 	sent   []string       // addresses in order
@@ -89,7 +90,7 @@
 		return caller.Result{Outcome: wire.Outcome_OUTCOME_UNKNOWN}, broken
 	}
 	out := caller.Result{
-		Outcome: wire.Outcome_OUTCOME_RAN, Status: http.StatusCreated, Body: []byte("receipt of " + key),
+		Outcome: wire.Outcome_OUTCOME_RAN, Status: http.StatusCreated, Body: []byte("receipt of " + key + s.more),
 		Header: http.Header{"Content-Type": {"text/plain"}, "Location": {"/receipts/" + key}, "Set-Cookie": {"a=b"}},
 	}
 	if f == serviceFails {
--- a/internal/server/keyed_test.go
+++ b/internal/server/keyed_test.go
@@ -210,3 +210,20 @@
 		require.NoError(t, other.recorder.Close())
 	})
 }
+
+// An answer too large for its record reaches its first caller whole, and the
+// record still says that the call ran.
+func TestKeyedLargeAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, to := &platform{}, &services{more: strings.Repeat("x", 100<<10)}
+		e := newEntry("n1", store, to, nil)
+		assert.Equal(t, "201 ran receipt of k"+to.more, show(e.call(t.Context(), callOptions{key: "k"})))
+		synctest.Wait()
+		assert.Equal(t, "502 ran replayed answer-not-kept", show(e.call(t.Context(), callOptions{key: "k"})))
+		assert.Equal(t, 1, to.runs["k"])
+		for _, o := range store.objects {
+			assert.Less(t, len(o.Value), 1<<10)
+		}
+		require.NoError(t, e.recorder.Close())
+	})
+}
