--- a/internal/composer/entry.go
+++ b/internal/composer/entry.go
@@ -16,14 +16,13 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/registrar"
 	"github.com/lycheebarrow/lycheebarrow/internal/replicator"
 	"github.com/lycheebarrow/lycheebarrow/internal/server"
-	"github.com/lycheebarrow/lycheebarrow/internal/storer"
 	"github.com/lycheebarrow/lycheebarrow/internal/streamer"
 	"github.com/lycheebarrow/lycheebarrow/internal/watcher"
 )
 
 // Entry returns the application of an entry. Log lines go to output.
 func Entry(s loader.Settings, network networker.Network, output io.Writer) *fx.App {
-	return compose(s, network, output, buildMeter, buildShared, buildProber, buildPeers, buildDispatcher, buildServer, buildOperator, buildReadiness)
+	return compose(s, network, output, buildMeter, buildShared, buildProber, buildPeers, buildDispatcher, buildRecorder, buildServer, buildOperator, buildReadiness)
 }
 
 func buildDispatcher(k *kernel) error {
@@ -60,7 +59,7 @@
 	if err != nil {
 		return err
 	}
-	store, err := registrar.Find[*storer.Client](&k.services, NameStore)
+	r, err := registrar.Find[*recorder.Recorder](&k.services, NameRecorder)
 	if err != nil {
 		return err
 	}
@@ -70,7 +69,7 @@
 	}
 	s := &server.Server{
 		Configuration: c, Dispatcher: d, Streamer: streamer.New(k.network, p), Caller: caller.New(k.network),
-		Recorder: recorder.New(store, k.log), Log: k.log, Meter: m, Process: k.settings.Name(),
+		Recorder: r, Log: k.log, Meter: m, Process: k.settings.Name(),
 		DataCentre: k.settings.DataCentre(), MaxBodyBytes: k.settings.MaxBodyBytes(),
 		ReadLimit: k.settings.CallersReadLimit(), WriteLimit: k.settings.CallersWriteLimit(),
 	}
