--- a/internal/commander/read.go
+++ b/internal/commander/read.go
@@ -102,6 +102,9 @@
 	case i.ProbeFailed:
 		words = "silent"
 	}
+	if !i.Listed {
+		words += ", not in the platform's list"
+	}
 	if i.Leaving {
 		words += ", leaving"
 	}
--- a/internal/operator/instance.go
+++ b/internal/operator/instance.go
@@ -11,6 +11,7 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/messenger"
 	"github.com/lycheebarrow/lycheebarrow/internal/prober"
 	"github.com/lycheebarrow/lycheebarrow/internal/storer"
+	"github.com/lycheebarrow/lycheebarrow/internal/watcher"
 )
 
 // Evidence says what probes found of an instance.
@@ -18,10 +19,12 @@
 	Evidence(instance string) prober.Evidence
 }
 
-// Instance is a row of the platform's list with what this process's own probes
-// found.
+// Instance is an instance of the platform's list or of a placement, with what
+// this process's own probes found.
 type Instance struct {
 	storer.Instance
+	// Listed says that the platform's list, which lags, has the instance.
+	Listed bool `json:"listed"`
 	// Draining says that the configuration gives it no new work.
 	Draining bool `json:"draining"`
 	// Probed says that a probe was answered; without it the fields below are
@@ -43,18 +46,37 @@
 }
 
 func (a *API) instances(c *gin.Context) {
-	view := a.Placements.View().Instances()
+	known := known(a.Placements.View())
 	document := a.Configuration.Current().Document()
 	now := time.Now()
-	page := InstancePage{Instances: make([]Instance, 0, len(view))}
-	for _, n := range slices.Sorted(maps.Keys(view)) {
-		i := Instance{Instance: view[n], Draining: document.Instances[n].Draining}
+	page := InstancePage{Instances: make([]Instance, 0, len(known))}
+	for _, n := range slices.Sorted(maps.Keys(known)) {
+		i := known[n]
+		i.Draining = document.Instances[n].Draining
 		i.add(a.Evidence.Evidence(n), now)
 		page.Instances = append(page.Instances, i)
 	}
 	c.JSON(http.StatusOK, page)
 }
 
+// known returns the instances of the list and of the placements, by name.
+func known(view watcher.View) map[string]Instance {
+	out := make(map[string]Instance, len(view.Instances()))
+	for _, p := range view.Placements() {
+		for _, r := range p.GetReplicas() {
+			for i, m := range r.GetMembers() {
+				out[m] = Instance{Instance: storer.Instance{
+					Name: m, Address: r.GetAddresses()[i], DataCentre: p.GetDataCentre(), Domain: p.GetDomain(), Kind: "engine",
+				}}
+			}
+		}
+	}
+	for n, i := range view.Instances() {
+		out[n] = Instance{Instance: i, Listed: true}
+	}
+	return out
+}
+
 // add fills in what the probes found.
 func (i *Instance) add(e prober.Evidence, now time.Time) {
 	i.ProbeFailed = e.Failed()
--- /dev/null
+++ b/internal/operator/instance_test.go
@@ -0,0 +1,69 @@
+package operator_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/authenticator"
+	"github.com/lycheebarrow/lycheebarrow/internal/configurer"
+	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/messenger"
+	"github.com/lycheebarrow/lycheebarrow/internal/operator"
+	"github.com/lycheebarrow/lycheebarrow/internal/prober"
+	"github.com/lycheebarrow/lycheebarrow/internal/watcher"
+	"github.com/lycheebarrow/lycheebarrow/internal/wire"
+)
+
+// asker answers for e1 only.
+type asker struct{}
+
+func (asker) Status(_ context.Context, address string) (messenger.Status, error) {
+	if address != "10.0.0.1:80" {
+		return messenger.Status{}, assert.AnError
+	}
+	return messenger.Status{Instance: "e1", State: messenger.StateReady, Replica: "forms/f1/1", Generation: 3}, nil
+}
+
+func TestInstances(t *testing.T) {
+	w := watcher.New(nil, nil, logger.Logger{})
+	w.Offer(&wire.Placement{DataCentre: "qld-bne", Domain: "f1", Revision: 1, Replicas: []*wire.Replica{
+		{Name: "forms/f1/1", Members: []string{"e1", "e2"}, Addresses: []string{"10.0.0.1:80", "10.0.0.2:80"}},
+	}})
+	p := prober.New(asker{}, logger.Logger{})
+	defer p.Close()
+	p.SetTargets([]prober.Target{
+		{Instance: "e1", Address: "10.0.0.1:80", Interval: time.Hour},
+		{Instance: "e2", Address: "10.0.0.2:80", Interval: time.Hour},
+	})
+	require.Eventually(t, func() bool { return p.Evidence("e1").Status().Instance != "" && p.Evidence("e2").Failed() }, time.Minute, time.Millisecond)
+	a := operator.API{
+		Configuration: configurer.New(nil, nil, logger.Logger{}), Placements: w, Evidence: p,
+		Tokens: map[string]string{authenticator.Digest("token"): "ana"},
+	}
+	r := httptest.NewRequest(http.MethodGet, "/operator/v1/instances", nil)
+	r.Header.Set("Authorization", "Bearer token")
+	answer := httptest.NewRecorder()
+	a.Handler().ServeHTTP(answer, r)
+	var page operator.InstancePage
+	require.NoError(t, json.Unmarshal(answer.Body.Bytes(), &page))
+	require.Len(t, page.Instances, 2)
+
+	ready, silent := page.Instances[0], page.Instances[1]
+	assert.Equal(t, "e1", ready.Name)
+	assert.Equal(t, "qld-bne", ready.DataCentre)
+	assert.False(t, ready.Listed, "a placed instance is shown before the list has it")
+	assert.True(t, ready.Ready)
+	assert.Equal(t, "forms/f1/1", ready.Replica)
+	assert.Equal(t, uint64(3), ready.Generation)
+
+	assert.Equal(t, "e2", silent.Name)
+	assert.False(t, silent.Probed)
+	assert.True(t, silent.ProbeFailed)
+}
