internal/server: services learn of the caller; explain follows the new events

A service behind the system saw only the entry's address. It now gets X-Forwarded-For, -Host and -Proto (what a balancer in front said is kept), Lb-Request, which the caller gets too, and Lb-Organisation, which replaces any claim of the caller.

internal/explainer has sentences for call-route, for long work and for the codes of refusals; call-outcome-lost is no longer logged and lost its sentence.

--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -21,6 +21,29 @@
 	"affinity":   "it still holds the beginning of this request in memory, which saves time",
 }
 
+// _upstreamReasons tells why an upstream of a service was chosen, by the reason
+// of a call-route event.
+var _upstreamReasons = map[string]string{
+	"least-in-flight":   "it had the fewest calls under way",
+	"other-data-centre": "no upstream in this data centre could take it",
+	"all-resting":       "every upstream had failed lately, and this one was due for another try",
+}
+
+// _refusals tells why a request was refused, by the code of a refuse event.
+var _refusals = map[string]string{
+	"busy":                "every copy of the model was full, and no place came free in time",
+	"no-replica":          "no copy of the model was whole and able to answer in time",
+	"queue-full":          "too many requests were waiting already",
+	"draining":            "this entry was shutting down; another one takes the request",
+	"no-configuration":    "this entry had no configuration yet",
+	"attempts-used-up":    "the answer broke off on every copy that was tried",
+	"caller-gone":         "the caller hung up before its answer was whole",
+	"outcome-unknown":     "the service was called, and its answer never came",
+	"body-cut":            "the request ended before it was whole",
+	"body-late":           "the request took too long to arrive",
+	"records-unavailable": "the record that keeps the call from running twice could not be written",
+}
+
 // _outcomes tells what an outcome means to the caller.
 var _outcomes = map[string]string{
 	"ran":     "It did run.",
@@ -49,11 +72,11 @@
 	case "answer-cut":
 		return fmt.Sprintf("The answer broke off before its end (%s). The caller can see that it is not whole.", f["message"])
 	case "refuse":
-		return fmt.Sprintf("The request was refused: %s. %s", f["message"], _outcomes[f["outcome"]])
+		return refuse(f)
+	case "call-route":
+		return callRoute(f)
 	case "call":
 		return call(f)
-	case "call-outcome-lost":
-		return "The service's answer could not be written into the records, so a repeat with this key gets no known answer. Detail: " + f["error"]
 	default:
 		return other(e)
 	}
@@ -64,8 +87,12 @@
 	if !ok {
 		why = "of the rule named " + f["reason"]
 	}
-	return fmt.Sprintf("Organisation %s asked for the model %s. %s could take it. It waited %s and went to copy %s (entered through instance %s, generation %s), because %s.",
+	text := fmt.Sprintf("Organisation %s asked for the model %s. %s could take it. It waited %s and went to copy %s (entered through instance %s, generation %s), because %s.",
 		f["organisation"], f["model"], copies(f["candidates"]), millis(f["wait_ms"]), f["replica"], f["upstream"], f["generation"], why)
+	if f["long"] == "true" {
+		text += " It counts as long work, which may fill only a part of each copy, so that short requests don't wait behind it."
+	}
+	return text
 }
 
 func copies(count string) string {
@@ -83,8 +110,24 @@
 	return fmt.Sprintf("Copy %s stopped being able to go on. %s. Detail: %s", f["replica"], kept, f["error"])
 }
 
+func refuse(f map[string]string) string {
+	why, ok := _refusals[f["code"]]
+	if !ok {
+		why = f["message"]
+	}
+	return fmt.Sprintf("The request was refused: %s. %s", why, _outcomes[f["outcome"]])
+}
+
+func callRoute(f map[string]string) string {
+	why, ok := _upstreamReasons[f["reason"]]
+	if !ok {
+		why = "of the rule named " + f["reason"]
+	}
+	return fmt.Sprintf("Organisation %s called the service %s. The call went to upstream %s, because %s.", f["organisation"], f["service"], f["upstream"], why)
+}
+
 func call(f map[string]string) string {
-	text := "The call was passed to the service. " + _outcomes[f["outcome"]]
+	text := "That ended the call. " + _outcomes[f["outcome"]]
 	if f["status"] != "" && f["status"] != "0" {
 		text += fmt.Sprintf(" The service answered with status %s.", f["status"])
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -124,7 +124,7 @@
 // identify names the request and finds the caller's organisation.
 func (s *Server) identify(c *gin.Context) {
 	who := identity{request: uuid.NewString()}
-	c.Header("Lb-Request", who.request)
+	c.Header(HeaderRequest, who.request)
 	c.Set(_requestKey, who)
 	if s.draining.Load() {
 		c.Header("Connection", "close")
--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -97,6 +97,7 @@
 	call.Header = caller.EndToEnd(c.Request.Header)
 	// The caller's key of this system is no business of the service.
 	call.Header.Del("Authorization")
+	forwardDetails(call.Header, c)
 	return call, nil
 }
 
