--- a/internal/commander/patch.go
+++ b/internal/commander/patch.go
@@ -7,8 +7,6 @@
 	"fmt"
 	"io"
 	"os"
-	"strconv"
-	"strings"
 
 	jsonpatch "github.com/evanphx/json-patch/v5"
 	"github.com/google/uuid"
@@ -110,43 +108,3 @@
 		printCompared(values, w)
 	})
 }
-
-func (c *commander) drain(faults io.Writer) *ffcli.Command {
-	const use = "lbctl drain -author WHO -reason WHY [-undo] INSTANCE"
-	p := lycheebarrow.Patch{ID: uuid.NewString()}
-	set := flags("lbctl drain", faults)
-	set.StringVar(&p.Author, "author", "", "who makes the change")
-	set.StringVar(&p.Reason, "reason", "", "why, in plain words")
-	set.StringVar(&p.ID, "id", p.ID, "patch `id`; give the same again to repeat safely")
-	undo := set.Bool("undo", false, "let the instance take work again")
-	return &ffcli.Command{
-		Name: "drain", ShortUsage: use, FlagSet: set,
-		ShortHelp: "give an instance no new work, by a configuration patch; work under way finishes",
-		Exec: func(ctx context.Context, args []string) error {
-			if len(args) != 1 || p.Author == "" || p.Reason == "" || strings.TrimSpace(args[0]) == "" {
-				return usage(use)
-			}
-			x, err := c.client.Configuration(ctx)
-			if err != nil {
-				return err
-			}
-			if p.Base, err = strconv.ParseUint(x.Number, 10, 64); err != nil {
-				return fmt.Errorf("the process runs no readable number: %w", err)
-			}
-			p.Merge, err = drainPatch(args[0], *undo)
-			if err != nil {
-				return err
-			}
-			return c.send(ctx, p)
-		},
-	}
-}
-
-// drainPatch returns the merge patch that drains an instance, or takes it back.
-func drainPatch(instance string, undo bool) (json.RawMessage, error) {
-	var mark any = validator.Instance{Draining: true}
-	if undo {
-		mark = nil
-	}
-	return json.Marshal(map[string]any{"instances": map[string]any{instance: mark}})
-}
--- a/internal/commander/read.go
+++ b/internal/commander/read.go
@@ -75,14 +75,10 @@
 }
 
 func (c *commander) readInstances(ctx context.Context, _ []string) error {
-	text, err := c.client.Read(ctx, "instances")
+	page, err := c.readInstancePage(ctx)
 	if err != nil {
 		return err
 	}
-	var page operator.InstancePage
-	if err := json.Unmarshal(text, &page); err != nil {
-		return fmt.Errorf("read the instances: %w", err)
-	}
 	rows := [][]string{{"INSTANCE", "KIND", "DATA CENTRE", "DOMAIN", "ADDRESS", "STATE", "REPLICA", "GENERATION", "LAST SEEN"}}
 	for _, i := range page.Instances {
 		rows = append(rows, []string{
@@ -93,6 +89,18 @@
 	return c.print(page, func(w io.Writer) { table(w, rows) })
 }
 
+func (c *commander) readInstancePage(ctx context.Context) (operator.InstancePage, error) {
+	var page operator.InstancePage
+	text, err := c.client.Read(ctx, "instances")
+	if err != nil {
+		return page, err
+	}
+	if err := json.Unmarshal(text, &page); err != nil {
+		return page, fmt.Errorf("read the instances: %w", err)
+	}
+	return page, nil
+}
+
 // condition tells in a word or two what an instance is doing.
 func condition(i operator.Instance) string {
 	words := i.State
--- a/script_test.go
+++ b/script_test.go
@@ -41,7 +41,8 @@
 //	start NAME PROGRAM ARGS...   run a program with its output in NAME.log
 //	await NAME REGEX [VAR]       wait for a line of NAME.log; VAR gets the first group
 //	signal NAME                  send SIGTERM
-//	stop NAME [CODE]             send SIGTERM, and require the exit code
+//	ended NAME [CODE]            wait for a program to end, and require the exit code
+//	end NAME [CODE]              signal and ended in one
 //	expand FILE                  replace $VAR in a file
 //	open NAME ADDRESS FILE       connect and send a file over TCP
 //	cut NAME                     close the sending side
@@ -52,7 +53,7 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/script", RequireExplicitExec: true, UpdateScripts: os.Getenv("UPDATE_SCRIPTS") != "",
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"start": start, "await": await, "signal": signal, "stop": stop, "expand": expand,
+			"start": start, "await": await, "signal": signal, "ended": ended, "end": end, "expand": expand,
 			"open": open, "cut": cut, "finish": finish, "code": code, "eventually": eventually,
 		},
 		Setup: func(e *testscript.Env) error {
@@ -117,8 +118,12 @@
 	ts.Check(ts.Value(_running).(map[string]*exec.Cmd)[args[0]].Process.Signal(syscall.SIGTERM))
 }
 
-func stop(ts *testscript.TestScript, neg bool, args []string) {
+func end(ts *testscript.TestScript, neg bool, args []string) {
 	signal(ts, neg, args)
+	ended(ts, neg, args)
+}
+
+func ended(ts *testscript.TestScript, _ bool, args []string) {
 	c := ts.Value(_running).(map[string]*exec.Cmd)[args[0]]
 	_ = c.Wait()
 	want := "0"
