--- a/internal/processes/calls_test.go
+++ b/internal/processes/calls_test.go
@@ -94,3 +94,38 @@
 	}
 	assert.Equal(t, 1, w.runs("s1", "k"))
 }
+
+// A service's process is killed while it runs a call. The call is not sent to
+// the other one, which takes the calls that follow.
+func TestServiceKilledDuringCall(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	names := []string{"s1", "s2"}
+	servers := make(map[string]*process)
+	for _, n := range names {
+		servers[n] = w.stub("service", n, "")
+		w.fault(n, `{"delay_ms":1000}`)
+	}
+	w.daemon("entry", "n1")
+	w.patch(w.document(0), "n1")
+	first := make(chan answer, 1)
+	go func() { first <- w.call("n1", "k") }()
+	ran, other := "", ""
+	await(t, "the run", func() bool {
+		for i, n := range names {
+			if w.runs(n, "k") == 1 {
+				ran, other = n, names[1-i]
+			}
+		}
+		return ran != ""
+	})
+	servers[ran].kill()
+	assert.Equal(t, "unknown", (<-first).outcome)
+	assert.Equal(t, "unknown", w.settled("n1", "k").outcome)
+	for _, k := range []string{"k1", "k2", "k3"} {
+		a := w.call("n1", k)
+		assert.Equal(t, "ran", a.outcome, "%+v", a)
+		assert.Equal(t, 1, w.runs(other, k))
+	}
+	assert.Zero(t, w.runs(other, "k"))
+}
--- a/internal/processes/processes_test.go
+++ b/internal/processes/processes_test.go
@@ -364,16 +364,22 @@
 
 // document has the groups and services of these tests.
 func (w *world) document(replicas int) string {
-	upstreams := "{}"
-	if a := w.addresses["s1"]; a != "" {
-		upstreams = fmt.Sprintf(`{"lodgement":{"unrepeatable":true,"timeout_ms":4000,"upstreams":{"s1":{"address":%q,"data_centre":"qld-bne"}}}}`, a)
+	var servers []string
+	for _, n := range []string{"s1", "s2"} {
+		if a := w.addresses[n]; a != "" {
+			servers = append(servers, fmt.Sprintf(`%q:{"address":%q,"data_centre":"qld-bne"}`, n, a))
+		}
+	}
+	services := "{}"
+	if len(servers) > 0 {
+		services = fmt.Sprintf(`{"lodgement":{"unrepeatable":true,"timeout_ms":4000,"upstreams":{%s}}}`, strings.Join(servers, ","))
 	}
 	groups := "{}"
 	if replicas > 0 {
 		groups = fmt.Sprintf(`{"forms":{"model":"form-assistant","version":"v1","data_centre":"qld-bne","replicas":%d,"members":2}}`, replicas)
 	}
 	return fmt.Sprintf(`{"organisations":{"acme":{"keys_sha256":[%q]}},"groups":%s,"services":%s}`,
-		authenticator.Digest(_callerKey), groups, upstreams)
+		authenticator.Digest(_callerKey), groups, services)
 }
 
 // refused says that a request can safely go to another entry.
