internal/former: spread a model again, form large replicas first

Cause: after a dark domain the copies of a model could stay in the domain that was left, so that the next dark domain would take them all.

Change: where nothing else is to be done and all copies of a model share one domain, one more is formed elsewhere and the surplus drained after. At the same priority the group with the larger replicas goes first.

--- a/internal/former/former.go
+++ b/internal/former/former.go
@@ -114,10 +114,12 @@
 	f.observe(s, now)
 	w.catchUp()
 	w.tidy()
-	for _, g := range w.groups() {
+	groups := w.groups()
+	for _, g := range groups {
 		w.mend(g)
 		w.size(g, s.Document.Groups[g])
 	}
+	w.spread(groups)
 	for _, x := range w.all() {
 		if w.fault(x) != "" {
 			w.plan.Broken[x.replica.GetName()] = true
@@ -139,7 +141,8 @@
 }
 
 // groups returns the data centre's groups, the most valuable load first: by
-// priority, and at the same priority those without a working replica first.
+// priority, and at the same priority those without a working replica first, then
+// the ones with the largest replicas, for which room is the hardest to find.
 func (w *work) groups() []string {
 	var names []string
 	down := make(map[string]int)
@@ -154,7 +157,7 @@
 	}
 	slices.SortFunc(names, func(a, b string) int {
 		x, y := w.state.Document.Groups[a], w.state.Document.Groups[b]
-		return cmp.Or(cmp.Compare(y.Priority, x.Priority), cmp.Compare(down[b], down[a]), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(y.Priority, x.Priority), cmp.Compare(down[b], down[a]), cmp.Compare(y.Members, x.Members), cmp.Compare(a, b))
 	})
 	return names
 }
--- a/internal/former/size.go
+++ b/internal/former/size.go
@@ -108,10 +108,12 @@
 		if missing <= 0 || !w.surveyed() || len(c.old) > 0 && whole >= g.Replicas+w.state.Document.Policy.LoadLimit() || !w.mayLoad() {
 			return
 		}
-		if !w.form(name, g) {
+		best, ok := w.choose(name, g)
+		if !ok {
 			w.makeRoom(name, g, c)
 			return
 		}
+		w.form(name, g, best, "fewer replicas than declared")
 	}
 }
 
@@ -124,7 +126,9 @@
 			w.remove(x, reason+", "+w.fault(x))
 		}
 		for _, x := range c.forming {
-			w.drain(x, reason)
+			if !w.spreads(x) {
+				w.drain(x, reason)
+			}
 		}
 		for _, x := range c.old {
 			w.drain(x, "group was changed")
@@ -172,13 +176,18 @@
 	return n
 }
 
-// form makes one more replica where there is room: in the domain with the
-// fewest copies of the model, so that no domain takes them all with it, then
-// where the fewest spares are left over, so that room for whole replicas stays.
-func (w *work) form(name string, g validator.Group) bool {
-	var best located
-	var members []string
-	var given []located
+// choice is where a replica could be formed.
+type choice struct {
+	domain  string
+	members []string
+	donors  []located
+}
+
+// choose returns the best place for one more replica: the domain with the fewest
+// copies of the model, so that no domain takes them all with it, then where the
+// fewest spares are left over, so that room for whole replicas stays.
+func (w *work) choose(name string, g validator.Group) (choice, bool) {
+	var best choice
 	fewest := [3]int{}
 	for _, d := range slices.Sorted(maps.Keys(w.next)) {
 		spares, donors := w.room(located{d, &wire.Replica{}}, g.Members, func(x located) bool {
@@ -189,25 +198,26 @@
 			continue
 		}
 		score := [3]int{w.copies(d, g.Model), len(donors), len(spares)}
-		if members == nil || slices.Compare(score[:], fewest[:]) < 0 {
-			best, members, given, fewest = located{domain: d}, spares[:g.Members], donors, score
+		if best.members == nil || slices.Compare(score[:], fewest[:]) < 0 {
+			best, fewest = choice{d, slices.Clone(spares[:g.Members]), donors}, score
 		}
 	}
-	if members == nil {
-		return false
-	}
-	for _, x := range given {
+	return best, best.members != nil
+}
+
+// form makes one replica where it was chosen.
+func (w *work) form(name string, g validator.Group, c choice, reason string) {
+	for _, x := range c.donors {
 		w.remove(x, "its members form a replica of "+name)
 	}
-	p := w.next[best.domain]
-	best.replica = &wire.Replica{
-		Name: fmt.Sprintf("%s/%s/%d", name, best.domain, p.GetGeneration()+1), Group: name, Model: g.Model, Version: g.Version,
-		Members: slices.Clone(members), Slots: uint32(g.SlotCount()),
-	}
-	w.issue(best)
-	p.Replicas = append(p.Replicas, best.replica)
-	w.change(best, EventForm, "fewer replicas than declared")
-	return true
+	p := w.next[c.domain]
+	x := located{c.domain, &wire.Replica{
+		Name: fmt.Sprintf("%s/%s/%d", name, c.domain, p.GetGeneration()+1), Group: name, Model: g.Model, Version: g.Version,
+		Members: c.members, Slots: uint32(g.SlotCount()),
+	}}
+	w.issue(x)
+	p.Replicas = append(p.Replicas, x.replica)
+	w.change(x, EventForm, reason)
 }
 
 // makeRoom drains replicas so that one of the group can be formed later: old
--- a/internal/placer/measure_test.go
+++ b/internal/placer/measure_test.go
@@ -133,6 +133,15 @@
 		time.Sleep(60 * time.Second)
 		f.on("f0", func(e *engine) { e.hung = false })
 	}},
+	{name: "domain-blip-4s", domains: 3, each: 8, groups: groups(1, 2, 8), length: 2 * time.Minute, most: result{longest: 5}, disturb: func(_ *testing.T, f *fleet, _ *process) {
+		f.on("f0", func(e *engine) { e.hung = true })
+		time.Sleep(4 * time.Second)
+		f.on("f0", func(e *engine) { e.hung = false })
+	}},
+	{name: "deaths-of-two-replicas-without-spare", domains: 1, each: 16, groups: groups(1, 2, 8), length: 3 * time.Minute, most: result{down: 35, longest: 180, loads: 8}, disturb: func(_ *testing.T, f *fleet, _ *process) {
+		f.on("f0-03", func(e *engine) { e.dead = true })
+		f.on("f0-11", func(e *engine) { e.dead = true })
+	}},
 	{name: "flapping-member", most: result{down: 76, longest: 6}, domains: 1, each: 8, groups: groups(1, 1, 8), length: 10 * time.Minute, disturb: func(_ *testing.T, f *fleet, _ *process) {
 		for range 15 {
 			f.on("f0-03", func(e *engine) { e.dead = true })
@@ -169,6 +178,17 @@
 	}},
 	{name: "roll-with-room", most: result{loads: 16}, domains: 3, each: 8, groups: groups(1, 2, 8), length: 5 * time.Minute, disturb: roll},
 	{name: "roll-without-room", most: result{longest: 25, loads: 16}, domains: 2, each: 8, groups: groups(1, 2, 8), length: 5 * time.Minute, disturb: roll},
+	{name: "announced-replacement-of-every-instance", domains: 2, each: 9, groups: groups(2, 1, 8), length: 26 * time.Minute, most: result{down: 500, longest: 30, loads: 160}, disturb: func(_ *testing.T, f *fleet, _ *process) {
+		for d := range 2 {
+			for i := range 9 {
+				n := fmt.Sprintf("f%d-%02d", d, i)
+				f.on(n, func(e *engine) { e.leaving = true })
+				time.Sleep(40 * time.Second)
+				f.replace(n)
+				time.Sleep(40 * time.Second)
+			}
+		}
+	}},
 	{name: "replacement-of-every-instance", most: result{down: 370, longest: 23, loads: 144}, domains: 2, each: 9, groups: groups(2, 1, 8), length: 13 * time.Minute, disturb: func(_ *testing.T, f *fleet, _ *process) {
 		for d := range 2 {
 			for i := range 9 {
