--- a/internal/former/bench_test.go
+++ b/internal/former/bench_test.go
@@ -6,10 +6,10 @@
 )
 
 // BenchmarkDecide measures a decision about a settled data centre, the usual
-// one. Command: go test ./internal/former -run '^$' -bench Decide -benchmem
+// one, and about one that has no room for a replica that is declared. Command: go test ./internal/former -run '^$' -bench Decide -benchmem
 func BenchmarkDecide(b *testing.B) {
 	for _, size := range []int{10, 50, 100, 200, 400} {
-		for _, replicas := range []int{1, size / 8} {
+		for _, replicas := range []int{1, size / 8, size/8 + 1} {
 			b.Run(fmt.Sprintf("instances=%d/replicas=%d", size, replicas), func(b *testing.B) {
 				m := newModel()
 				for i := range size {
--- a/internal/former/mend.go
+++ b/internal/former/mend.go
@@ -12,6 +12,8 @@
 	// _donateAfter is how long a replica must be broken before its members may
 	// serve another one; until then a lost member may come back with its load.
 	_donateAfter = 10 * time.Second
+	// _urgentAfter is the same for a group that has no replica left.
+	_urgentAfter = 3 * time.Second
 	// _confirmAfter is how long a replica must have failed, with all of its
 	// members answering, before it is loaded again with the same ones. A leader
 	// reports that it failed before probes of the member that died do.
@@ -126,18 +128,13 @@
 		return
 	}
 	keep, replace, wait := w.sort(x)
-	priority := w.state.Document.Groups[x.replica.GetGroup()].Priority
-	spares, donors := w.room(x, len(replace)+len(wait), func(d located) bool {
-		return w.state.Document.Groups[d.replica.GetGroup()].Priority <= priority
-	})
+	spares, donors := w.room(x, len(replace)+len(wait), w.mayDonate(x))
 	need := len(x.replica.GetMembers()) - len(keep)
 	if len(spares) < need {
 		// The members that only want replacing can go on where no spare is left.
 		keep = append(keep, replace...)
 		need = len(wait)
-		spares, donors = w.room(x, need, func(d located) bool {
-			return w.state.Document.Groups[d.replica.GetGroup()].Priority <= priority
-		})
+		spares, donors = w.room(x, need, w.mayDonate(x))
 	}
 	if len(spares) < need {
 		w.hold(x, why+", no spare")
@@ -155,6 +152,19 @@
 	w.change(x, EventRepair, why)
 }
 
+// mayDonate returns which broken replicas may give their members to x.
+func (w *work) mayDonate(x located) func(located) bool {
+	group := x.replica.GetGroup()
+	g := w.state.Document.Groups[group]
+	patience := _donateAfter
+	if len(w.census(group, g).serving) == 0 {
+		patience = _urgentAfter
+	}
+	return func(d located) bool {
+		return w.brokenFor(d) >= patience && w.state.Document.Groups[d.replica.GetGroup()].Priority <= g.Priority
+	}
+}
+
 // unclear says that it will be known soon which members are gone.
 func (w *work) unclear(x located) bool {
 	gone, failed := false, false
@@ -235,7 +245,7 @@
 	var broken []located
 	for _, d := range w.all() {
 		if d.domain == x.domain && d.replica.GetName() != x.replica.GetName() && !draining(d.replica) &&
-			w.brokenFor(d) >= _donateAfter && w.fault(d) != "" && may(d) {
+			w.fault(d) != "" && may(d) {
 			broken = append(broken, d)
 		}
 	}
--- a/internal/former/size.go
+++ b/internal/former/size.go
@@ -192,7 +192,7 @@
 	for _, d := range slices.Sorted(maps.Keys(w.next)) {
 		spares, donors := w.room(located{d, &wire.Replica{}}, g.Members, func(x located) bool {
 			other := w.state.Document.Groups[x.replica.GetGroup()].Priority
-			return x.replica.GetGroup() == name || other < g.Priority
+			return w.brokenFor(x) >= _donateAfter && (x.replica.GetGroup() == name || other < g.Priority)
 		})
 		if len(spares) < g.Members {
 			continue
--- a/internal/placer/measure_test.go
+++ b/internal/placer/measure_test.go
@@ -138,7 +138,7 @@
 		time.Sleep(4 * time.Second)
 		f.on("f0", func(e *engine) { e.hung = false })
 	}},
-	{name: "deaths-of-two-replicas-without-spare", domains: 1, each: 16, groups: groups(1, 2, 8), length: 3 * time.Minute, most: result{down: 35, longest: 180, loads: 8}, disturb: func(_ *testing.T, f *fleet, _ *process) {
+	{name: "deaths-of-two-replicas-without-spare", domains: 1, each: 16, groups: groups(1, 2, 8), length: 3 * time.Minute, most: result{down: 26, longest: 180, loads: 8}, disturb: func(_ *testing.T, f *fleet, _ *process) {
 		f.on("f0-03", func(e *engine) { e.dead = true })
 		f.on("f0-11", func(e *engine) { e.dead = true })
 	}},
