internal/watcher: an old word that an instance leaves is superseded by newer reads

Cause: a process that reads the platform's list seldom kept a leaving flag for minutes after the instance was back, and told it to its peers without end. The word now holds until others have read the list 15 s later, and through an outage. The page of instances reads the list for each request.

--- a/internal/operator/instance.go
+++ b/internal/operator/instance.go
@@ -43,6 +43,11 @@
 }
 
 func (a *API) instances(c *gin.Context) {
+	// Entries read the list seldom; where the platform is away, the last one is
+	// shown.
+	if err := a.Placements.Poll(c.Request.Context()); err != nil {
+		a.Log.Failure("instances-old", err, nil)
+	}
 	view := a.Placements.View().Instances()
 	document := a.Configuration.Current().Document()
 	now := time.Now()
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -37,6 +37,7 @@
 // Placements gives the view of placements and instances.
 type Placements interface {
 	View() watcher.View
+	Poll(ctx context.Context) error
 }
 
 // API serves operators. Set the fields before Handler; they don't change after.
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -20,6 +21,10 @@
 // _pollInterval is the least time between two reads of the platform.
 const _pollInterval = time.Second
 
+// _listLimit is how much later than this process others may have read the list
+// of instances while this process's word that one leaves still holds.
+const _listLimit = 15 * time.Second
+
 // Store is what the watcher needs of the platform.
 type Store interface {
 	List(ctx context.Context, prefix string) ([]storer.Object, error)
@@ -52,6 +57,7 @@
 
 	mu      sync.Mutex
 	view    View
+	listed  time.Time // when the list of instances was asked for
 	changed chan struct{}
 }
 
@@ -64,9 +70,35 @@
 func (w *Watcher) View() View {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.supersede()
 	return w.view
 }
 
+// supersede takes back that instances leave where other processes have read
+// the list much later: they tell which ones do. During an outage nobody has, and
+// the last word stands. The caller holds the lock.
+func (w *Watcher) supersede() {
+	if w.turn.Latest().Sub(w.listed) <= _listLimit {
+		return
+	}
+	var next map[string]storer.Instance
+	for name, i := range w.view.instances {
+		if !i.Leaving {
+			continue
+		}
+		if next == nil {
+			next = maps.Clone(w.view.instances)
+		}
+		i.Leaving = false
+		next[name] = i
+	}
+	if next != nil {
+		view := w.view
+		view.instances = next
+		w.replace(view)
+	}
+}
+
 // Changed returns a channel that is closed when the view next changes.
 func (w *Watcher) Changed() <-chan struct{} {
 	w.mu.Lock()
@@ -119,6 +151,7 @@
 		w.merge(o.Key, o.Version, &p)
 	}
 	w.list(instances)
+	w.listed = sent
 	w.turn.Done(sent)
 	return nil
 }
