internal/scheduler: forecast waits, refuse early, spread retries; shares by account

Cause: under overload every request waited to its deadline before it was refused, and all came back after the same second. One long answer charged its organisation's short ones: a small organisation was kept from its turns for seconds. Every request from the server had a lane of its own in the queue, since it arrived before it was added; a scripted test found this.

A request is refused at once where the forecast wait (places a second, requests ahead by the shares) passes 0.8 of its limit. Retry-After grows with the queue and is spread over callers to three times its least. Short and long work have separate shares; an idle organisation keeps a claim of 1,024 tokens. Retry-After reaches callers; early refusal is 429 overloaded.

--- a/examples/crest/entry.go
+++ b/examples/crest/entry.go
@@ -65,7 +65,7 @@
 	}
 	id, err := e.scheduler.Add(q, now)
 	if err != nil {
-		e.product.run.refuse(r, time.Second)
+		e.product.run.refuse(r, hint(err))
 		return
 	}
 	e.requests[id] = r
@@ -85,11 +85,7 @@
 			e.product.run.clock.after(_hop, func() { e.send(o, r) })
 			continue
 		}
-		retry := time.Second
-		if errors.Is(o.Err(), scheduler.ErrNoReplica) {
-			retry = 5 * time.Second
-		}
-		e.product.run.refuse(r, retry)
+		e.product.run.refuse(r, hint(o.Err()))
 	}
 }
 
@@ -112,14 +108,25 @@
 
 // again queues a request that a full engine refused; it keeps its turn.
 func (e *entry) again(q scheduler.Request, r *request) {
+	q.Returned = true
 	id, err := e.scheduler.Add(q, e.product.run.clock.time())
 	if err != nil {
-		e.product.run.refuse(r, time.Second)
+		e.product.run.refuse(r, hint(err))
 		return
 	}
 	e.requests[id] = r
 }
 
+// hint is the Retry-After of a refusal.
+func hint(err error) time.Duration {
+	var refused *scheduler.RefusedError
+	if errors.As(err, &refused) {
+		return refused.RetryAfter()
+	}
+	const noReplica = 5 * time.Second
+	return noReplica
+}
+
 func (e *entry) view(string, string) []router.Candidate {
 	out := make([]router.Candidate, len(e.product.replicas))
 	now := e.product.run.clock.time()
--- a/examples/crest/main.go
+++ b/examples/crest/main.go
@@ -22,7 +22,7 @@
 }
 
 func table(w workload, crest float64, seeds int, only string) {
-	fmt.Println("| policy | short wait p50/p95/p99 ms | long wait p50/p95 ms | long tokens/s | good/s | refused | small refused | small wait p95 ms |")
+	fmt.Println("| policy | short wait p50/p95/p99 ms | long wait p50/p95 ms | long tokens/s | good/s | refused | small short refused | small wait p95 ms |")
 	fmt.Println("|---|---|---|---|---|---|---|---|")
 	for _, p := range _policies {
 		if only != "" && only != p.name {
--- a/examples/crest/run.go
+++ b/examples/crest/run.go
@@ -68,12 +68,13 @@
 // little more, at any entry.
 func (r *run) refuse(q *request, hint time.Duration) {
 	q.tries++
+	q.refused = true
 	if q.tries >= _callerTries {
-		q.refused = true
 		return
 	}
 	late := time.Duration(r.random.Int64N(int64(200 * time.Millisecond)))
 	r.clock.after(hint+late, func() {
+		q.refused = false
 		q.sent = r.clock.now
 		q.entry = r.random.IntN(_entries)
 		r.policy.arrive(q)
--- a/examples/crest/tally.go
+++ b/examples/crest/tally.go
@@ -46,6 +46,7 @@
 	for _, r := range t.requests {
 		small := r.organisation >= t.workload.large
 		to.sent++
+		small = small && !r.long
 		if small {
 			to.sentSmall++
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -183,8 +183,14 @@
 
 // draw is a random number of this entry for a replica and report.
 func (r *Router) draw(c *Candidate) uint64 {
-	x := xxhash.Sum64String(c.Replica.GetName()) ^ r.Salt ^ uint64(c.ReportedAt.UnixNano())
-	// The finalizer of SplitMix64 spreads nearby inputs.
+	return mix(xxhash.Sum64String(c.Replica.GetName()) ^ r.Salt ^ uint64(c.ReportedAt.UnixNano()))
+}
+
+// Spread turns a number into one evenly spread over 0 to 1, without 1.
+func Spread(x uint64) float64 { return float64(mix(x)>>11) / (1 << 53) }
+
+// mix is the finalizer of SplitMix64; it spreads nearby inputs.
+func mix(x uint64) uint64 {
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -1,7 +1,7 @@
 package scheduler
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -39,6 +39,7 @@
 	used    map[router.Key]*used
 	// contended is when a review last left a request without a place.
 	contended time.Time
+	flows     [2]flow // of the short and the long account
 }
 
 // waiting is a request in the queue.
@@ -52,8 +53,9 @@
 type place struct {
 	request Request
 	replica router.Key
-	cost    int
-	long    bool
+	item    queuer.Item
+	// long starts as the item's and may change while the answer grows.
+	long bool
 }
 
 // Len returns the number of waiting requests.
@@ -62,9 +64,6 @@
 // Add queues a request and returns its number, or an error where it is refused
 // at once.
 func (s *Scheduler) Add(q Request, now time.Time) (uint64, error) {
-	if s.QueueLimit > 0 && s.queue.Len() >= s.QueueLimit {
-		return 0, ErrQueueFull
-	}
 	if s.waiting == nil {
 		s.waiting = make(map[uint64]*waiting)
 		s.places = make(map[uint64]*place)
@@ -72,6 +71,13 @@
 	}
 	s.lastID++
 	w := s.wait(q, now)
+	if s.QueueLimit > 0 && s.queue.Len() >= s.QueueLimit {
+		return 0, s.refusal(ErrQueueFull, w, now)
+	}
+	// What comes back after it had a place is never refused by a forecast.
+	if limit := w.request.Deadline.Sub(now).Seconds(); !q.Returned && s.forecast(w, now).Seconds() > _admitted*limit {
+		return 0, s.refusal(ErrOverloaded, w, now)
+	}
 	s.waiting[s.lastID] = w
 	s.queue.Push(w.item)
 	return s.lastID, nil
@@ -94,7 +100,7 @@
 		ID: s.lastID, Organisation: q.Organisation, Weight: q.Weight, Long: long, Class: q.Model,
 		Cost: max(1, e.Tokens-q.Done), Arrived: q.Arrived,
 	}
-	if len(q.Tried) > 0 || q.Arrived.Before(now) {
+	if len(q.Tried) > 0 || q.Returned {
 		// What it tried may rule out replicas that others fit, and one that comes
 		// back goes before those that arrived later.
 		item.Class += "#" + strconv.FormatUint(s.lastID, 10)
@@ -140,7 +146,7 @@
 	s.count(p.replica, p.long, -1, now)
 	if tokens > 0 {
 		s.Estimator.Observe(kind(p.request), tokens)
-		s.queue.Charge(p.request.Organisation, p.request.Weight, tokens-p.request.Done-p.cost)
+		s.queue.Charge(p.item, tokens-p.request.Done-p.item.Cost)
 	}
 }
 
@@ -154,39 +160,50 @@
 	delete(s.places, id)
 	s.count(p.replica, p.long, -1, now)
 	s.used[p.replica].refused = now
-	s.queue.Charge(p.request.Organisation, p.request.Weight, -p.cost)
+	s.queue.Charge(p.item, -p.item.Cost)
 }
 
 // Review gives out places and refuses the requests whose deadline has passed.
 func (s *Scheduler) Review(now time.Time, view View) []Outcome {
 	out := s.expire(now)
+	var given [2]int
 	for {
 		o, ok := s.next(now, view)
 		if !ok {
 			break
 		}
+		given[account(o.long)]++
 		out = append(out, o)
 	}
 	if s.Len() > 0 {
 		s.contended = now
 	}
+	for long, waits := range s.queue.Waits() {
+		if waits == 0 {
+			s.flows[long].rest()
+			continue
+		}
+		s.flows[long].busy(now, given[long])
+	}
 	return out
 }
 
 func (s *Scheduler) expire(now time.Time) []Outcome {
 	var out []Outcome
-	for id, w := range s.waiting {
+	for _, id := range slices.Sorted(maps.Keys(s.waiting)) {
+		w := s.waiting[id]
 		if now.Before(w.request.Deadline) {
 			continue
 		}
-		err := ErrBusy
+		err := s.refusal(ErrBusy, w, now)
 		if w.decision.Usable == 0 {
 			err = ErrNoReplica
 		}
-		out = append(out, Outcome{id: id, request: w.request, long: w.item.Long, decision: w.decision, wait: now.Sub(w.request.Arrived), err: err})
+		out = append(out, Outcome{
+			id: id, request: w.request, long: w.item.Long, decision: w.decision, wait: now.Sub(w.request.Arrived), err: err,
+		})
 		s.Cancel(id)
 	}
-	slices.SortFunc(out, func(a, b Outcome) int { return cmp.Compare(a.id, b.id) })
 	return out
 }
 
@@ -208,7 +225,7 @@
 	}
 	w := s.waiting[item.ID]
 	delete(s.waiting, item.ID)
-	p := &place{request: w.request, replica: router.KeyOf(chosen.Replica), cost: item.Cost, long: item.Long}
+	p := &place{request: w.request, replica: router.KeyOf(chosen.Replica), item: item, long: item.Long}
 	s.places[item.ID] = p
 	s.count(p.replica, p.long, 1, now)
 	return Outcome{id: item.ID, request: w.request, long: p.long, decision: w.decision, chosen: chosen, wait: now.Sub(w.request.Arrived)}, true
--- /dev/null
+++ b/internal/scheduler/scheduler_test.go
@@ -0,0 +1,146 @@
+package scheduler_test
+
+import (
+	"errors"
+	"fmt"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/txtar"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/router"
+	"github.com/lycheebarrow/lycheebarrow/internal/scheduler"
+	"github.com/lycheebarrow/lycheebarrow/internal/wire"
+)
+
+// session runs one script against a Scheduler. A line is a time in milliseconds,
+// a command, its words and key=value pairs:
+//
+//	report REPLICA load=N [generation=N] [slots=N]   a load report
+//	add ID [organisation= max= tried= deadline=MS]   a new request
+//	again ID [tried=]                                a request that comes back
+//	grow, release, refused, cancel ID [tokens=N]
+//	review                                           prints the outcomes
+type session struct {
+	scheduler  scheduler.Scheduler
+	candidates []router.Candidate
+	requests   map[string]scheduler.Request
+	numbers    map[string]uint64
+	out        strings.Builder
+}
+
+func TestScheduler(t *testing.T) {
+	paths, err := filepath.Glob("testdata/*.txtar")
+	require.NoError(t, err)
+	for _, path := range paths {
+		t.Run(strings.TrimSuffix(filepath.Base(path), ".txtar"), func(t *testing.T) {
+			archive, err := txtar.ParseFile(path)
+			require.NoError(t, err)
+			s := session{requests: make(map[string]scheduler.Request), numbers: make(map[string]uint64)}
+			s.scheduler.Router = router.Router{EvidenceLimit: time.Hour, LongShare: 0.5}
+			s.scheduler.Estimator.LongTokens = 512
+			s.scheduler.ShortWait, s.scheduler.LongWait = 1500*time.Millisecond, 30*time.Second
+			for line := range strings.Lines(string(archive.Files[0].Data)) {
+				s.step(t, strings.Fields(line))
+			}
+			assert.Equal(t, string(archive.Files[1].Data), s.out.String())
+		})
+	}
+}
+
+func (s *session) step(t *testing.T, words []string) {
+	at, err := strconv.Atoi(words[0])
+	require.NoError(t, err)
+	now := time.UnixMilli(int64(1_000_000 + at))
+	options := make(map[string]string)
+	for _, w := range words[2:] {
+		k, v, _ := strings.Cut(w, "=")
+		options[k] = v
+	}
+	number := func(key string) int { n, _ := strconv.Atoi(options[key]); return n }
+	id := append(words, "", "")[2]
+	switch words[1] {
+	case "entries":
+		s.scheduler.Router.Entries = number("count")
+	case "report":
+		s.report(id, number("generation"), number("slots"), number("load"), now)
+	case "add", "again":
+		q := scheduler.Request{ID: id, Organisation: options["organisation"], Model: "m", MaxTokens: number("max")}
+		if words[1] == "again" {
+			q = s.requests[id]
+			q.Returned = true
+		}
+		if options["tried"] != "" {
+			q.Tried = map[router.Key]bool{{Name: options["tried"], Generation: uint64(max(1, number("generation")))}: true}
+		}
+		s.add(q, number("times"), now)
+	case "grow":
+		s.scheduler.Grow(s.numbers[id], number("tokens"))
+	case "release":
+		s.scheduler.Release(s.numbers[id], number("tokens"), now)
+	case "refused":
+		s.scheduler.Refused(s.numbers[id], now)
+	case "cancel":
+		s.scheduler.Cancel(s.numbers[id])
+	case "review":
+		s.review(words[0], now)
+	default:
+		t.Fatalf("unknown command %q", words[1])
+	}
+}
+
+func (s *session) report(name string, generation, slots, load int, now time.Time) {
+	c := router.Candidate{
+		Replica: &wire.Replica{
+			Name: name, Generation: uint64(max(1, generation)), Slots: uint32(max(slots, 2)), Members: []string{name},
+		},
+		Confirmed: now, Reported: load, ReportedAt: now,
+	}
+	for i := range s.candidates {
+		if s.candidates[i].Replica.GetName() == name {
+			s.candidates[i] = c
+			return
+		}
+	}
+	s.candidates = append(s.candidates, c)
+}
+
+func (s *session) add(q scheduler.Request, times int, now time.Time) {
+	for i := range max(1, times) {
+		x := q
+		if times > 1 {
+			x.ID += strconv.Itoa(i)
+		}
+		n, err := s.scheduler.Add(x, now)
+		if err != nil {
+			fmt.Fprintf(&s.out, "add %s: %s\n", x.ID, outcome(err))
+			continue
+		}
+		s.numbers[x.ID] = n
+	}
+}
+
+func (s *session) review(at string, now time.Time) {
+	view := func(string, string) []router.Candidate { return append([]router.Candidate(nil), s.candidates...) }
+	for _, o := range s.scheduler.Review(now, view) {
+		s.requests[o.Request().ID] = o.Request()
+		if o.Err() != nil {
+			fmt.Fprintf(&s.out, "%s %s: %s\n", at, o.Request().ID, outcome(o.Err()))
+			continue
+		}
+		fmt.Fprintf(&s.out, "%s %s: %s long=%t wait=%d\n", at, o.Request().ID, o.Chosen().Replica.GetName(), o.Long(), o.Wait().Milliseconds())
+	}
+}
+
+func outcome(err error) string {
+	var refused *scheduler.RefusedError
+	if !errors.As(err, &refused) {
+		return err.Error()
+	}
+	return fmt.Sprintf("%v retry=%t", refused.Unwrap(), refused.RetryAfter() >= time.Second)
+}
--- a/internal/server/answer.go
+++ b/internal/server/answer.go
@@ -55,6 +55,7 @@
 		if errors.Is(err, streamer.ErrFull) {
 			// Nothing ran: the request goes back to its turn.
 			p.Refused()
+			place.Returned = true
 			continue
 		}
 		if err == nil {
@@ -73,6 +74,7 @@
 		s.Log.Failure("attempt-broken", err, logger.Fields{
 			"request": place.ID, "replica": r.GetName(), "generation": r.GetGeneration(), "tokens": progress.Tokens(),
 		})
+		place.Returned = true
 		place.Tried[router.KeyOf(r)] = true
 		place.Done = progress.Tokens()
 		place.Deadline = time.Now().Add(_resumeWait)
@@ -102,9 +104,15 @@
 		p.Code, p.RetryAfter = "caller-gone", 0
 	case errors.Is(err, scheduler.ErrQueueFull):
 		p.Status, p.Code = http.StatusTooManyRequests, "queue-full"
+	case errors.Is(err, scheduler.ErrOverloaded):
+		p.Status, p.Code = http.StatusTooManyRequests, "overloaded"
 	case errors.Is(err, scheduler.ErrNoReplica):
 		p.Code, p.RetryAfter = "no-replica", 5*time.Second
 	}
+	var refused *scheduler.RefusedError
+	if errors.As(err, &refused) && ctx.Err() == nil {
+		p.RetryAfter = refused.RetryAfter()
+	}
 	if begun {
 		p.Outcome = responder.Ran
 	}
