--- a/internal/server/answer.go
+++ b/internal/server/answer.go
@@ -66,6 +66,7 @@
 			// Nothing ran: the request goes back to its turn.
 			p.Refused()
 			idle--
+			place.Returned = true
 			continue
 		}
 		if err == nil {
@@ -84,6 +85,7 @@
 		s.Log.Failure("attempt-broken", err, logger.Fields{
 			"request": place.ID, "replica": r.GetName(), "generation": r.GetGeneration(), "tokens": progress.Tokens(),
 		})
+		place.Returned = true
 		giveUp = time.Now().Add(_resumeWait)
 		place.Done, place.Deadline = progress.Tokens(), giveUp
 		if !errors.Is(err, streamer.ErrUnconfirmed) {
@@ -121,9 +123,15 @@
 		p.Code, p.RetryAfter = "caller-gone", 0
 	case errors.Is(err, scheduler.ErrQueueFull):
 		p.Status, p.Code = http.StatusTooManyRequests, "queue-full"
+	case errors.Is(err, scheduler.ErrOverloaded):
+		p.Status, p.Code = http.StatusTooManyRequests, "overloaded"
 	case errors.Is(err, scheduler.ErrNoReplica):
 		p.Code, p.RetryAfter = "no-replica", 5*time.Second
 	}
+	var refused *scheduler.RefusedError
+	if errors.As(err, &refused) && ctx.Err() == nil {
+		p.RetryAfter = refused.RetryAfter()
+	}
 	if begun {
 		p.Outcome = responder.Ran
 	}
