internal/scheduler: candidates are looked up once a review; causes of expiry are right

Cause: each lane of the queue built its own list of candidates for each place that was given, and asked again after each.

Tests: expired_behind fails without the lane's last decision. The suspected race on the request's number is none: it is written and read on the control goroutine alone.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -40,6 +39,8 @@
 	// contended is when a review last left a request without a place.
 	contended time.Time
 	flows     [2]flow // of the short and the long account
+	// decisions are the last ones of each lane that outlives its requests.
+	decisions map[lane]router.Decision
 }
 
 // waiting is a request in the queue.
@@ -68,6 +69,7 @@
 		s.waiting = make(map[uint64]*waiting)
 		s.places = make(map[uint64]*place)
 		s.used = make(map[router.Key]*used)
+		s.decisions = make(map[lane]router.Decision)
 	}
 	s.lastID++
 	w := s.wait(q, now)
@@ -166,9 +168,10 @@
 // Review gives out places and refuses the requests whose deadline has passed.
 func (s *Scheduler) Review(now time.Time, view View) []Outcome {
 	out := s.expire(now)
+	lists := &lists{scheduler: s, view: view, now: now, known: make(map[audience][]router.Candidate), rejected: make(map[lane]bool)}
 	var given [2]int
 	for {
-		o, ok := s.next(now, view)
+		o, ok := s.next(now, lists)
 		if !ok {
 			break
 		}
@@ -190,10 +193,18 @@
 
 func (s *Scheduler) expire(now time.Time) []Outcome {
 	var out []Outcome
-	for _, id := range slices.Sorted(maps.Keys(s.waiting)) {
+	var due []uint64
+	for id, w := range s.waiting {
+		if !now.Before(w.request.Deadline) {
+			due = append(due, id)
+		}
+	}
+	slices.Sort(due)
+	for _, id := range due {
 		w := s.waiting[id]
-		if now.Before(w.request.Deadline) {
-			continue
+		if w.decision.Reason == "" {
+			// It never came to the head of its lane.
+			w.decision = s.decisions[laneOf(w.item)]
 		}
 		err := s.refusal(ErrBusy, w, now)
 		if w.decision.Usable == 0 {
@@ -208,13 +219,20 @@
 }
 
 // next takes the first request that fits out of the queue.
-func (s *Scheduler) next(now time.Time, view View) (Outcome, bool) {
+func (s *Scheduler) next(now time.Time, lists *lists) (Outcome, bool) {
 	var chosen router.Candidate
 	item, ok := s.queue.Next(now, func(i queuer.Item) bool {
 		w := s.waiting[i.ID]
+		if lists.rejected[laneOf(i)] {
+			return false
+		}
 		q := router.Request{Long: w.item.Long, Contended: now.Sub(s.contended) < _contention, Tried: w.request.Tried}
-		w.decision = s.Router.Route(q, s.candidates(w.request, view, now), now)
+		w.decision = s.Router.Route(q, lists.get(w.request), now)
 		if w.decision.Chosen == nil {
+			lists.rejected[laneOf(i)] = true
+			if i.Class == w.request.Model {
+				s.decisions[laneOf(i)] = w.decision
+			}
 			return false
 		}
 		chosen = *w.decision.Chosen
@@ -228,24 +246,10 @@
 	p := &place{request: w.request, replica: router.KeyOf(chosen.Replica), item: item, long: item.Long}
 	s.places[item.ID] = p
 	s.count(p.replica, p.long, 1, now)
+	lists.given(p)
 	return Outcome{id: item.ID, request: w.request, long: p.long, decision: w.decision, chosen: chosen, wait: now.Sub(w.request.Arrived)}, true
 }
 
-func (s *Scheduler) candidates(q Request, view View, now time.Time) []router.Candidate {
-	list := view(q.Model, q.Organisation)
-	for i := range list {
-		u, ok := s.used[router.KeyOf(list[i].Replica)]
-		if !ok {
-			continue
-		}
-		u.fill(&list[i], now)
-		if u.idle() {
-			delete(s.used, router.KeyOf(list[i].Replica))
-		}
-	}
-	return list
-}
-
 func (s *Scheduler) count(replica router.Key, long bool, by int, now time.Time) {
 	u, ok := s.used[replica]
 	if !ok {
