--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -15,6 +15,7 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 	"github.com/lycheebarrow/lycheebarrow/internal/messenger"
 	"github.com/lycheebarrow/lycheebarrow/internal/prober"
+	"github.com/lycheebarrow/lycheebarrow/internal/reader"
 	"github.com/lycheebarrow/lycheebarrow/internal/scheduler"
 	"github.com/lycheebarrow/lycheebarrow/internal/watcher"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
@@ -37,7 +38,7 @@
 
 func newWorld(tb testing.TB, replicas, slots int) *world {
 	w := &world{
-		configurer: configurer.New(nil, nil, logger.Logger{}), watcher: watcher.New(nil, nil, logger.Logger{}),
+		configurer: configurer.New(nil, &reader.Turn{}, logger.Logger{}), watcher: watcher.New(nil, &reader.Turn{}, logger.Logger{}),
 		prober: prober.New(asker{}, logger.Logger{}),
 	}
 	document := `{"groups":{"g":{"model":"m","version":"v1","data_centre":"a","replicas":1,"members":1}}}`
