--- a/internal/session/random_test.go
+++ b/internal/session/random_test.go
@@ -42,7 +42,8 @@
 const _randomGroup = `{"organisations":{"acme":{"keys_sha256":["%s"]}},
  "groups":{"forms":{"model":"form-assistant","version":"v1","data_centre":"qld-bne","replicas":2,"members":2},
            "more":{"model":"form-assistant","version":"v1","data_centre":"qld-cns","replicas":1,"members":2}},
- "services":{"lodgement":{"unrepeatable":true,"upstreams":{"s1":{"address":"%s","data_centre":"qld-bne"}}}}}`
+ "services":{"lodgement":{"unrepeatable":true,"upstreams":{"s1":{"address":"%s","data_centre":"qld-bne"}}}},
+ "policy":{"probe_interval_ms":200}}`
 
 // chaos runs one random session and keeps what the invariants need.
 type chaos struct {
