--- a/internal/processes/processes_test.go
+++ b/internal/processes/processes_test.go
@@ -170,6 +170,7 @@
 	platform string // URL
 	addresses,
 	operators map[string]string
+	health sync.Map // by entry, the address of its health pages
 }
 
 func newWorld(t *testing.T) *world {
@@ -207,6 +208,7 @@
 		args = append(args, "-callers-listen", listen)
 	}
 	p := start(w.t, program, name, args...)
+	w.health.Store(name, p.await(`address="?([0-9.:]+)"? event=listen .*service=metrics`))
 	w.operators[name] = p.await(`address="?([0-9.:]+)"? event=listen .*service=operator`)
 	if program == "entry" && w.addresses[name] == "" {
 		w.addresses[name] = p.await(`address="?([0-9.:]+)"? event=listen .*service=callers`)
@@ -386,3 +388,8 @@
 func refused(a answer) bool {
 	return errors.Is(a.err, syscall.ECONNREFUSED) || a.status == http.StatusServiceUnavailable && a.outcome == "not-run"
 }
+
+// String shows an answer in a failure.
+func (a answer) String() string {
+	return fmt.Sprintf("status %d, outcome %q, error %v, body %q", a.status, a.outcome, a.err, a.body)
+}
