--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -42,7 +42,7 @@
 	// _maxEventBytes bounds one server-sent event of an engine.
 	_maxEventBytes = 1 << 20
 	// _heldChunks bounds the chunks that wait for confirmation.
-	_heldChunks = 1024
+	_heldChunks = 128
 )
 
 // Confirmer says when a replica was last seen whole.
