--- a/internal/journaler/journal.go
+++ b/internal/journaler/journal.go
@@ -8,7 +8,8 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 )
 
-// Capacity is how many events a Journal keeps; one event takes about 500 bytes.
+// Capacity is how many events a Journal keeps; one event of ten
+// fields takes about 1.4 KB.
 const Capacity = 4096
 
 // _requestField is the field that ties an event to a request.
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sort"
 	"sync"
 )
 
@@ -27,18 +26,6 @@
 	return nil
 }
 
-// Names returns the registered names in order.
-func (r *Registrar) Names() []string {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	names := make([]string, 0, len(r.services))
-	for n := range r.services {
-		names = append(names, n)
-	}
-	sort.Strings(names)
-	return names
-}
-
 // Find returns the service of that name as a T. A missing name and a service
 // of another type are errors.
 func Find[T any](r *Registrar, name string) (T, error) {
--- a/internal/session/random_test.go
+++ b/internal/session/random_test.go
@@ -32,7 +32,7 @@
 
 const (
 	_randomSteps = 60
-	_callerKey   = "stall-key"
+	_callerKey   = "acme-key"
 	_healTime    = 90 * time.Second
 	// _patchTimeout is how long an operator waits.
 	_patchTimeout = 10 * time.Second
--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -89,9 +89,6 @@
 // Tokens returns the number of tokens passed on so far.
 func (p *Progress) Tokens() int { return p.tokens }
 
-// Finished says that the whole answer was passed on.
-func (p *Progress) Finished() bool { return p.finished }
-
 // Streamer runs attempts. Make it with New. It is safe for concurrent use.
 type Streamer struct {
 	http      *http.Client
