--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -21,7 +21,7 @@
 var ErrClosed = errors.New("dispatcher is closed")
 
 // _reviewInterval is how often waiting requests are looked at when nothing
-// else happens.
+// else happens; an empty queue is not looked at.
 const _reviewInterval = 20 * time.Millisecond
 
 // Configuration gives the configuration in force.
@@ -98,8 +98,7 @@
 // Run owns the queue until ctx ends; then every waiting request is refused.
 // Call it once.
 func (d *Dispatcher) Run(ctx context.Context) {
-	ticker := time.NewTicker(_reviewInterval)
-	defer ticker.Stop()
+	var due <-chan time.Time // nil while nothing waits
 	defer close(d.done)
 	for {
 		select {
@@ -110,10 +109,15 @@
 			return
 		case f := <-d.events:
 			f()
-		case <-ticker.C:
+		case <-due:
 		}
 		d.review()
-		d.queued.Store(int64(d.scheduler.Len()))
+		waiting := d.scheduler.Len()
+		d.queued.Store(int64(waiting))
+		due = nil
+		if waiting > 0 {
+			due = time.After(_reviewInterval)
+		}
 	}
 }
 
