internal/commander, docs: what a new user stumbled over

Cause: README and OPERATING were tried from a fresh clone. With an empty module cache scripts/demo ended with exit code 0 after 46 s. The build command of OPERATING failed where bin/ was not there yet; lbctl without an address said 'no Host in request URL' and exit code 5; the page named a first.json without showing one.

--- a/client.go
+++ b/client.go
@@ -59,6 +59,9 @@
 	Merge  json.RawMessage `json:"patch"` // JSON merge patch, RFC 7396
 }
 
+// ErrNoAddress says that a Client has no Address; nothing was sent.
+var ErrNoAddress = errors.New("no address of an operator API")
+
 // APIError is a refusal of the operator API.
 type APIError struct {
 	Status int             // HTTP status
@@ -102,6 +105,9 @@
 }
 
 func (c *Client) call(ctx context.Context, method, page string, body []byte, into any) error {
+	if c.Address == "" {
+		return fmt.Errorf("lycheebarrow: %s: %w", page, ErrNoAddress)
+	}
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Address+"/operator/v1/"+page, bytes.NewReader(body))
 	if err != nil {
 		return fmt.Errorf("lycheebarrow: %s at %s: %w", page, c.Address, err)
--- a/internal/commander/report.go
+++ b/internal/commander/report.go
@@ -33,6 +33,9 @@
 	case errors.Is(err, errUsage):
 		fmt.Fprintln(w, "lbctl:", err)
 		return ExitUsage
+	case errors.Is(err, lycheebarrow.ErrNoAddress):
+		fmt.Fprintln(w, "lbctl: give -address or LBCTL_ADDRESS, the host:port of a process's operator API")
+		return ExitUsage
 	case errors.As(err, &api):
 		return reportRefusal(api, w)
 	case errors.As(err, &faults):
