--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -6,11 +6,9 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
-	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/networker"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
@@ -19,10 +17,6 @@
 // _maxAnswerBytes bounds the answer of a service.
 const _maxAnswerBytes = 1 << 20
 
-// _dialLimit bounds the wait for a connection, so that there is time left to
-// call another upstream.
-const _dialLimit = 2 * time.Second
-
 // HeaderOutcome is set by a service that refused a call before running it.
 const HeaderOutcome = "Lb-Outcome"
 
@@ -59,12 +53,9 @@
 // each call: net/http sends a request with an Idempotency-Key again by itself
 // when a reused connection breaks.
 func New(network networker.Network) *Caller {
-	dial := func(ctx context.Context, kind, address string) (net.Conn, error) {
-		ctx, cancel := context.WithTimeout(ctx, _dialLimit)
-		defer cancel()
-		return network.DialContext(ctx, kind, address)
-	}
-	t := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
+	// Its bound leaves time to call another upstream.
+	dialer := networker.Impatient{Network: network}
+	t := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
 	return &Caller{http: &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error {
 		return http.ErrUseLastResponse
 	}}}
