internal/pauser: one wait that the end of a context cuts short

Cause: the same timer and select stood seven times, as pause, sleep, Rest, wait and in line, in leaser, reader, recorder, commander, composer, announcer and the stand-ins. They now call pauser.Pause; what they wait for is as it was. Left as they are: waits that listen to more than a time and a context.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/pauser"
 	"github.com/lycheebarrow/lycheebarrow/internal/storer"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
 )
@@ -68,12 +69,7 @@
 			wait = _retryInterval
 		}
 		wait += time.Duration(a.random.Int64N(int64(wait / 2)))
-		t := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
-		t.Stop()
+		pauser.Pause(ctx, wait)
 	}
 }
 
--- a/internal/commander/wait.go
+++ b/internal/commander/wait.go
@@ -10,6 +10,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/lycheebarrow/lycheebarrow"
+	"github.com/lycheebarrow/lycheebarrow/internal/pauser"
 )
 
 const (
@@ -52,7 +53,7 @@
 				behind++
 			}
 		}
-		if (behind > 0 || len(list) < least) && time.Now().Before(deadline) && pause(ctx) {
+		if (behind > 0 || len(list) < least) && time.Now().Before(deadline) && pauser.Pause(ctx, _waitInterval) {
 			continue
 		}
 		if err := c.print(list, func(w io.Writer) { printProcesses(list, w) }); err != nil {
@@ -67,15 +68,3 @@
 		return nil
 	}
 }
-
-// pause returns false where ctx ended.
-func pause(ctx context.Context) bool {
-	t := time.NewTimer(_waitInterval)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/composer/meter.go
+++ b/internal/composer/meter.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"time"
 
 	"go.uber.org/fx"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/meter"
+	"github.com/lycheebarrow/lycheebarrow/internal/pauser"
 	"github.com/lycheebarrow/lycheebarrow/internal/registrar"
 )
 
@@ -52,12 +52,7 @@
 		OnStop: func(ctx context.Context) error {
 			k.health.Leave()
 			k.log.Event("leave", nil)
-			notice := time.NewTimer(k.settings.DrainNotice())
-			defer notice.Stop()
-			select {
-			case <-notice.C:
-			case <-ctx.Done():
-			}
+			pauser.Pause(ctx, k.settings.DrainNotice())
 			return nil
 		},
 	})
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/pauser"
 	"github.com/lycheebarrow/lycheebarrow/internal/storer"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
 )
@@ -108,7 +109,7 @@
 		if failures == 1 && ctx.Err() == nil {
 			l.log.Failure("lease-step", err, logger.Fields{"lease": l.key})
 		}
-		pause(ctx, l.wait(err))
+		pauser.Pause(ctx, l.wait(err))
 	}
 }
 
@@ -240,12 +241,3 @@
 	l.term = term
 	l.validUntil = sent.Add(Duration - _margin)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/reader/turn.go
+++ b/internal/reader/turn.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/pauser"
 )
 
 const (
@@ -80,12 +82,7 @@
 
 // Rest waits for d or until ctx ends.
 func (t *Turn) Rest(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	pauser.Pause(ctx, d)
 }
 
 // draw returns a random part of d. The caller holds the lock.
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/pauser"
 	"github.com/lycheebarrow/lycheebarrow/internal/storer"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
 )
@@ -202,21 +203,12 @@
 			}
 		}
 		if !errors.Is(err, storer.ErrUnchanged) {
-			sleep(ctx, pause)
+			pauser.Pause(ctx, pause)
 		}
 	}
 	return record
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func decode(o storer.Object) (*wire.CallRecord, error) {
 	var record wire.CallRecord
 	if err := protojson.Unmarshal(o.Value, &record); err != nil {
--- a/internal/recorder/trimmer.go
+++ b/internal/recorder/trimmer.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/pauser"
 	"github.com/lycheebarrow/lycheebarrow/internal/storer"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
 )
@@ -66,7 +67,7 @@
 // Run makes passes until ctx ends.
 func (t *Trimmer) Run(ctx context.Context) {
 	for {
-		sleep(ctx, _checkInterval/2+rand.N(_checkInterval))
+		pauser.Pause(ctx, _checkInterval/2+rand.N(_checkInterval))
 		if ctx.Err() != nil {
 			return
 		}
@@ -86,7 +87,7 @@
 	if err != nil || !ok {
 		return err
 	}
-	sleep(ctx, _announceWait)
+	pauser.Pause(ctx, _announceWait)
 	lists, deletes := rate.NewLimiter(_listRate, 1), rate.NewLimiter(_deleteRate, 1)
 	deleted := 0
 	for i := range _shards {
--- a/internal/standin/chat.go
+++ b/internal/standin/chat.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/messenger"
+	"github.com/lycheebarrow/lycheebarrow/internal/pauser"
 )
 
 // _queuePerSlot bounds the answers that wait in an engine, for each slot.
@@ -146,7 +147,7 @@
 	checked := time.Now()
 	for i := first; i < len(words); i++ {
 		f = e.current()
-		if !wait(ctx, e.options.TokenTime*time.Duration(max(1, f.SlowFactor))) {
+		if !pauser.Pause(ctx, e.options.TokenTime*time.Duration(max(1, f.SlowFactor))) {
 			panic(http.ErrAbortHandler)
 		}
 		if f.CutAfterTokens > 0 && i-first >= f.CutAfterTokens {
@@ -197,14 +198,3 @@
 		f.Flush()
 	}
 }
-
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
