--- /dev/null
+++ b/internal/budgeter/budgeter.go
@@ -0,0 +1,73 @@
+package budgeter
+
+import (
+	"sync"
+	"time"
+)
+
+// _slices is the number of parts of a window; counts are kept for each.
+const _slices = 10
+
+// Budget is the bound for the second sends to each service: in each window, Ratio
+// times the requests, plus Slack. Set its fields before use. It is safe for
+// concurrent use.
+type Budget struct {
+	Window time.Duration
+	Ratio  float64
+	// Slack is this process's part of the sends allowed besides.
+	Slack float64
+
+	mu       sync.Mutex
+	services map[string]*account
+}
+
+type account struct {
+	slice    int64
+	requests [_slices]int
+	sends    [_slices]int
+}
+
+// Request counts a caller's request for a service.
+func (b *Budget) Request(service string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.at(service, now)
+	a.requests[a.slice%_slices]++
+}
+
+// Spend says whether one more request may be sent a second time, and counts it.
+func (b *Budget) Spend(service string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.at(service, now)
+	requests, sends := 0, 0
+	for i := range _slices {
+		requests += a.requests[i]
+		sends += a.sends[i]
+	}
+	if float64(sends+1) > b.Ratio*float64(requests)+b.Slack {
+		return false
+	}
+	a.sends[a.slice%_slices]++
+	return true
+}
+
+// at returns a service's account with the counts that are too old removed; the
+// lock is held.
+func (b *Budget) at(service string, now time.Time) *account {
+	a := b.services[service]
+	slice := now.UnixNano() / int64(max(b.Window, _slices)/_slices)
+	if a == nil {
+		if b.services == nil {
+			b.services = make(map[string]*account)
+		}
+		a = &account{slice: slice}
+		b.services[service] = a
+	}
+	for n := 0; a.slice < slice && n < _slices; n++ {
+		a.slice++
+		a.requests[a.slice%_slices], a.sends[a.slice%_slices] = 0, 0
+	}
+	a.slice = max(a.slice, slice)
+	return a
+}
--- /dev/null
+++ b/internal/cataloguer/catalogue.go
@@ -0,0 +1,60 @@
+package cataloguer
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+// Catalogue holds the newest configuration and fleet that a process knows. The
+// zero value knows nothing and is ready for use. It is safe for concurrent use.
+type Catalogue struct {
+	configuration atomic.Pointer[Configuration]
+	fleet         atomic.Pointer[Fleet]
+
+	mu      sync.Mutex
+	changed chan struct{}
+}
+
+// Configuration returns the newest configuration, or nil.
+func (c *Catalogue) Configuration() *Configuration { return c.configuration.Load() }
+
+// Fleet returns the newest fleet, or nil.
+func (c *Catalogue) Fleet() *Fleet { return c.fleet.Load() }
+
+// Changed is closed at the next change.
+func (c *Catalogue) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.changed == nil {
+		c.changed = make(chan struct{})
+	}
+	return c.changed
+}
+
+// SetConfiguration publishes a configuration if it is newer than the one in
+// force, and says whether it is.
+func (c *Catalogue) SetConfiguration(next *Configuration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now := c.configuration.Load(); now != nil && now.Version >= next.Version {
+		return false
+	}
+	c.configuration.Store(next)
+	c.notify()
+	return true
+}
+
+// SetFleet publishes a fleet.
+func (c *Catalogue) SetFleet(next *Fleet) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fleet.Store(next)
+	c.notify()
+}
+
+func (c *Catalogue) notify() {
+	if c.changed != nil {
+		close(c.changed)
+		c.changed = nil
+	}
+}
--- /dev/null
+++ b/internal/composer/instance.go
@@ -0,0 +1,248 @@
+package composer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"runtime/debug"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/fx"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/balancer"
+	"github.com/lycheebarrow/lycheebarrow/internal/budgeter"
+	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
+	"github.com/lycheebarrow/lycheebarrow/internal/conductor"
+	"github.com/lycheebarrow/lycheebarrow/internal/follower"
+	"github.com/lycheebarrow/lycheebarrow/internal/forwarder"
+	"github.com/lycheebarrow/lycheebarrow/internal/leaser"
+	"github.com/lycheebarrow/lycheebarrow/internal/loader"
+	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/meter"
+	"github.com/lycheebarrow/lycheebarrow/internal/networker"
+	"github.com/lycheebarrow/lycheebarrow/internal/pauser"
+	"github.com/lycheebarrow/lycheebarrow/internal/registrar"
+	"github.com/lycheebarrow/lycheebarrow/internal/relayer"
+)
+
+// Names of the services of an instance.
+const (
+	NameAdapter   = "adapter"
+	NameCatalogue = "catalogue"
+	NameConductor = "conductor"
+	NameRelayer   = "relayer"
+)
+
+const (
+	// _leaseName names the lease of the instance that gives the orders.
+	_leaseName = "conductor"
+	// _stopMargin is kept free at the end of a graceful shutdown.
+	_stopMargin = 500 * time.Millisecond
+	// _gather is the pause in which changes of the list of upstreams gather, so
+	// that each watch brings several.
+	_gather = 60 * time.Millisecond
+	// _keepLapsed is how long an upstream is still used whose entry lapsed while
+	// the store was away. Upstreams write theirs again within two seconds.
+	_keepLapsed = 1800 * time.Millisecond
+	// _memoryPart is the part of an instance's memory at which the garbage
+	// collector works harder.
+	_memoryPart = 0.6
+	// _slackShare is an instance's part of the second sends allowed besides.
+	_slackShare = 1.0 / 8
+	// _sweepEvery is the time between two looks for connections to close.
+	_sweepEvery = time.Second
+)
+
+// Adapter connects an instance to a platform.
+type Adapter struct {
+	Store          leaser.Store
+	Configurations follower.Source[*cataloguer.Configuration]
+	Upstreams      follower.Source[cataloguer.Upstream]
+	Orders         conductor.Upstreams
+	Protocol       relayer.Protocol
+	// ReadinessPath is where the platform asks whether the process is ready.
+	ReadinessPath string
+}
+
+// Adapt makes the adapter.
+type Adapt func(s loader.Settings, network networker.Network, m *meter.Meter) Adapter
+
+// Instance returns the application of an instance. Log lines go to output.
+func Instance(s loader.Settings, network networker.Network, adapt Adapt, output io.Writer) *fx.App {
+	if s.MemoryLimit() > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryLimit()) * _memoryPart))
+	}
+	adapted := func(k *kernel) error { return buildAdapter(k, adapt) }
+	return compose(s, network, output, adapted, buildCatalogue, buildRelayer, buildConductor, buildInstanceReadiness)
+}
+
+// buildAdapter makes the meter and the adapter, and serves metrics and health.
+func buildAdapter(k *kernel, adapt Adapt) error {
+	m, err := meter.New()
+	if err != nil {
+		return err
+	}
+	a := adapt(k.settings, k.network, m)
+	l, err := k.listen("metrics", k.settings.MetricsListen())
+	if err != nil {
+		return err
+	}
+	k.health.ReadyPath = a.ReadinessPath
+	k.serve("metrics", l, k.health.Handler(m), nil)
+	if err := k.services.Register(NameMeter, m); err != nil {
+		return err
+	}
+	return k.services.Register(NameAdapter, a)
+}
+
+// buildCatalogue follows the configuration and the list of upstreams.
+func buildCatalogue(k *kernel) error {
+	a, err := registrar.Find[Adapter](&k.services, NameAdapter)
+	if err != nil {
+		return err
+	}
+	c := &cataloguer.Catalogue{}
+	configurations := &follower.Follower[*cataloguer.Configuration]{
+		Kind: "configuration", Source: a.Configurations, Log: k.log,
+		Publish: func(revision uint64, values map[string]*cataloguer.Configuration) { publish(k.log, c, revision, values) },
+	}
+	upstreams := &follower.Follower[cataloguer.Upstream]{
+		Kind: "upstreams", Source: a.Upstreams, Log: k.log, Keep: _keepLapsed, Gather: _gather,
+		Publish: func(revision uint64, values map[string]cataloguer.Upstream) {
+			c.SetFleet(cataloguer.NewFleet(revision, values))
+		},
+	}
+	k.run(configurations.Run)
+	k.run(upstreams.Run)
+	return k.services.Register(NameCatalogue, c)
+}
+
+// publish puts a newer configuration in force.
+func publish(log logger.Logger, c *cataloguer.Catalogue, revision uint64, values map[string]*cataloguer.Configuration) {
+	for _, next := range values {
+		old := uint64(0)
+		if now := c.Configuration(); now != nil {
+			old = now.Version
+		}
+		if c.SetConfiguration(next) {
+			log.Event("configuration", logger.Fields{
+				"version": next.Version, "before": old, "revision": revision, "routes": len(next.Routes), "services": len(next.Services), "organisations": len(next.Organisations),
+			})
+		}
+	}
+}
+
+func buildRelayer(k *kernel) error {
+	a, err := registrar.Find[Adapter](&k.services, NameAdapter)
+	if err != nil {
+		return err
+	}
+	c, err := registrar.Find[*cataloguer.Catalogue](&k.services, NameCatalogue)
+	if err != nil {
+		return err
+	}
+	m, err := registrar.Find[*meter.Meter](&k.services, NameMeter)
+	if err != nil {
+		return err
+	}
+	b := &balancer.Balancer{}
+	if err := m.Gauge("in_flight", "Requests that hold a place at an upstream.", b.InFlight); err != nil {
+		return err
+	}
+	s := &relayer.Relayer{
+		Knowledge: c, Protocol: a.Protocol, Pool: &forwarder.Pool{Network: k.network}, Balancer: b,
+		Budget: &budgeter.Budget{
+			Window: k.settings.RetryWindow(), Ratio: k.settings.RetryRatio(), Slack: k.settings.RetrySlack() * _slackShare,
+		},
+		Log: k.log, Meter: m, DataCentre: k.settings.DataCentre(), Watchdog: &relayer.Watchdog{Balancer: b, Log: k.log},
+	}
+	l, err := k.listen("callers", k.settings.CallersListen())
+	if err != nil {
+		return err
+	}
+	k.run(s.Watchdog.Run)
+	k.run(func(ctx context.Context) { sweep(ctx, s.Pool, b, c) })
+	k.life.Append(fx.StopHook(s.Pool.Close))
+	k.serve("callers", l, s, nil)
+	return k.services.Register(NameRelayer, s)
+}
+
+// sweep closes old connections and drops the accounts of upstreams that are gone.
+func sweep(ctx context.Context, p *forwarder.Pool, b *balancer.Balancer, c *cataloguer.Catalogue) {
+	for pauser.Pause(ctx, _sweepEvery) {
+		p.Sweep(time.Now())
+		if f := c.Fleet(); f != nil {
+			b.Forget(f)
+		}
+	}
+}
+
+func buildConductor(k *kernel) error {
+	a, err := registrar.Find[Adapter](&k.services, NameAdapter)
+	if err != nil {
+		return err
+	}
+	c, err := registrar.Find[*cataloguer.Catalogue](&k.services, NameCatalogue)
+	if err != nil {
+		return err
+	}
+	s, err := registrar.Find[*relayer.Relayer](&k.services, NameRelayer)
+	if err != nil {
+		return err
+	}
+	lease := leaser.New(a.Store, _leaseName, k.settings.Name()+"/"+uuid.NewString(), k.log)
+	x := &conductor.Conductor{
+		Lease: lease, Knowledge: c, Upstreams: a.Orders, Log: k.log, StallTime: k.settings.StallTime(), Busy: s.Busy,
+	}
+	k.run(func(ctx context.Context) {
+		lease.Run(ctx)
+		release, cancel := context.WithTimeout(context.WithoutCancel(ctx), _stopMargin)
+		defer cancel()
+		lease.Release(release)
+	})
+	k.run(x.Run)
+	return k.services.Register(NameConductor, x)
+}
+
+// buildInstanceReadiness makes the process ready once it knows a configuration
+// and the upstreams. Built last, it stops first.
+func buildInstanceReadiness(k *kernel) error {
+	c, err := registrar.Find[*cataloguer.Catalogue](&k.services, NameCatalogue)
+	if err != nil {
+		return err
+	}
+	s, err := registrar.Find[*relayer.Relayer](&k.services, NameRelayer)
+	if err != nil {
+		return err
+	}
+	k.health.InForce = func() bool { return c.Configuration() != nil && c.Fleet() != nil }
+	k.life.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			k.health.Start()
+			k.log.Event("start", logger.Fields{"data_centre": k.settings.DataCentre(), "platform": k.settings.Platform()})
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			k.health.Leave()
+			s.Leave()
+			k.log.Event("leave", logger.Fields{"notice": k.settings.DrainNotice(), "limit": k.settings.DrainLimit()})
+			pauser.Pause(ctx, k.settings.DrainNotice())
+			return nil
+		},
+	})
+	return nil
+}
+
+// InstanceProgram runs an instance's command line, as Program does.
+func InstanceProgram(args []string, adapt Adapt, output, faults io.Writer) int {
+	s, code, run := readSettings(loader.RoleInstance, args, output, faults)
+	if !run {
+		return code
+	}
+	log := logger.NewBuffer(output)
+	defer log.Close()
+	code = runApp(Instance(s, networker.System{}, adapt, log), log)
+	fmt.Fprintf(log, "time=%q level=info event=stop code=%d process=%s\n", time.Now().Format(time.RFC3339Nano), code, s.Name())
+	return code
+}
--- a/internal/composer/kernel.go
+++ b/internal/composer/kernel.go
@@ -93,6 +93,15 @@
 	return s.DrainNotice() + s.DrainLimit() + 10*time.Second
 }
 
+// shutdownLimit is how long requests in progress may take once a listener has
+// closed; 0 means no limit. An instance's limit includes the notice before it.
+func shutdownLimit(s loader.Settings) time.Duration {
+	if s.Role() != loader.RoleInstance || s.DrainLimit() == 0 {
+		return s.DrainLimit()
+	}
+	return max(s.DrainLimit()-s.DrainNotice()-_stopMargin, time.Millisecond)
+}
+
 // run runs a service's loop from the start to the stop of the application.
 func (k *kernel) run(loop func(ctx context.Context)) {
 	k.life.Append(fx.StartHook(func() {
@@ -128,7 +137,7 @@
 			if before != nil {
 				before()
 			}
-			if d := k.settings.DrainLimit(); d > 0 {
+			if d := shutdownLimit(k.settings); d > 0 {
 				var cancel context.CancelFunc
 				ctx, cancel = context.WithTimeout(ctx, d)
 				defer cancel()
--- a/internal/composer/program.go
+++ b/internal/composer/program.go
@@ -28,31 +28,41 @@
 // "settings" prints a table of them, and everything else runs the daemon until
 // SIGTERM or SIGINT. It returns the exit code. A second signal ends the graceful shutdown at once.
 func Program(role loader.Role, args []string, output, log io.Writer) int {
+	s, code, run := readSettings(role, args, output, log)
+	if !run {
+		return code
+	}
+	app := Entry
+	if role == loader.RolePlacer {
+		app = Placer
+	}
+	return runApp(app(s, networker.System{}, log), log)
+}
+
+// readSettings reads the settings of a command line. The last result is false
+// where there is nothing to run; code is the exit code then.
+func readSettings(role loader.Role, args []string, output, faults io.Writer) (s loader.Settings, code int, run bool) {
 	if len(args) > 0 && args[0] == "settings" {
 		fmt.Fprint(output, loader.Table(role))
-		return ExitOK
+		return s, ExitOK, false
 	}
 	check := len(args) > 0 && args[0] == "check"
 	if check {
 		args = args[1:]
 	}
-	s, err := loader.Load(role, args, log)
+	s, err := loader.Load(role, args, faults)
 	if errors.Is(err, flag.ErrHelp) {
-		return ExitOK
+		return s, ExitOK, false
 	}
 	if err != nil {
-		fmt.Fprintln(log, err)
-		return ExitSettings
+		fmt.Fprintln(faults, err)
+		return s, ExitSettings, false
 	}
 	if check {
 		fmt.Fprintln(output, "settings are valid")
-		return ExitOK
-	}
-	app := Entry
-	if role == loader.RolePlacer {
-		app = Placer
+		return s, ExitOK, false
 	}
-	return runApp(app(s, networker.System{}, log), log)
+	return s, ExitOK, true
 }
 
 func runApp(app *fx.App, log io.Writer) int {
--- /dev/null
+++ b/internal/conductor/conductor.go
@@ -0,0 +1,279 @@
+package conductor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
+	"github.com/lycheebarrow/lycheebarrow/internal/grouper"
+	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+)
+
+const (
+	// _tick is the time between two decisions when nothing happens.
+	_tick = 200 * time.Millisecond
+	// _reportTimeout bounds the question for a report; an upstream of the same
+	// region answers in milliseconds.
+	_reportTimeout = 400 * time.Millisecond
+	// _orderTimeout bounds an order, which is answered at once.
+	_orderTimeout = 700 * time.Millisecond
+	// _checkEvery is the time between two checks of a group's member.
+	_checkEvery = time.Second
+	// _recheck is the time to the next check after one that failed.
+	_recheck = 200 * time.Millisecond
+	// _lostAfter is the number of checks in a row that fail before a member
+	// counts as lost.
+	_lostAfter = 2
+)
+
+// ErrRefused says that an upstream refused an order, which had no effect.
+var ErrRefused = errors.New("order refused")
+
+// Command is an order with the number of orders that the upstream has accepted
+// so far; another number there refuses it.
+type Command struct {
+	grouper.Order
+	Expect uint64
+}
+
+// Upstreams speaks to upstreams.
+type Upstreams interface {
+	Report(ctx context.Context, u cataloguer.Upstream) (cataloguer.Report, error)
+	// Order returns nil where the order has begun or the state holds, ErrRefused
+	// where it had no effect, and another error where no answer came.
+	Order(ctx context.Context, u cataloguer.Upstream, c Command) error
+}
+
+// Lease says whether this process gives the orders.
+type Lease interface {
+	Held(now time.Time) bool
+	Term() uint64
+}
+
+// Knowledge is what the process knows.
+type Knowledge interface {
+	Configuration() *cataloguer.Configuration
+	Fleet() *cataloguer.Fleet
+	// Changed is closed at the next change.
+	Changed() <-chan struct{}
+}
+
+// Conductor is the service. Set its fields before Run.
+type Conductor struct {
+	Lease     Lease
+	Knowledge Knowledge
+	Upstreams Upstreams
+	Log       logger.Logger
+	// StallTime is how long a head goes on after it lost a member.
+	StallTime time.Duration
+	// Busy says that callers' requests have begun.
+	Busy func() bool
+
+	groupers map[string]*grouper.Grouper
+	checks   map[string]*check
+	results  chan func(now time.Time)
+	group    sync.WaitGroup
+	leading  bool
+}
+
+// check is the account of one member's checks.
+type check struct {
+	next   time.Time
+	failed int
+	open   bool
+}
+
+// Run works until ctx ends, and waits for the orders that are under way.
+func (c *Conductor) Run(ctx context.Context) {
+	c.groupers, c.checks = make(map[string]*grouper.Grouper), make(map[string]*check)
+	c.results = make(chan func(time.Time))
+	defer c.group.Wait()
+	t := time.NewTicker(_tick)
+	defer t.Stop()
+	for {
+		changed := c.Knowledge.Changed()
+		c.step(ctx, time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-c.results:
+			f(time.Now())
+			c.drain()
+		case <-changed:
+		case <-t.C:
+		}
+	}
+}
+
+// drain takes the results that have come meanwhile.
+func (c *Conductor) drain() {
+	for {
+		select {
+		case f := <-c.results:
+			f(time.Now())
+		default:
+			return
+		}
+	}
+}
+
+func (c *Conductor) step(ctx context.Context, now time.Time) {
+	configuration, fleet := c.Knowledge.Configuration(), c.Knowledge.Fleet()
+	held := c.Lease.Held(now)
+	if held != c.leading {
+		c.leading = held
+		c.Log.Event("conductor", logger.Fields{"leading": held, "term": c.Lease.Term()})
+	}
+	if !held || configuration == nil || fleet == nil {
+		clear(c.checks)
+		return
+	}
+	for name, s := range configuration.Services {
+		if s.Engine == nil {
+			continue
+		}
+		c.check(ctx, now, fleet, name)
+		g := c.groupers[name]
+		if g == nil {
+			g = &grouper.Grouper{StallTime: c.StallTime}
+			c.groupers[name] = g
+		}
+		orders := g.Decide(now, grouper.World{
+			Engine: s.Engine, Service: name, Fleet: fleet, Lost: c.lost(), Busy: c.Busy(), Term: c.Lease.Term(),
+		})
+		for _, o := range orders {
+			c.give(ctx, g, fleet, o)
+		}
+	}
+}
+
+// lost returns the upstreams that failed their latest checks.
+func (c *Conductor) lost() map[string]bool {
+	out := make(map[string]bool)
+	for id, k := range c.checks {
+		if k.failed >= _lostAfter {
+			out[id] = true
+		}
+	}
+	return out
+}
+
+// check asks the members of groups whether they are there.
+func (c *Conductor) check(ctx context.Context, now time.Time, fleet *cataloguer.Fleet, service string) {
+	for id := range c.checks {
+		if u, ok := fleet.Upstreams[id]; !ok || u.Service == service && u.Group.Name == "" && c.checks[id].failed == 0 {
+			delete(c.checks, id)
+		}
+	}
+	for _, u := range fleet.OfService(service) {
+		if u.Group.Name == "" && c.checks[u.ID] == nil {
+			continue
+		}
+		k := c.checks[u.ID]
+		if k == nil {
+			k = &check{next: now.Add(_checkEvery)}
+			c.checks[u.ID] = k
+		}
+		if k.open || now.Before(k.next) {
+			continue
+		}
+		k.open = true
+		c.ask(ctx, u, k)
+	}
+}
+
+// ask checks one member on a goroutine of its own.
+func (c *Conductor) ask(ctx context.Context, u cataloguer.Upstream, k *check) {
+	c.group.Go(func() {
+		_, err := c.report(ctx, u)
+		c.result(ctx, func(now time.Time) {
+			k.open = false
+			if err == nil {
+				if k.failed >= _lostAfter {
+					c.Log.Event("member-regained", logger.Fields{"upstream": u.ID, "group": u.Group.Name, "epoch": u.Group.Epoch})
+				}
+				k.failed = 0
+				k.next = now.Add(_checkEvery)
+				return
+			}
+			k.failed++
+			k.next = now.Add(_recheck)
+			if k.failed == _lostAfter {
+				c.Log.Failure("member-lost", err, logger.Fields{"upstream": u.ID, "group": u.Group.Name, "epoch": u.Group.Epoch, "checks": k.failed})
+			}
+			if k.failed > _lostAfter {
+				k.next = now.Add(_checkEvery)
+			}
+		})
+	})
+}
+
+func (c *Conductor) report(ctx context.Context, u cataloguer.Upstream) (cataloguer.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, _reportTimeout)
+	defer cancel()
+	return c.Upstreams.Report(ctx, u)
+}
+
+// give carries out one order on a goroutine of its own.
+func (c *Conductor) give(ctx context.Context, g *grouper.Grouper, fleet *cataloguer.Fleet, o grouper.Order) {
+	u := fleet.Upstreams[o.Upstream]
+	c.group.Go(func() {
+		sent := time.Now()
+		outcome, err := c.carryOut(ctx, u, o)
+		c.result(ctx, func(now time.Time) {
+			g.Done(now, o, outcome)
+			fields := logger.Fields{
+				"operation": o.Operation, "upstream": o.Upstream, "group": o.Group, "epoch": o.Epoch, "model": o.Model,
+				"reason": o.Reason, "fleet_revision": fleet.Revision, "outcome": outcome, "took_ms": now.Sub(sent).Milliseconds(),
+			}
+			if o.Operation == grouper.OperationJoin {
+				fields["members"] = len(o.Members)
+			}
+			if err != nil {
+				c.Log.Failure("order", err, fields)
+				return
+			}
+			c.Log.Event("order", fields)
+		})
+	})
+}
+
+// carryOut reads the upstream's state, and gives the order if it is still the
+// one that the order was decided on.
+func (c *Conductor) carryOut(ctx context.Context, u cataloguer.Upstream, o grouper.Order) (grouper.Outcome, error) {
+	r, err := c.report(ctx, u)
+	if err != nil {
+		return grouper.OutcomeUnknown, fmt.Errorf("conductor: %s on %s: report: %w", o.Operation, u.ID, err)
+	}
+	if u.Born != 0 && r.Born != 0 && r.Born != u.Born {
+		return grouper.OutcomeRefused, fmt.Errorf("conductor: %s on %s: it has started again", o.Operation, u.ID)
+	}
+	if o.Operation == grouper.OperationJoin && r.Group.Name == o.Group && r.Group.Epoch == o.Epoch {
+		return grouper.OutcomeAccepted, nil
+	}
+	if r.Group.Name != o.From.Name || r.Group.Epoch != o.From.Epoch {
+		return grouper.OutcomeRefused, fmt.Errorf("conductor: %s on %s: it is in group %q of epoch %d now", o.Operation, u.ID, r.Group.Name, r.Group.Epoch)
+	}
+	ctx, cancel := context.WithTimeout(ctx, _orderTimeout)
+	defer cancel()
+	err = c.Upstreams.Order(ctx, u, Command{Order: o, Expect: r.Orders})
+	switch {
+	case err == nil:
+		return grouper.OutcomeAccepted, nil
+	case errors.Is(err, ErrRefused):
+		return grouper.OutcomeRefused, fmt.Errorf("conductor: %s on %s: %w", o.Operation, u.ID, err)
+	default:
+		return grouper.OutcomeUnknown, fmt.Errorf("conductor: %s on %s: %w", o.Operation, u.ID, err)
+	}
+}
+
+// result hands a result to Run's goroutine.
+func (c *Conductor) result(ctx context.Context, f func(now time.Time)) {
+	select {
+	case c.results <- f:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/grouper/decision.go
@@ -0,0 +1,226 @@
+package grouper
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
+)
+
+// decision is one call of Decide.
+type decision struct {
+	*Grouper
+	now    time.Time
+	world  World
+	orders []Order
+	groups []*group
+	byKey  map[key]*group
+	// taken are upstreams that this decision has already used.
+	taken map[string]bool
+	// released are groups whose members may be used although their head was not
+	// seen to leave.
+	released map[key]bool
+}
+
+// survey sorts the fleet into groups.
+func (d *decision) survey() {
+	d.byKey = make(map[key]*group)
+	for _, u := range d.world.Fleet.OfService(d.world.Service) {
+		if u.Group.Name == "" {
+			continue
+		}
+		k := key{u.Group.Name, u.Group.Epoch}
+		x := d.byKey[k]
+		if x == nil {
+			m, _ := d.world.Engine.Model(u.Group.Model)
+			x = &group{key: k, model: m}
+			d.byKey[k] = x
+			d.groups = append(d.groups, x)
+		}
+		x.members = append(x.members, u)
+		if d.world.Lost[u.ID] {
+			x.lost++
+		}
+		if u.Draining {
+			x.leaving++
+		}
+	}
+	for _, x := range d.groups {
+		slices.SortFunc(x.members, byRank)
+		if x.members[0].Group.Rank == 0 {
+			x.head = &x.members[0]
+		}
+	}
+	slices.SortFunc(d.groups, func(a, b *group) int { return cmp.Compare(a.key.epoch, b.key.epoch) })
+}
+
+// progress gives the joins of the plans that are under way, and drops plans that
+// can't be carried out any more or are done.
+func (d *decision) progress() {
+	for _, epoch := range slices.Sorted(maps.Keys(d.plans)) {
+		p := d.plans[epoch]
+		for _, id := range p.members {
+			u, ok := d.world.Fleet.Upstreams[id]
+			if !ok || d.world.Lost[id] || u.Draining {
+				d.drop(p)
+				break
+			}
+			if u.Group.Name == p.key.name && u.Group.Epoch == epoch {
+				p.accepted[id] = true
+			}
+		}
+		if d.plans[epoch] == nil || d.now.Sub(p.begun) > p.model.Load+_joinMargin {
+			d.drop(p)
+			continue
+		}
+		if x := d.byKey[p.key]; x != nil && x.whole() && x.all(cataloguer.GroupReady, cataloguer.GroupOpen) {
+			delete(d.plans, epoch)
+			continue
+		}
+		for _, id := range p.members {
+			d.taken[id] = true
+		}
+		d.join(p)
+	}
+}
+
+// join gives the joins of a plan that may be given now: a member of an older
+// group joins only after that group's head has.
+func (d *decision) join(p *plan) {
+	for _, id := range p.members {
+		from := p.from[id]
+		if p.accepted[id] || d.waits(d.now, id) || !d.headLeft(p, id, from) {
+			continue
+		}
+		d.order(Order{
+			Operation: OperationJoin, Upstream: id, Group: p.key.name, Epoch: p.key.epoch, Model: p.model.Name,
+			Members: p.members, From: from, Reason: "form",
+		})
+	}
+}
+
+// headLeft says that the head of a member's older group has joined the plan, is
+// known to be in another group, or was given up.
+func (d *decision) headLeft(p *plan, id string, from cataloguer.Membership) bool {
+	if from.Name == "" || from.Rank == 0 || p.freed[id] {
+		return true
+	}
+	x := d.byKey[key{from.Name, from.Epoch}]
+	if x == nil || x.head == nil {
+		return true
+	}
+	return p.accepted[x.head.ID]
+}
+
+func (d *decision) order(o Order) {
+	d.sent[o.Upstream] = sent{at: d.now, operation: o.Operation, epoch: o.Epoch, open: true}
+	d.taken[o.Upstream] = true
+	d.orders = append(d.orders, o)
+}
+
+// tend opens a complete group, and closes or frees one that lost a member.
+func (d *decision) tend(x *group) {
+	if d.plans[x.key.epoch] != nil {
+		return
+	}
+	switch {
+	case d.dropped[x.key] && x.head != nil && x.head.Group.State != cataloguer.GroupOpen:
+		// Its members are free; nothing was opened.
+	case x.whole() && x.leaving == 0 && x.all(cataloguer.GroupReady, cataloguer.GroupOpen):
+		d.hold(x)
+		if x.head.Group.State == cataloguer.GroupReady && !d.waits(d.now, x.head.ID) {
+			d.order(x.command(OperationOpen, "complete"))
+		}
+	case x.whole() && x.leaving == 0 && d.since(d.now, x.key, "forming") < x.model.Load+_joinMargin:
+		d.hold(x)
+	case x.lost == 0 && x.leaving == 0 && x.all(cataloguer.GroupJoining, cataloguer.GroupReady) &&
+		d.since(d.now, x.key, "forming") < x.model.Warm+_joinMargin:
+		// Another process may be forming it.
+		d.hold(x)
+	case x.whole() && x.leaving > 0:
+		d.close(x, false, "member leaves")
+	default:
+		d.close(x, true, "member lost")
+	}
+}
+
+// close ends the service of a group and keeps its members until its head serves
+// no more.
+func (d *decision) close(x *group, evict bool, reason string) {
+	if x.head == nil || d.world.Lost[x.head.ID] {
+		d.orphan(x)
+		return
+	}
+	switch x.head.Group.State {
+	case cataloguer.GroupOpen:
+		d.hold(x)
+		if !d.waits(d.now, x.head.ID) {
+			o := x.command(OperationClose, reason)
+			o.Evict = evict
+			d.order(o)
+		}
+	case cataloguer.GroupClosing:
+		d.hold(x)
+		if evict && d.since(d.now, x.key, "closing") > time.Second && !d.waits(d.now, x.head.ID) {
+			o := x.command(OperationClose, reason)
+			o.Evict = true
+			d.order(o)
+		}
+	default:
+		// The head serves nothing. It joins another group before its members do;
+		// one that can't, leaves.
+		if x.head.Draining && !d.waits(d.now, x.head.ID) {
+			d.order(x.command(OperationLeave, "head leaves"))
+		}
+	}
+}
+
+// orphan frees the members of a group whose head does not answer. The head may
+// be alive and cut off: it stops by itself some time after a member has left, so
+// one is told to leave, and the others wait.
+func (d *decision) orphan(x *group) {
+	d.hold(x)
+	others := make([]cataloguer.Upstream, 0, len(x.members))
+	for _, m := range x.members {
+		if (x.head == nil || m.ID != x.head.ID) && !d.world.Lost[m.ID] {
+			others = append(others, m)
+		}
+	}
+	if len(others) < x.model.Size-1 {
+		if d.since(d.now, x.key, "orphan") < d.StallTime+_stallMargin {
+			return
+		}
+		d.released[x.key] = true
+		for _, m := range others {
+			delete(d.taken, m.ID)
+		}
+		return
+	}
+	last := others[len(others)-1]
+	if d.waits(d.now, last.ID) {
+		return
+	}
+	o := Order{
+		Operation: OperationLeave, Upstream: last.ID, Group: x.key.name, Epoch: x.key.epoch, Model: x.model.Name,
+		From: last.Group, Reason: "head lost",
+	}
+	d.quarantine[last.ID] = d.now.Add(d.StallTime + 2*_stallMargin)
+	d.order(o)
+}
+
+// hold keeps a group's members from being used for others.
+func (d *decision) hold(x *group) {
+	for _, m := range x.members {
+		d.taken[m.ID] = true
+	}
+}
+
+// command returns an order to the group's head.
+func (x *group) command(operation Operation, reason string) Order {
+	return Order{
+		Operation: operation, Upstream: x.head.ID, Group: x.key.name, Epoch: x.key.epoch, Model: x.model.Name,
+		From: x.head.Group, Reason: reason,
+	}
+}
--- /dev/null
+++ b/internal/grouper/form.go
@@ -0,0 +1,257 @@
+package grouper
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
+)
+
+// _loadBudget is the part of the allowed loads that is used; the rest covers
+// loads that an earlier lease holder began.
+const _loadBudget = 0.8
+
+// form plans new groups from the upstreams that are free, domain by domain.
+func (d *decision) form() {
+	have := d.formed()
+	for _, domain := range d.domains() {
+		for d.formOne(domain, have) {
+			continue
+		}
+	}
+}
+
+// formed counts the groups of each model that serve or are being formed.
+func (d *decision) formed() map[string]int {
+	have := make(map[string]int)
+	for _, x := range d.groups {
+		if d.plans[x.key.epoch] == nil && x.whole() && x.leaving == 0 {
+			have[x.model.Name]++
+		}
+	}
+	for _, p := range d.plans {
+		have[p.model.Name]++
+	}
+	return have
+}
+
+// domains lists the fabric domains, those with the most free upstreams first.
+func (d *decision) domains() []string {
+	count := make(map[string]int)
+	for _, u := range d.world.Fleet.OfService(d.world.Service) {
+		if d.free(u) {
+			count[u.Domain]++
+		}
+	}
+	list := slices.Collect(maps.Keys(count))
+	slices.SortFunc(list, func(a, b string) int {
+		return cmp.Or(cmp.Compare(count[b], count[a]), cmp.Compare(a, b))
+	})
+	return list
+}
+
+// free says that an upstream may join a new group.
+func (d *decision) free(u cataloguer.Upstream) bool {
+	_, quarantined := d.quarantine[u.ID]
+	return !d.taken[u.ID] && !u.Draining && !d.world.Lost[u.ID] && !quarantined && !d.waits(d.now, u.ID)
+}
+
+// formOne plans one group in a domain, and says whether it did.
+func (d *decision) formOne(domain string, have map[string]int) bool {
+	candidates := d.candidates(domain)
+	var best *plan
+	bestLoads, bestLack := 0, 0.0
+	for _, m := range d.world.Engine.Models {
+		members := pick(candidates, m)
+		if members == nil {
+			continue
+		}
+		loads := 0
+		for _, u := range members {
+			if !warm(u, m) {
+				loads++
+			}
+		}
+		if !d.mayLoad(loads) {
+			continue
+		}
+		// lack is the smaller, the better a model is supplied for its need.
+		lack := need(m) / float64(have[m.Name]+1)
+		better := best == nil || lack > bestLack
+		if d.world.Busy && best != nil && loads != bestLoads {
+			better = loads < bestLoads
+		}
+		if better {
+			best, bestLoads, bestLack = d.plan(domain, m, members), loads, lack
+		}
+	}
+	if best == nil {
+		return false
+	}
+	d.begun(best)
+	have[best.model.Name]++
+	return true
+}
+
+// need is a model's need of groups, relative to other models.
+func need(m cataloguer.Model) float64 { return m.Share / float64(m.Size) }
+
+// warm says that an upstream can join a model's group without a load.
+func warm(u cataloguer.Upstream, m cataloguer.Model) bool {
+	return u.Group.Model == m.Name || slices.Contains(u.Staged, m.Name)
+}
+
+// candidates lists a domain's free upstreams: former heads first, so that their
+// members are free in the same plan.
+func (d *decision) candidates(domain string) []cataloguer.Upstream {
+	var out []cataloguer.Upstream
+	for _, u := range d.world.Fleet.OfService(d.world.Service) {
+		if u.Domain == domain && d.free(u) {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// pick chooses the members of a group: those that need no load first, and a
+// former head before its members, since they can't join before it. It returns
+// nil where there are too few.
+func pick(candidates []cataloguer.Upstream, m cataloguer.Model) []cataloguer.Upstream {
+	if len(candidates) < m.Size {
+		return nil
+	}
+	list := slices.Clone(candidates)
+	rank := func(u cataloguer.Upstream) int {
+		switch {
+		case u.Group.Name != "" && u.Group.Model == m.Name:
+			return 0
+		case warm(u, m):
+			return 1
+		case u.Group.Name == "" && len(u.Staged) == 0:
+			return 2
+		default:
+			return 3
+		}
+	}
+	slices.SortStableFunc(list, func(a, b cataloguer.Upstream) int {
+		return cmp.Or(
+			cmp.Compare(rank(a), rank(b)),
+			cmp.Compare(a.Group.Epoch, b.Group.Epoch),
+			cmp.Compare(a.Group.Rank, b.Group.Rank),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+	return list[:m.Size]
+}
+
+func (d *decision) plan(domain string, m cataloguer.Model, members []cataloguer.Upstream) *plan {
+	p := &plan{
+		domain: domain, model: m, begun: d.now, accepted: make(map[string]bool),
+		from: make(map[string]cataloguer.Membership), freed: make(map[string]bool),
+	}
+	for _, u := range members {
+		p.members = append(p.members, u.ID)
+		p.from[u.ID] = u.Group
+		p.freed[u.ID] = d.released[key{u.Group.Name, u.Group.Epoch}]
+	}
+	return p
+}
+
+// begun starts a plan.
+func (d *decision) begun(p *plan) {
+	epoch := d.epoch()
+	p.key = key{name: groupName(p.domain, epoch), epoch: epoch}
+	d.plans[epoch] = p
+	for _, id := range p.members {
+		d.taken[id] = true
+		if u := d.world.Fleet.Upstreams[id]; !warm(u, p.model) {
+			d.load(id, p.model)
+		}
+	}
+	d.join(p)
+}
+
+// mayLoad says that so many more loads may begin.
+func (d *decision) mayLoad(loads int) bool {
+	if loads == 0 {
+		return true
+	}
+	if atOnce := d.world.Engine.LoadsAtOnce; atOnce > 0 && len(d.loading) >= atOnce {
+		return false
+	}
+	if !d.world.Busy || d.world.Engine.LoadRate == 0 {
+		return true
+	}
+	allowed := d.world.Engine.LoadRate * _loadWindow.Seconds() * _loadBudget
+	return float64(len(d.loads)+loads) <= allowed
+}
+
+// load notes that a load begins.
+func (d *decision) load(id string, m cataloguer.Model) {
+	const early = 10 // loads before the first request take a tenth of the time
+	takes := m.Load
+	if !d.world.Busy {
+		takes /= early
+	} else {
+		d.loads = append(d.loads, d.now)
+	}
+	d.loading[id] = d.now.Add(takes)
+}
+
+// stage loads a model onto the hosts of free upstreams, so that they can replace
+// a lost member quickly.
+func (d *decision) stage() {
+	for _, domain := range d.domains() {
+		spares := d.candidates(domain)
+		count := make(map[string]int)
+		for _, u := range spares {
+			for _, s := range u.Staged {
+				count[s]++
+			}
+		}
+		for _, u := range spares {
+			m, ok := d.wanted(domain, count)
+			if !ok || len(u.Staged) > 0 || u.Group.Name != "" || !d.mayLoad(1) {
+				continue
+			}
+			count[m.Name]++
+			d.load(u.ID, m)
+			d.order(Order{Operation: OperationStage, Upstream: u.ID, Model: m.Name, From: u.Group, Reason: "spare"})
+			s := d.sent[u.ID]
+			s.at = s.at.Add(m.Load)
+			d.sent[u.ID] = s
+		}
+	}
+}
+
+// wanted returns the model that a domain's next spare should hold: the one with
+// the most members for each spare.
+func (d *decision) wanted(domain string, spares map[string]int) (cataloguer.Model, bool) {
+	members := make(map[string]int)
+	for _, u := range d.world.Fleet.OfService(d.world.Service) {
+		if u.Domain == domain && u.Group.Name != "" {
+			members[u.Group.Model]++
+		}
+	}
+	for _, p := range d.plans {
+		if p.domain == domain {
+			members[p.model.Name] += len(p.members)
+		}
+	}
+	var best cataloguer.Model
+	found, most := false, 0.0
+	for _, m := range d.world.Engine.Models {
+		weight := (float64(members[m.Name]) + need(m)) / float64(spares[m.Name]+1)
+		if !found || weight > most {
+			best, most, found = m, weight, true
+		}
+	}
+	return best, found
+}
+
+// groupName names a group by its domain and epoch, which no other group has.
+func groupName(domain string, epoch uint64) string {
+	return "lb-" + domain + "-" + strconv.FormatUint(epoch, 10)
+}
--- /dev/null
+++ b/internal/grouper/grouper.go
@@ -0,0 +1,274 @@
+package grouper
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
+)
+
+// Operation is what an order asks of an upstream.
+type Operation string
+
+// Operations.
+const (
+	OperationJoin  Operation = "join"
+	OperationOpen  Operation = "open"
+	OperationClose Operation = "close"
+	OperationLeave Operation = "leave"
+	OperationStage Operation = "stage"
+)
+
+// Order is one order to one upstream.
+type Order struct {
+	Operation Operation
+	Upstream  string
+	Group     string
+	Epoch     uint64
+	Model     string
+	// Members are the group's upstreams, the head first.
+	Members []string
+	// Evict ends the requests of a group that closes; otherwise they go on to
+	// their end.
+	Evict bool
+	// From is the membership that the order was decided on.
+	From cataloguer.Membership
+	// Reason is why, for the log.
+	Reason string
+}
+
+// Outcome is what came of an order.
+type Outcome int
+
+// Outcomes of orders.
+const (
+	// OutcomeUnknown says that no answer came: the order may be carried out, also
+	// much later.
+	OutcomeUnknown Outcome = iota
+	// OutcomeAccepted says that the order has begun, or that the state holds.
+	OutcomeAccepted
+	// OutcomeRefused says that the order had no effect.
+	OutcomeRefused
+)
+
+// World is what is known when a decision is made.
+type World struct {
+	Engine *cataloguer.Engine
+	// Service is the engines' service.
+	Service string
+	Fleet   *cataloguer.Fleet
+	// Lost are the upstreams that did not answer lately.
+	Lost map[string]bool
+	// Busy says that callers' requests have begun; before that, loads do not
+	// count against the rate.
+	Busy bool
+	// Term is the term of the lease under which orders are given; epochs of a
+	// later term are higher.
+	Term uint64
+}
+
+const (
+	// _termShift leaves room for a million epochs in a term.
+	_termShift = 20
+	// _repeatAfter is the wait before an order without an answer is given again.
+	_repeatAfter = 700 * time.Millisecond
+	// _joinMargin is what a join may take beyond its load.
+	_joinMargin = 3 * time.Second
+	// _droppedKept bounds the memory of dropped plans; a late join may show one
+	// some time after it was dropped.
+	_droppedKept = 1000
+	// _stallMargin is the extra wait for a head that is cut off to stop.
+	_stallMargin = time.Second
+	// _loadWindow is the span over which the rate of loads is kept.
+	_loadWindow = 5 * time.Second
+)
+
+// Grouper decides on the groups of one service. The zero value knows nothing
+// and is ready for use. It belongs to one goroutine.
+type Grouper struct {
+	// StallTime is how long a head goes on after it lost a member.
+	StallTime time.Duration
+
+	term  uint64
+	count uint64
+	plans map[uint64]*plan
+	// sent is when the latest order to an upstream was given, while its outcome
+	// is open or it may not be given again yet.
+	sent map[string]sent
+	// seen is when a group was first seen in the state that it is in.
+	seen map[key]sighting
+	// loads are the times at which loads began.
+	loads []time.Time
+	// loading is until when an upstream loads from the weight store.
+	loading map[string]time.Time
+	// quarantine is until when an upstream may not join, since a head that it
+	// left may not have noticed.
+	quarantine map[string]time.Time
+	// dropped are groups whose plan was given up before they were complete.
+	dropped map[key]bool
+}
+
+type sent struct {
+	at        time.Time
+	operation Operation
+	epoch     uint64
+	// open says that no answer has come yet.
+	open bool
+}
+
+// key names one life of a group.
+type key struct {
+	name  string
+	epoch uint64
+}
+
+type sighting struct {
+	state string
+	at    time.Time
+}
+
+// plan is a group that is being formed.
+type plan struct {
+	key      key
+	domain   string
+	model    cataloguer.Model
+	members  []string
+	begun    time.Time
+	accepted map[string]bool
+	// from are the members' memberships when the plan was made.
+	from map[string]cataloguer.Membership
+	// freed are the members that need not wait for their older head.
+	freed map[string]bool
+}
+
+// group is what the fleet shows of one group.
+type group struct {
+	key     key
+	model   cataloguer.Model
+	members []cataloguer.Upstream
+	head    *cataloguer.Upstream
+	// lost counts members that do not answer.
+	lost int
+	// leaving counts members that drain.
+	leaving int
+}
+
+// whole says that every member is there.
+func (g *group) whole() bool { return len(g.members) == g.model.Size && g.lost == 0 }
+
+// all says that every member is in one of the states.
+func (g *group) all(states ...cataloguer.GroupState) bool {
+	for _, m := range g.members {
+		if !slices.Contains(states, m.Group.State) {
+			return false
+		}
+	}
+	return true
+}
+
+// Decide returns the orders to give now.
+func (g *Grouper) Decide(now time.Time, w World) []Order {
+	g.begin(w)
+	d := &decision{Grouper: g, now: now, world: w, taken: make(map[string]bool), released: make(map[key]bool)}
+	d.survey()
+	d.progress()
+	for _, x := range d.groups {
+		d.tend(x)
+	}
+	d.form()
+	d.stage()
+	g.forget(now, d)
+	return d.orders
+}
+
+// begin starts a new term with nothing under way.
+func (g *Grouper) begin(w World) {
+	if g.term == w.Term && g.plans != nil {
+		return
+	}
+	g.term, g.count = w.Term, 0
+	g.plans, g.sent = make(map[uint64]*plan), make(map[string]sent)
+	g.seen, g.loading = make(map[key]sighting), make(map[string]time.Time)
+	g.quarantine, g.dropped = make(map[string]time.Time), make(map[key]bool)
+	g.loads = nil
+}
+
+// epoch returns the next epoch of the term.
+func (g *Grouper) epoch() uint64 {
+	g.count++
+	return g.term<<_termShift | g.count
+}
+
+// Done takes the outcome of an order.
+func (g *Grouper) Done(now time.Time, o Order, outcome Outcome) {
+	s, ok := g.sent[o.Upstream]
+	if !ok || s.operation != o.Operation || s.epoch != o.Epoch {
+		return
+	}
+	s.open = false
+	if s.at.Before(now) {
+		s.at = now
+	}
+	g.sent[o.Upstream] = s
+	p := g.plans[o.Epoch]
+	if o.Operation != OperationJoin || p == nil {
+		return
+	}
+	switch outcome {
+	case OutcomeAccepted:
+		p.accepted[o.Upstream] = true
+	case OutcomeRefused:
+		g.drop(p)
+	case OutcomeUnknown:
+		// The fleet will show whether it was carried out; if not, it is repeated.
+	}
+}
+
+// drop gives up a plan.
+func (g *Grouper) drop(p *plan) {
+	delete(g.plans, p.key.epoch)
+	g.dropped[p.key] = true
+}
+
+// waits says that an order to the upstream is under way, or was given so
+// recently that its effect may not show yet.
+func (g *Grouper) waits(now time.Time, id string) bool {
+	s, ok := g.sent[id]
+	return ok && (s.open || now.Sub(s.at) < _repeatAfter)
+}
+
+// forget drops what is over.
+func (g *Grouper) forget(now time.Time, d *decision) {
+	maps.DeleteFunc(g.sent, func(id string, s sent) bool {
+		return !s.open && now.Sub(s.at) >= _repeatAfter
+	})
+	maps.DeleteFunc(g.seen, func(k key, _ sighting) bool { return d.byKey[k] == nil })
+	if len(g.dropped) > _droppedKept {
+		maps.DeleteFunc(g.dropped, func(k key, _ bool) bool { return d.byKey[k] == nil })
+	}
+	maps.DeleteFunc(g.quarantine, func(_ string, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(g.loading, func(_ string, until time.Time) bool { return !now.Before(until) })
+	g.loads = slices.DeleteFunc(g.loads, func(at time.Time) bool { return now.Sub(at) >= _loadWindow })
+}
+
+// since returns for how long a group has been seen in a state.
+func (g *Grouper) since(now time.Time, k key, state string) time.Duration {
+	s, ok := g.seen[k]
+	if !ok || s.state != state {
+		g.seen[k] = sighting{state: state, at: now}
+		return 0
+	}
+	return now.Sub(s.at)
+}
+
+func (k key) String() string { return fmt.Sprintf("%s/%d", k.name, k.epoch) }
+
+func byRank(a, b cataloguer.Upstream) int {
+	return cmp.Or(cmp.Compare(a.Group.Rank, b.Group.Rank), cmp.Compare(a.ID, b.ID))
+}
+
+// String returns the outcome's name for logs.
+func (o Outcome) String() string { return [...]string{"unknown", "accepted", "refused"}[o] }
--- a/internal/loader/list.go
+++ b/internal/loader/list.go
@@ -31,23 +31,10 @@
 
 // list returns every setting of the role, stored into s.
 func (s *Settings) list() []*setting {
-	list := []*setting{
-		{
-			key: "name", meaning: "process `name`, unique among all processes", allowed: "1 to 63 of a-z, 0-9 and -, not starting with -",
-			store: storeText(&s.name, _processName.MatchString),
-		},
-		{
-			key: "data-centre", meaning: "`name` of the data centre", allowed: "1 to 128 of A-Z, a-z, 0-9 and ._:-, starting with a letter or digit",
-			store: storeText(&s.dataCentre, _label.MatchString),
-		},
-		{
-			key: "platform", meaning: "`URL` of the platform's object API", allowed: "a URL by IP number and port, such as http://10.0.0.1:9000",
-			store: storeText(&s.platform, isPlatform),
-		},
-		{
-			key: "metrics-listen", meaning: "`address` of /metrics, /healthz and /readyz", allowed: _allowedAddress, byDefault: "127.0.0.1:0",
-			store: storeText(&s.metricsListen, isAddress),
-		},
+	if s.role == RoleInstance {
+		return s.instanceList()
+	}
+	list := append(s.identityList(), []*setting{
 		{
 			key: "peer-listen", meaning: "UDP `address` of the peer protocol", allowed: _allowedAddress,
 			store: storeText(&s.peerListen, isAddress),
@@ -82,13 +69,35 @@
 			allowed: _allowedDuration, byDefault: "3s",
 			store: storeDuration(&s.drainNotice),
 		},
-	}
+	}...)
 	if s.role == RoleEntry {
 		list = append(list, s.entryList()...)
 	}
 	return list
 }
 
+// identityList returns the settings that every daemon has.
+func (s *Settings) identityList() []*setting {
+	return []*setting{
+		{
+			key: "name", meaning: "process `name`, unique among all processes", allowed: "1 to 63 of a-z, 0-9 and -, not starting with -",
+			store: storeText(&s.name, _processName.MatchString),
+		},
+		{
+			key: "data-centre", meaning: "`name` of the data centre", allowed: "1 to 128 of A-Z, a-z, 0-9 and ._:-, starting with a letter or digit",
+			store: storeText(&s.dataCentre, _label.MatchString),
+		},
+		{
+			key: "platform", meaning: "`URL` of the platform's object API", allowed: "a URL by IP number and port, such as http://10.0.0.1:9000",
+			store: storeText(&s.platform, isPlatform),
+		},
+		{
+			key: "metrics-listen", meaning: "`address` of /metrics, /healthz and /readyz", allowed: _allowedAddress, byDefault: "127.0.0.1:0",
+			store: storeText(&s.metricsListen, isAddress),
+		},
+	}
+}
+
 // entryList returns the settings that only an entry has.
 func (s *Settings) entryList() []*setting {
 	return []*setting{
--- a/internal/loader/setting.go
+++ b/internal/loader/setting.go
@@ -77,7 +77,7 @@
 
 // iniName tells where a key stands in the INI file.
 func iniName(key string) string {
-	for _, s := range []string{"callers", "operator", "peer", "metrics", "drain"} {
+	for _, s := range []string{"callers", "operator", "peer", "metrics", "drain", "retry", "engine", "memory"} {
 		if rest, ok := strings.CutPrefix(key, s+"-"); ok {
 			return fmt.Sprintf("`[%s]` `%s`", s, rest)
 		}
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -16,9 +16,11 @@
 const (
 	RoleEntry  Role = "entry"
 	RolePlacer Role = "placer"
+	// RoleInstance is the one program of an instance on the users' platform.
+	RoleInstance Role = "instance"
 )
 
-// Settings are the checked settings of an entry or a placer. They don't change
+// Settings are the checked settings of a daemon. They don't change
 // after Load.
 type Settings struct {
 	role              Role
@@ -39,6 +41,11 @@
 	drainNotice       time.Duration
 	drainLimit        time.Duration
 	maxBodyBytes      int64
+	stallTime         time.Duration
+	retryRatio        float64
+	retryWindow       time.Duration
+	retrySlack        float64
+	memoryLimit       int64
 }
 
 // Load reads and checks the settings of a process. Usage and help go to output;
@@ -70,6 +77,9 @@
 // contradictions returns the faults of settings that don't fit each other.
 func (s *Settings) contradictions() []error {
 	var faults []error
+	if s.role == RoleInstance {
+		return s.instanceContradictions()
+	}
 	if s.peerAddress == "" && netip.MustParseAddrPort(s.peerListen).Addr().IsUnspecified() {
 		faults = append(faults, errors.New("peer-address: missing; peers can't use the address of peer-listen; allowed: an IP number and a port of this instance"))
 	}
--- a/internal/meter/health.go
+++ b/internal/meter/health.go
@@ -12,6 +12,8 @@
 	// InForce says that a configuration is in force; nil means always. Set it
 	// before use.
 	InForce func() bool
+	// ReadyPath is a second path of /readyz; it may be empty. Set it before use.
+	ReadyPath string
 
 	mu      sync.Mutex
 	started bool
@@ -65,12 +67,16 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "ok\n")
 	})
-	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+	ready := func(w http.ResponseWriter, _ *http.Request) {
 		if fault := h.Fault(); fault != "" {
 			http.Error(w, "not ready: "+fault, http.StatusServiceUnavailable)
 			return
 		}
 		_, _ = io.WriteString(w, "ready\n")
-	})
+	}
+	mux.HandleFunc("GET /readyz", ready)
+	if h.ReadyPath != "" {
+		mux.HandleFunc("GET "+h.ReadyPath, ready)
+	}
 	return mux
 }
--- /dev/null
+++ b/internal/relayer/attempt.go
@@ -0,0 +1,134 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/balancer"
+	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
+	"github.com/lycheebarrow/lycheebarrow/internal/forwarder"
+	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+)
+
+// _leastTime is the least time left that makes another send worth while.
+const _leastTime = 30 * time.Millisecond
+
+// choose takes a place at an upstream for the next send. On success the caller
+// gives the place back.
+func (c *call) choose() (cataloguer.Upstream, balancer.Reason) {
+	fleet := c.Knowledge.Fleet()
+	if fleet == nil {
+		return cataloguer.Upstream{}, balancer.ReasonNone
+	}
+	candidates := fleet.OfService(c.service.Name)
+	limit := 0
+	if e := c.service.Engine; e != nil {
+		candidates = fleet.Heads(c.service.Name, c.request.Model)
+		limit = e.Slots
+	} else if len(candidates) > 0 {
+		limit = candidates[0].Slots
+	}
+	u, reason := c.Balancer.Take(candidates, balancer.Query{
+		Now: time.Now(), DataCentre: c.DataCentre, Limit: limit, Avoid: c.tried, Draw: rand.Float64(),
+	})
+	fields := logger.Fields{
+		"request": c.request.ID, "configuration": c.version, "fleet_revision": fleet.Revision,
+		"service": c.service.Name, "candidates": len(candidates), "send": c.sends + 1,
+	}
+	if c.request.Model != "" {
+		fields["model"] = c.request.Model
+	}
+	if reason != "" {
+		fields["reason"] = reason
+	} else {
+		fields["upstream"], fields["group"], fields["epoch"] = u.ID, u.Group.Name, u.Group.Epoch
+	}
+	c.Log.Event("route", fields)
+	return u, reason
+}
+
+// send sends the request to an upstream. lastEvent is the event after which a
+// resumed stream goes on.
+func (c *call) send(ctx context.Context, u cataloguer.Upstream, lastEvent uint64) (*forwarder.Exchange, Answer, error) {
+	c.sends++
+	c.tried = append(c.tried, u.ID)
+	h := c.Protocol.Forward(c.r.Header, Forward{
+		Deadline: time.Until(c.deadline), Upstream: u.ID, Organisation: c.organisation, LastEvent: lastEvent,
+	})
+	x, err := c.Pool.Send(ctx, u.Address, &forwarder.Request{
+		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: h, Body: c.body,
+		Mine: func(h http.Header) bool {
+			id := c.Protocol.Answer(h).ID
+			return id == "" || id == c.request.ID
+		},
+	})
+	if err != nil {
+		var f *forwarder.Failure
+		if errors.As(err, &f) && f.Sent {
+			c.ran = true
+		}
+		c.last = err
+		return nil, Answer{}, err
+	}
+	a := c.Protocol.Answer(x.Response.Header)
+	if !a.NotRun {
+		c.ran = true
+	}
+	return x, a, nil
+}
+
+// another says whether the request may be sent once more, and why not.
+func (c *call) another() (bool, string) {
+	switch {
+	case c.ctx.Err() != nil:
+		return false, "over"
+	case c.ran && !c.route.Repeatable():
+		return false, "may-have-run"
+	case c.sends > 0 && c.ran && c.sends >= c.route.Attempts:
+		return false, "attempts"
+	case c.sends > max(c.route.Attempts, 2):
+		return false, "attempts"
+	case time.Until(c.deadline) < _leastTime:
+		return false, "no-time"
+	case c.sends > 0 && !c.Budget.Spend(c.service.Name, time.Now()):
+		return false, "budget"
+	default:
+		return true, ""
+	}
+}
+
+// over answers a request that no upstream answered.
+func (c *call) over(reason string) {
+	switch {
+	case c.r.Context().Err() != nil:
+		c.outcome = "caller-left"
+	case !c.ran:
+		c.refuse(http.StatusServiceUnavailable, reason)
+	case c.ctx.Err() != nil:
+		c.fail(http.StatusGatewayTimeout, "timeout")
+	default:
+		c.fail(http.StatusBadGateway, reason)
+	}
+}
+
+// hopByHop are the fields of an answer that concern only its connection.
+var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"}
+
+// copyHeader gives an upstream's fields to the caller.
+func copyHeader(into, from http.Header) {
+	for name, values := range from {
+		if !slices.Contains(hopByHop, name) {
+			into[name] = values
+		}
+	}
+}
+
+// promises says that a status promises that the request has not run.
+func promises(status int) bool {
+	return status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest ||
+		status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
--- /dev/null
+++ b/internal/relayer/relayer.go
@@ -0,0 +1,251 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/balancer"
+	"github.com/lycheebarrow/lycheebarrow/internal/budgeter"
+	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
+	"github.com/lycheebarrow/lycheebarrow/internal/forwarder"
+	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+)
+
+const (
+	// _defaultDeadline bounds a request whose route and caller name no time.
+	_defaultDeadline = 30 * time.Second
+	// _defaultBody is the largest request body where the configuration names
+	// none, in bytes.
+	_defaultBody = 4 << 20
+)
+
+// Meter measures requests.
+type Meter interface {
+	Ended(organisation, outcome string)
+	FirstToken(organisation string, after time.Duration)
+	Refused(code string)
+}
+
+// Relayer is the handler of callers' requests. Set its fields before use.
+type Relayer struct {
+	Knowledge  Knowledge
+	Protocol   Protocol
+	Pool       *forwarder.Pool
+	Balancer   *balancer.Balancer
+	Budget     *budgeter.Budget
+	Log        logger.Logger
+	Meter      Meter
+	DataCentre string
+	Watchdog   *Watchdog
+
+	// requests counts the requests that were taken.
+	requests atomic.Int64
+	leaving  atomic.Bool
+}
+
+// Busy says that callers' requests have begun.
+func (s *Relayer) Busy() bool { return s.requests.Load() > 0 }
+
+// Leave makes each answer ask for another connection, since the process is
+// about to end.
+func (s *Relayer) Leave() { s.leaving.Store(true) }
+
+// ServeHTTP serves one request.
+func (s *Relayer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := s.begin(w, r)
+	defer c.end()
+	if s.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if !c.admit() {
+		return
+	}
+	ctx, cancel := context.WithDeadlineCause(r.Context(), c.deadline, errTimeout)
+	defer cancel()
+	c.ctx = ctx
+	if c.route.Kind == cataloguer.KindStream {
+		c.stream()
+		return
+	}
+	c.plain()
+}
+
+// Causes of an end.
+var (
+	errTimeout = errors.New("the request's time is over")
+	errSilent  = errors.New("the upstream fell silent")
+)
+
+// call is one request of a caller.
+type call struct {
+	*Relayer
+	w       http.ResponseWriter
+	r       *http.Request
+	ctx     context.Context
+	began   time.Time
+	request Request
+	route   *cataloguer.Route
+	service cataloguer.Service
+	// organisation is empty where the request needs no key.
+	organisation string
+	version      uint64
+	body         []byte
+	deadline     time.Time
+
+	// sends counts the sends to upstreams, and tried names them.
+	sends int
+	tried []string
+	// ran says that an upstream may have run the request.
+	ran bool
+	// first is when the first byte of the answer was passed on.
+	first time.Time
+	// started says that an answer's head was passed on.
+	started bool
+	status  int
+	outcome string
+	last    error
+}
+
+func (s *Relayer) begin(w http.ResponseWriter, r *http.Request) *call {
+	return &call{Relayer: s, w: w, r: r, began: time.Now(), request: s.Protocol.Request(r.Header)}
+}
+
+// end writes the request's line.
+func (c *call) end() {
+	now := time.Now()
+	fields := logger.Fields{
+		"request": c.request.ID, "status": c.status, "outcome": c.outcome, "sends": c.sends,
+		"total_ms": now.Sub(c.began).Milliseconds(), "configuration": c.version,
+	}
+	if c.route != nil {
+		fields["route"] = c.route.Name
+		fields["service"] = c.service.Name
+	}
+	if c.request.Model != "" {
+		fields["model"] = c.request.Model
+	}
+	if len(c.tried) > 0 {
+		fields["upstream"] = strings.Join(c.tried, ",")
+	}
+	if !c.first.IsZero() {
+		fields["first_ms"] = c.first.Sub(c.began).Milliseconds()
+	}
+	if c.Meter != nil {
+		c.Meter.Ended(c.organisation, c.outcome)
+	}
+	if c.last != nil {
+		c.Log.Failure("request", c.last, fields)
+		return
+	}
+	c.Log.Event("request", fields)
+}
+
+// admit finds the route and the caller's organisation, and reads the body. It
+// returns false where the request was answered.
+func (c *call) admit() bool {
+	configuration := c.Knowledge.Configuration()
+	if configuration == nil {
+		c.refuse(http.StatusServiceUnavailable, "no-configuration")
+		return false
+	}
+	c.version = configuration.Version
+	path, _, _ := strings.Cut(c.r.RequestURI, "?")
+	c.route = configuration.Route(hostName(c.r.Host), path)
+	if c.route == nil {
+		c.fail(http.StatusNotFound, "no-route")
+		return false
+	}
+	o, ok := configuration.Authenticate(c.route, c.request.Key)
+	if !ok {
+		c.fail(http.StatusUnauthorized, "unknown-key")
+		return false
+	}
+	if o != nil {
+		c.organisation = o.Name
+	}
+	c.service = configuration.Services[c.route.Pick(rand.Float64())]
+	limit := configuration.Limits.BodyBytes
+	if limit <= 0 {
+		limit = _defaultBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		c.fail(http.StatusRequestEntityTooLarge, "body-too-large")
+		return false
+	case err != nil:
+		c.last = err
+		c.fail(http.StatusBadRequest, "body-unread")
+		return false
+	}
+	c.body = body
+	c.requests.Add(1)
+	c.Budget.Request(c.service.Name, c.began)
+	c.deadline = c.began.Add(c.time())
+	return true
+}
+
+// time returns the time that the request may take.
+func (c *call) time() time.Duration {
+	d := _defaultDeadline
+	if c.route.Timeout > 0 {
+		d = c.route.Timeout
+	}
+	if c.request.Deadline > 0 {
+		d = min(d, c.request.Deadline)
+	}
+	return d
+}
+
+// hostName returns a Host field without its port, in lower case.
+func hostName(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	return strings.ToLower(host)
+}
+
+// refuse answers that the request has not run and never will, and when to come
+// back.
+func (c *call) refuse(status int, reason string) {
+	c.Protocol.Refuse(c.w.Header(), c.request.ID, c.comeBack())
+	if c.Meter != nil {
+		c.Meter.Refused(reason)
+	}
+	c.answer(status, reason)
+}
+
+// comeBack returns when a refused caller should come back. It is spread, so that
+// callers that were refused together don't come together.
+func (c *call) comeBack() time.Duration {
+	const (
+		least  = 150 * time.Millisecond
+		spread = 600 * time.Millisecond
+		parts  = 3 // callers honour up to a third of the time that they have left
+	)
+	after := least + rand.N(spread)
+	if left := time.Until(c.deadline); !c.deadline.IsZero() {
+		after = min(after, left/(parts+1))
+	}
+	return max(after, 0)
+}
+
+// fail answers with a failure that promises nothing.
+func (c *call) fail(status int, reason string) { c.answer(status, reason) }
+
+func (c *call) answer(status int, reason string) {
+	c.status, c.outcome = status, reason
+	c.started = true
+	h := c.w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	c.w.WriteHeader(status)
+	_, _ = io.WriteString(c.w, "lycheebarrow: "+reason+"\n")
+}
