internal/grouper, internal/conductor: repair within seconds

Cause: a plan could hold members without their former head and wait for it until its time was over; spares were staged before groups had formed and counted as busy for a whole load; reports lag, so an order given right after another expected an old count and was refused, which dropped the plan; the lease of 3 s left nobody to repair for 5.6 s after its holder was killed.

Ruled out: detection (members were lost within 1.3 s each time).

Red: internal/grouper TestScripts/head_lost, under work.

--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -37,6 +37,9 @@
 const (
 	// _leaseName names the lease of the instance that gives the orders.
 	_leaseName = "conductor"
+	// _leaseDuration is how long a holder that died keeps others from giving
+	// orders. Safety does not depend on it.
+	_leaseDuration = 1500 * time.Millisecond
 	// _stopMargin is kept free at the end of a graceful shutdown.
 	_stopMargin = 500 * time.Millisecond
 	// _gather is the pause in which changes of the list of upstreams gather, so
@@ -192,9 +195,11 @@
 		return err
 	}
 	lease := leaser.New(a.Store, _leaseName, k.settings.Name()+"/"+uuid.NewString(), k.log)
+	lease.Duration, lease.Spread = _leaseDuration, true
 	x := &conductor.Conductor{
 		Lease: lease, Knowledge: c, Upstreams: a.Orders, Log: k.log, StallTime: k.settings.StallTime(), Busy: s.Busy,
 	}
+	s.Watchdog.Suspect = x.Suspect
 	k.run(func(ctx context.Context) {
 		lease.Run(ctx)
 		release, cancel := context.WithTimeout(context.WithoutCancel(ctx), _stopMargin)
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -17,7 +17,7 @@
 	_tick = 200 * time.Millisecond
 	// _reportTimeout bounds the question for a report; an upstream of the same
 	// region answers in milliseconds.
-	_reportTimeout = 400 * time.Millisecond
+	_reportTimeout = 300 * time.Millisecond
 	// _orderTimeout bounds an order, which is answered at once.
 	_orderTimeout = 700 * time.Millisecond
 	// _checkEvery is the time between two checks of a group's member.
@@ -27,6 +27,8 @@
 	// _lostAfter is the number of checks in a row that fail before a member
 	// counts as lost.
 	_lostAfter = 2
+	// _hintsKept bounds the hints that wait.
+	_hintsKept = 64
 )
 
 // ErrRefused says that an upstream refused an order, which had no effect.
@@ -42,9 +44,10 @@
 // Upstreams speaks to upstreams.
 type Upstreams interface {
 	Report(ctx context.Context, u cataloguer.Upstream) (cataloguer.Report, error)
-	// Order returns nil where the order has begun or the state holds, ErrRefused
-	// where it had no effect, and another error where no answer came.
-	Order(ctx context.Context, u cataloguer.Upstream, c Command) error
+	// Order says whether the order has begun; without an error and with false the
+	// state held already. ErrRefused says that it had no effect, and another error
+	// that no answer came.
+	Order(ctx context.Context, u cataloguer.Upstream, c Command) (begun bool, err error)
 }
 
 // Lease says whether this process gives the orders.
@@ -72,11 +75,15 @@
 	// Busy says that callers' requests have begun.
 	Busy func() bool
 
+	hints    chan string
 	groupers map[string]*grouper.Grouper
 	checks   map[string]*check
+	counts   counts
 	results  chan func(now time.Time)
 	group    sync.WaitGroup
 	leading  bool
+	// mu guards hints, which Run makes.
+	mu sync.Mutex
 }
 
 // check is the account of one member's checks.
@@ -90,6 +97,10 @@
 func (c *Conductor) Run(ctx context.Context) {
 	c.groupers, c.checks = make(map[string]*grouper.Grouper), make(map[string]*check)
 	c.results = make(chan func(time.Time))
+	c.mu.Lock()
+	c.hints = make(chan string, _hintsKept)
+	hints := c.hints
+	c.mu.Unlock()
 	defer c.group.Wait()
 	t := time.NewTicker(_tick)
 	defer t.Stop()
@@ -102,12 +113,42 @@
 		case f := <-c.results:
 			f(time.Now())
 			c.drain()
+		case id := <-hints:
+			c.hurry(id, time.Now())
 		case <-changed:
 		case <-t.C:
 		}
 	}
 }
 
+// Suspect says that an upstream fell silent, so that the members of its group
+// are checked at once. It never blocks.
+func (c *Conductor) Suspect(upstream string) {
+	c.mu.Lock()
+	hints := c.hints
+	c.mu.Unlock()
+	select {
+	case hints <- upstream:
+	default:
+		// Enough checks are under way.
+	}
+}
+
+// hurry checks the members of an upstream's group now.
+func (c *Conductor) hurry(id string, now time.Time) {
+	fleet := c.Knowledge.Fleet()
+	if fleet == nil {
+		return
+	}
+	suspect := fleet.Upstreams[id]
+	for other, k := range c.checks {
+		u := fleet.Upstreams[other]
+		if u.Group.Name == suspect.Group.Name && u.Group.Epoch == suspect.Group.Epoch {
+			k.next = now
+		}
+	}
+}
+
 // drain takes the results that have come meanwhile.
 func (c *Conductor) drain() {
 	for {
@@ -259,11 +300,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, _orderTimeout)
 	defer cancel()
-	err = c.Upstreams.Order(ctx, u, Command{Order: o, Expect: r.Orders})
+	expect := c.counts.expect(u.ID, r)
+	begun, err := c.Upstreams.Order(ctx, u, Command{Order: o, Expect: expect})
 	switch {
 	case err == nil:
+		if begun {
+			c.counts.begun(u.ID, r.Born, expect+1)
+		}
 		return grouper.OutcomeAccepted, nil
 	case errors.Is(err, ErrRefused):
+		c.counts.forget(u.ID)
 		return grouper.OutcomeRefused, fmt.Errorf("conductor: %s on %s: %w", o.Operation, u.ID, err)
 	default:
 		return grouper.OutcomeUnknown, fmt.Errorf("conductor: %s on %s: %w", o.Operation, u.ID, err)
--- a/internal/grouper/decision.go
+++ b/internal/grouper/decision.go
@@ -67,9 +67,15 @@
 				d.drop(p)
 				break
 			}
-			if u.Group.Name == p.key.name && u.Group.Epoch == epoch {
+			joined := u.Group.Name == p.key.name && u.Group.Epoch == epoch
+			if joined {
 				p.accepted[id] = true
 			}
+			if !joined && u.Group.Epoch > epoch {
+				// Another process has taken it.
+				d.drop(p)
+				break
+			}
 		}
 		if d.plans[epoch] == nil || d.now.Sub(p.begun) > p.model.Load+_joinMargin {
 			d.drop(p)
@@ -91,7 +97,7 @@
 func (d *decision) join(p *plan) {
 	for _, id := range p.members {
 		from := p.from[id]
-		if p.accepted[id] || d.waits(d.now, id) || !d.headLeft(p, id, from) {
+		if p.accepted[id] || d.waits(id) || !d.headLeft(p, id, from) {
 			continue
 		}
 		d.order(Order{
@@ -114,8 +120,23 @@
 	return p.accepted[x.head.ID]
 }
 
+// waits says that an order to the upstream is under way, or was given so
+// recently that its effect may not show yet.
+func (d *decision) waits(id string) bool {
+	s, ok := d.sent[id]
+	switch {
+	case !ok:
+		return false
+	case s.open:
+		return true
+	default:
+		return d.now.Sub(s.at) < _repeatAfter && d.world.Fleet.Upstreams[id].Group == s.from
+	}
+}
+
 func (d *decision) order(o Order) {
-	d.sent[o.Upstream] = sent{at: d.now, operation: o.Operation, epoch: o.Epoch, open: true}
+	from := d.world.Fleet.Upstreams[o.Upstream].Group
+	d.sent[o.Upstream] = sent{at: d.now, operation: o.Operation, epoch: o.Epoch, from: from, open: true}
 	d.taken[o.Upstream] = true
 	d.orders = append(d.orders, o)
 }
@@ -130,7 +151,7 @@
 		// Its members are free; nothing was opened.
 	case x.whole() && x.leaving == 0 && x.all(cataloguer.GroupReady, cataloguer.GroupOpen):
 		d.hold(x)
-		if x.head.Group.State == cataloguer.GroupReady && !d.waits(d.now, x.head.ID) {
+		if x.head.Group.State == cataloguer.GroupReady && !d.waits(x.head.ID) {
 			d.order(x.command(OperationOpen, "complete"))
 		}
 	case x.whole() && x.leaving == 0 && d.since(d.now, x.key, "forming") < x.model.Load+_joinMargin:
@@ -156,14 +177,14 @@
 	switch x.head.Group.State {
 	case cataloguer.GroupOpen:
 		d.hold(x)
-		if !d.waits(d.now, x.head.ID) {
+		if !d.waits(x.head.ID) {
 			o := x.command(OperationClose, reason)
 			o.Evict = evict
 			d.order(o)
 		}
 	case cataloguer.GroupClosing:
 		d.hold(x)
-		if evict && d.since(d.now, x.key, "closing") > time.Second && !d.waits(d.now, x.head.ID) {
+		if evict && d.since(d.now, x.key, "closing") > time.Second && !d.waits(x.head.ID) {
 			o := x.command(OperationClose, reason)
 			o.Evict = true
 			d.order(o)
@@ -171,7 +192,7 @@
 	default:
 		// The head serves nothing. It joins another group before its members do;
 		// one that can't, leaves.
-		if x.head.Draining && !d.waits(d.now, x.head.ID) {
+		if x.head.Draining && !d.waits(x.head.ID) {
 			d.order(x.command(OperationLeave, "head leaves"))
 		}
 	}
@@ -199,7 +220,7 @@
 		return
 	}
 	last := others[len(others)-1]
-	if d.waits(d.now, last.ID) {
+	if d.waits(last.ID) {
 		return
 	}
 	o := Order{
--- a/internal/grouper/form.go
+++ b/internal/grouper/form.go
@@ -5,10 +5,15 @@
 	"maps"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
 )
 
+// _domainSettled is how long the number of a domain's upstreams must stand still
+// before hosts that hold another model are loaded anew.
+const _domainSettled = 3 * time.Second
+
 // _loadBudget is the part of the allowed loads that is used; the rest covers
 // loads that an earlier lease holder began.
 const _loadBudget = 0.8
@@ -55,7 +60,7 @@
 // free says that an upstream may join a new group.
 func (d *decision) free(u cataloguer.Upstream) bool {
 	_, quarantined := d.quarantine[u.ID]
-	return !d.taken[u.ID] && !u.Draining && !d.world.Lost[u.ID] && !quarantined && !d.waits(d.now, u.ID)
+	return !d.taken[u.ID] && !u.Draining && !d.world.Lost[u.ID] && !quarantined && !d.waits(u.ID)
 }
 
 // formOne plans one group in a domain, and says whether it did.
@@ -64,17 +69,17 @@
 	var best *plan
 	bestLoads, bestLack := 0, 0.0
 	for _, m := range d.world.Engine.Models {
-		members := pick(candidates, m)
+		members := d.pick(candidates, m)
 		if members == nil {
 			continue
 		}
 		loads := 0
 		for _, u := range members {
-			if !warm(u, m) {
+			if !d.warm(u, m) {
 				loads++
 			}
 		}
-		if !d.mayLoad(loads) {
+		if !d.mayLoad(loads) || loads > 0 && !d.mayOverwrite(domain, members, m) {
 			continue
 		}
 		// lack is the smaller, the better a model is supplied for its need.
@@ -95,11 +100,50 @@
 	return true
 }
 
+// mayOverwrite says that a group may be formed with loads now. While upstreams
+// of the domain come back with other models on their hosts, a group that needs
+// few loads is better than one at once.
+func (d *decision) mayOverwrite(domain string, members []cataloguer.Upstream, m cataloguer.Model) bool {
+	if !d.world.Busy {
+		return true
+	}
+	if d.soonFree(domain, m) {
+		return false
+	}
+	if d.now.Sub(d.grown[domain].at) >= _domainSettled {
+		return true
+	}
+	for _, u := range members {
+		if !d.warm(u, m) && (len(u.Staged) > 0 || u.Group.Name != "") {
+			return false
+		}
+	}
+	return true
+}
+
+// soonFree says that an upstream that holds the model will be free in a moment.
+func (d *decision) soonFree(domain string, m cataloguer.Model) bool {
+	for _, u := range d.world.Fleet.OfService(d.world.Service) {
+		_, quarantined := d.quarantine[u.ID]
+		soon := quarantined || d.waits(u.ID) && !d.taken[u.ID]
+		if u.Domain == domain && soon && !u.Draining && !d.world.Lost[u.ID] && loaded(u, m) {
+			return true
+		}
+	}
+	return false
+}
+
 // need is a model's need of groups, relative to other models.
 func need(m cataloguer.Model) float64 { return m.Share / float64(m.Size) }
 
-// warm says that an upstream can join a model's group without a load.
-func warm(u cataloguer.Upstream, m cataloguer.Model) bool {
+// warm says that an upstream can join a model's group without a load, or with
+// one that has begun.
+func (d *decision) warm(u cataloguer.Upstream, m cataloguer.Model) bool {
+	return loaded(u, m) || d.staging[u.ID].model == m.Name
+}
+
+// loaded says that an upstream has a model on its host.
+func loaded(u cataloguer.Upstream, m cataloguer.Model) bool {
 	return u.Group.Model == m.Name || slices.Contains(u.Staged, m.Name)
 }
 
@@ -108,17 +152,25 @@
 func (d *decision) candidates(domain string) []cataloguer.Upstream {
 	var out []cataloguer.Upstream
 	for _, u := range d.world.Fleet.OfService(d.world.Service) {
-		if u.Domain == domain && d.free(u) {
+		if u.Domain == domain && d.free(u) && d.headFree(u) {
 			out = append(out, u)
 		}
 	}
 	return out
 }
 
+// headFree says that the head of a member's older group can join with it, or
+// need not.
+func (d *decision) headFree(u cataloguer.Upstream) bool {
+	k := key{u.Group.Name, u.Group.Epoch}
+	x := d.byKey[k]
+	return u.Group.Rank == 0 || x == nil || x.head == nil || d.released[k] || d.free(*x.head)
+}
+
 // pick chooses the members of a group: those that need no load first, and a
 // former head before its members, since they can't join before it. It returns
 // nil where there are too few.
-func pick(candidates []cataloguer.Upstream, m cataloguer.Model) []cataloguer.Upstream {
+func (d *decision) pick(candidates []cataloguer.Upstream, m cataloguer.Model) []cataloguer.Upstream {
 	if len(candidates) < m.Size {
 		return nil
 	}
@@ -127,12 +179,14 @@
 		switch {
 		case u.Group.Name != "" && u.Group.Model == m.Name:
 			return 0
-		case warm(u, m):
+		case loaded(u, m):
 			return 1
-		case u.Group.Name == "" && len(u.Staged) == 0:
+		case d.warm(u, m):
 			return 2
-		default:
+		case u.Group.Name == "" && len(u.Staged) == 0:
 			return 3
+		default:
+			return 4
 		}
 	}
 	slices.SortStableFunc(list, func(a, b cataloguer.Upstream) int {
@@ -166,9 +220,10 @@
 	d.plans[epoch] = p
 	for _, id := range p.members {
 		d.taken[id] = true
-		if u := d.world.Fleet.Upstreams[id]; !warm(u, p.model) {
+		if u := d.world.Fleet.Upstreams[id]; !d.warm(u, p.model) {
 			d.load(id, p.model)
 		}
+		delete(d.staging, id)
 	}
 	d.join(p)
 }
@@ -201,8 +256,11 @@
 }
 
 // stage loads a model onto the hosts of free upstreams, so that they can replace
-// a lost member quickly.
+// a lost member quickly. Before the first request, groups go first.
 func (d *decision) stage() {
+	if !d.world.Busy && (len(d.plans) > 0 || d.now.Sub(d.grown[""].at) < _settled) {
+		return
+	}
 	for _, domain := range d.domains() {
 		spares := d.candidates(domain)
 		count := make(map[string]int)
@@ -210,18 +268,20 @@
 			for _, s := range u.Staged {
 				count[s]++
 			}
+			if s, ok := d.staging[u.ID]; ok {
+				count[s.model]++
+			}
 		}
 		for _, u := range spares {
 			m, ok := d.wanted(domain, count)
-			if !ok || len(u.Staged) > 0 || u.Group.Name != "" || !d.mayLoad(1) {
+			_, under := d.staging[u.ID]
+			if !ok || under || len(u.Staged) > 0 || u.Group.Name != "" || !d.mayLoad(1) {
 				continue
 			}
 			count[m.Name]++
 			d.load(u.ID, m)
+			d.staging[u.ID] = staging{model: m.Name, until: d.now.Add(m.Load + _joinMargin)}
 			d.order(Order{Operation: OperationStage, Upstream: u.ID, Model: m.Name, From: u.Group, Reason: "spare"})
-			s := d.sent[u.ID]
-			s.at = s.at.Add(m.Load)
-			d.sent[u.ID] = s
 		}
 	}
 }
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -80,8 +80,14 @@
 	// _droppedKept bounds the memory of dropped plans; a late join may show one
 	// some time after it was dropped.
 	_droppedKept = 1000
+	// _refusalsBorne is how many joins of a plan may be refused before it is given
+	// up: a report that lags behind refuses one that is right.
+	_refusalsBorne = 3
 	// _stallMargin is the extra wait for a head that is cut off to stop.
 	_stallMargin = time.Second
+	// _settled is how long the number of upstreams must stand still before spares
+	// are staged ahead of the first request.
+	_settled = 1500 * time.Millisecond
 	// _loadWindow is the span over which the rate of loads is kept.
 	_loadWindow = 5 * time.Second
 )
@@ -107,14 +113,33 @@
 	// quarantine is until when an upstream may not join, since a head that it
 	// left may not have noticed.
 	quarantine map[string]time.Time
+	// staging is what hosts load as spares.
+	staging map[string]staging
+	// grown tells when the number of upstreams of a domain last changed; the key
+	// "" stands for all domains.
+	grown map[string]growth
 	// dropped are groups whose plan was given up before they were complete.
 	dropped map[key]bool
 }
 
+// growth is a number of upstreams and when it last changed.
+type growth struct {
+	size int
+	at   time.Time
+}
+
+// staging is a spare's load.
+type staging struct {
+	model string
+	until time.Time
+}
+
 type sent struct {
 	at        time.Time
 	operation Operation
 	epoch     uint64
+	// from is the membership that the order was decided on.
+	from cataloguer.Membership
 	// open says that no answer has come yet.
 	open bool
 }
@@ -138,6 +163,8 @@
 	members  []string
 	begun    time.Time
 	accepted map[string]bool
+	// refused counts joins that were refused.
+	refused int
 	// from are the members' memberships when the plan was made.
 	from map[string]cataloguer.Membership
 	// freed are the members that need not wait for their older head.
@@ -172,6 +199,7 @@
 // Decide returns the orders to give now.
 func (g *Grouper) Decide(now time.Time, w World) []Order {
 	g.begin(w)
+	g.grow(now, w)
 	d := &decision{Grouper: g, now: now, world: w, taken: make(map[string]bool), released: make(map[key]bool)}
 	d.survey()
 	d.progress()
@@ -184,6 +212,20 @@
 	return d.orders
 }
 
+// grow notes the number of upstreams of each domain.
+func (g *Grouper) grow(now time.Time, w World) {
+	size := make(map[string]int)
+	for _, u := range w.Fleet.OfService(w.Service) {
+		size[""]++
+		size[u.Domain]++
+	}
+	for domain, n := range size {
+		if g.grown[domain].size != n {
+			g.grown[domain] = growth{size: n, at: now}
+		}
+	}
+}
+
 // begin starts a new term with nothing under way.
 func (g *Grouper) begin(w World) {
 	if g.term == w.Term && g.plans != nil {
@@ -192,6 +234,7 @@
 	g.term, g.count = w.Term, 0
 	g.plans, g.sent = make(map[uint64]*plan), make(map[string]sent)
 	g.seen, g.loading = make(map[key]sighting), make(map[string]time.Time)
+	g.staging, g.grown = make(map[string]staging), make(map[string]growth)
 	g.quarantine, g.dropped = make(map[string]time.Time), make(map[key]bool)
 	g.loads = nil
 }
@@ -214,6 +257,9 @@
 	}
 	g.sent[o.Upstream] = s
 	p := g.plans[o.Epoch]
+	if o.Operation == OperationStage && outcome == OutcomeRefused {
+		delete(g.staging, o.Upstream)
+	}
 	if o.Operation != OperationJoin || p == nil {
 		return
 	}
@@ -221,7 +267,10 @@
 	case OutcomeAccepted:
 		p.accepted[o.Upstream] = true
 	case OutcomeRefused:
-		g.drop(p)
+		p.refused++
+		if p.refused > _refusalsBorne {
+			g.drop(p)
+		}
 	case OutcomeUnknown:
 		// The fleet will show whether it was carried out; if not, it is repeated.
 	}
@@ -233,12 +282,6 @@
 	g.dropped[p.key] = true
 }
 
-// waits says that an order to the upstream is under way, or was given so
-// recently that its effect may not show yet.
-func (g *Grouper) waits(now time.Time, id string) bool {
-	s, ok := g.sent[id]
-	return ok && (s.open || now.Sub(s.at) < _repeatAfter)
-}
 
 // forget drops what is over.
 func (g *Grouper) forget(now time.Time, d *decision) {
@@ -250,7 +293,14 @@
 		maps.DeleteFunc(g.dropped, func(k key, _ bool) bool { return d.byKey[k] == nil })
 	}
 	maps.DeleteFunc(g.quarantine, func(_ string, until time.Time) bool { return !now.Before(until) })
-	maps.DeleteFunc(g.loading, func(_ string, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(g.staging, func(id string, s staging) bool {
+		u, ok := d.world.Fleet.Upstreams[id]
+		return !ok || !now.Before(s.until) || slices.Contains(u.Staged, s.model)
+	})
+	maps.DeleteFunc(g.loading, func(id string, until time.Time) bool {
+		u, ok := d.world.Fleet.Upstreams[id]
+		return !ok || !now.Before(until) || len(u.Staged) > 0
+	})
 	g.loads = slices.DeleteFunc(g.loads, func(at time.Time) bool { return now.Sub(at) >= _loadWindow })
 }
 
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -18,19 +19,23 @@
 // Prefix is the prefix of lease objects; the key goes on with the data centre.
 const Prefix = "lease/"
 
-// Duration is how long a lease stays valid after its last renewal.
+// Duration is how long a lease stays valid after its last renewal, where the
+// Leaser names no other time.
 const Duration = 3 * time.Second
 
 const (
-	// _renewInterval is the time between two renewals of a holder.
-	_renewInterval = time.Second
+	// _renewParts is the number of renewals in a lease's duration.
+	_renewParts = 3
 	// _retryWait is the pause of a holder after a failed renewal.
 	_retryWait = 250 * time.Millisecond
+	// _marginParts is the part of the duration by which a holder stops to act
+	// earlier than others may take over.
+	_marginParts = 6
+	// _spreadParts is the part of the duration over which the looks of processes
+	// that seek a lease are spread, where they are.
+	_spreadParts = 3
 )
 
-// _margin is how much earlier a holder stops to act than others may take over.
-const _margin = 500 * time.Millisecond
-
 // Store is what the leaser needs of the platform.
 type Store interface {
 	Get(ctx context.Context, key string) (storer.Object, error)
@@ -41,6 +46,13 @@
 // Leaser holds or seeks one lease. Make it with New, start it with Run. Its
 // other methods are safe for concurrent use.
 type Leaser struct {
+	// Duration is how long the lease stays valid after its last renewal; 0 means
+	// the constant Duration. Set it before Run.
+	Duration time.Duration
+	// Spread spreads the looks of processes that seek the lease, so that one of
+	// them sees a lapse soon. Set it before Run.
+	Spread bool
+
 	store  Store
 	log    logger.Logger
 	key    string
@@ -145,10 +157,19 @@
 	case l.unsure || holds && err != nil:
 		return _retryWait
 	case holds:
-		return _renewInterval
+		return l.duration() / _renewParts
+	case l.Spread:
+		return l.duration() + rand.N(l.duration()/_spreadParts)
 	default:
-		return Duration
+		return l.duration()
+	}
+}
+
+func (l *Leaser) duration() time.Duration {
+	if l.Duration > 0 {
+		return l.Duration
 	}
+	return Duration
 }
 
 // step renews a held lease, or takes over one that lapsed. An error says that
@@ -200,7 +221,7 @@
 
 func (l *Leaser) write(ctx context.Context, sent time.Time, version, term uint64) error {
 	next := &wire.Lease{
-		Holder: l.holder, Term: term, DurationMs: uint32(Duration.Milliseconds()), Renewals: l.seen.GetRenewals() + 1,
+		Holder: l.holder, Term: term, DurationMs: uint32(l.duration().Milliseconds()), Renewals: l.seen.GetRenewals() + 1,
 	}
 	l.tried, l.triedAt = next.GetRenewals(), sent
 	value, err := protojson.Marshal(next)
@@ -239,5 +260,5 @@
 		l.log.Event("lease-taken", logger.Fields{"lease": l.key, "term": term})
 	}
 	l.term = term
-	l.validUntil = sent.Add(Duration - _margin)
+	l.validUntil = sent.Add(l.duration() - l.duration()/_marginParts)
 }
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -25,6 +25,9 @@
 type Watchdog struct {
 	Balancer *balancer.Balancer
 	Log      logger.Logger
+	// Suspect is told of an upstream that fell silent; it may be nil and must not
+	// block.
+	Suspect func(upstream string)
 
 	mu      sync.Mutex
 	watches map[*Watch]bool
@@ -102,6 +105,9 @@
 		}
 		if heard >= _silence {
 			d.Balancer.Silent(w.upstream, now)
+			if d.Suspect != nil {
+				d.Suspect(w.upstream)
+			}
 		}
 		d.Log.Event("send-silent", logger.Fields{"upstream": w.upstream, "quiet_ms": quiet.Milliseconds(), "upstream_quiet_ms": heard.Milliseconds()})
 		delete(d.watches, w)
