--- a/internal/grouper/form.go
+++ b/internal/grouper/form.go
@@ -107,7 +107,7 @@
 	if !d.world.Busy {
 		return true
 	}
-	if d.soonFree(domain, m) {
+	if d.soonFree(domain) {
 		return false
 	}
 	if d.now.Sub(d.grown[domain].at) >= _domainSettled {
@@ -121,12 +121,13 @@
 	return true
 }
 
-// soonFree says that an upstream that holds the model will be free in a moment.
-func (d *decision) soonFree(domain string, m cataloguer.Model) bool {
+// soonFree says that an upstream of the domain that holds a model will be free in
+// a moment; with it a group may need fewer loads.
+func (d *decision) soonFree(domain string) bool {
 	for _, u := range d.world.Fleet.OfService(d.world.Service) {
 		_, quarantined := d.quarantine[u.ID]
 		soon := quarantined || d.waits(u.ID) && !d.taken[u.ID]
-		if u.Domain == domain && soon && !u.Draining && !d.world.Lost[u.ID] && loaded(u, m) {
+		if u.Domain == domain && soon && !u.Draining && !d.world.Lost[u.ID] && len(u.Staged) > 0 {
 			return true
 		}
 	}
