--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -27,6 +27,16 @@
 	sends    [_slices]int
 }
 
+// Set changes the bound. Counts made under another window are dropped.
+func (b *Budget) Set(window time.Duration, ratio, slack float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if window != b.Window {
+		b.services = nil
+	}
+	b.Window, b.Ratio, b.Slack = window, ratio, slack
+}
+
 // Request counts a caller's request for a service.
 func (b *Budget) Request(service string, now time.Time) {
 	b.mu.Lock()
--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -4,7 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/google/uuid"
@@ -32,6 +35,7 @@
 	NameCatalogue = "catalogue"
 	NameConductor = "conductor"
 	NameRelayer   = "relayer"
+	NameReloader  = "reloader"
 )
 
 const (
@@ -72,11 +76,17 @@
 type Adapt func(s loader.Settings, network networker.Network, m *meter.Meter) Adapter
 
 // Instance returns the application of an instance. Log lines go to output.
-func Instance(s loader.Settings, network networker.Network, adapt Adapt, output io.Writer) *fx.App {
+func Instance(s loader.Settings, network networker.Network, adapt Adapt, reloader *Reloader, output io.Writer) *fx.App {
 	if s.MemoryLimit() > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryLimit()) * _memoryPart))
 	}
-	adapted := func(k *kernel) error { return buildAdapter(k, adapt) }
+	adapted := func(k *kernel) error {
+		k.run(func(ctx context.Context) { reloader.run(ctx, k.log) })
+		if err := k.services.Register(NameReloader, reloader); err != nil {
+			return err
+		}
+		return buildAdapter(k, adapt)
+	}
 	return compose(s, network, output, adapted, buildCatalogue, buildRelayer, buildConductor, buildInstanceReadiness)
 }
 
@@ -160,6 +170,13 @@
 		},
 		Log: k.log, Meter: m, DataCentre: k.settings.DataCentre(), Watchdog: &relayer.Watchdog{Balancer: b, Log: k.log},
 	}
+	r, err := registrar.Find[*Reloader](&k.services, NameReloader)
+	if err != nil {
+		return err
+	}
+	r.onReload(func(next loader.Settings) {
+		s.Budget.Set(next.RetryWindow(), next.RetryRatio(), next.RetrySlack()*_slackShare)
+	})
 	l, err := k.listen("callers", k.settings.CallersListen())
 	if err != nil {
 		return err
@@ -247,7 +264,15 @@
 	}
 	log := logger.NewBuffer(output)
 	defer log.Close()
-	code = runApp(Instance(s, networker.System{}, adapt, log), log)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	r := &Reloader{
+		Load:    func() (loader.Settings, error) { return loader.Load(loader.RoleInstance, args, io.Discard) },
+		File:    s.File(),
+		Signals: hangups,
+	}
+	code = runApp(Instance(s, networker.System{}, adapt, r, log), log)
 	fmt.Fprintf(log, "time=%q level=info event=stop code=%d process=%s\n", time.Now().Format(time.RFC3339Nano), code, s.Name())
 	return code
 }
--- a/internal/grouper/decision.go
+++ b/internal/grouper/decision.go
@@ -209,7 +209,7 @@
 			others = append(others, m)
 		}
 	}
-	if len(others) < x.model.Size-1 {
+	if len(others) == 0 || len(others) < x.model.Size-1 {
 		if d.since(d.now, x.key, "orphan") < d.StallTime+_stallMargin {
 			return
 		}
--- a/internal/grouper/grouper_test.go
+++ b/internal/grouper/grouper_test.go
@@ -19,6 +19,7 @@
 //	busy                  callers' requests begin
 //	run DURATION          time passes
 //	kill WHAT             an upstream is gone for good
+//	dark, heal            the system can't reach any upstream, or can again
 //	cut WHAT, heal        the system can't reach an upstream, or can again
 //	drain WHAT            an upstream is about to leave
 //	term N                another process holds the lease
@@ -63,6 +64,10 @@
 		h := w.find(rest)
 		require.NotNil(t, h, "line %d: no %s", line, rest)
 		h.dead, h.cut, h.Draining = words[0] == "kill", words[0] == "cut", words[0] == "drain"
+	case "dark":
+		for _, h := range w.hosts {
+			h.cut = true
+		}
 	case "heal":
 		for _, h := range w.hosts {
 			h.cut = false
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -46,6 +46,7 @@
 	retryWindow       time.Duration
 	retrySlack        float64
 	memoryLimit       int64
+	file              string
 }
 
 // Load reads and checks the settings of a process. Usage and help go to output;
@@ -56,6 +57,7 @@
 	set := flagSet(role, list)
 	set.SetOutput(output)
 	faults, err := parse(set, args)
+	s.file = set.Lookup("config").Value.String()
 	if errors.Is(err, flag.ErrHelp) {
 		return Settings{}, err
 	}
@@ -98,6 +100,9 @@
 // Role returns what the process does.
 func (s Settings) Role() Role { return s.role }
 
+// File returns the path of the settings file, empty where there is none.
+func (s Settings) File() string { return s.file }
+
 // Name returns the process's name.
 func (s Settings) Name() string { return s.name }
 
