--- /dev/null
+++ b/internal/budgeter/budgeter_test.go
@@ -0,0 +1,45 @@
+package budgeter_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/budgeter"
+)
+
+// In every window the second sends stay within the ratio of the requests of that
+// window and the one before it, plus the slack.
+func TestSpendKeepsTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const window = 10 * time.Second
+		b := &budgeter.Budget{Window: window, Ratio: 0.2, Slack: 3}
+		now := time.Unix(1_800_000_000, 0)
+		var requests, sends []time.Time
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "request") {
+				b.Request("s", now)
+				requests = append(requests, now)
+				continue
+			}
+			if b.Spend("s", now) {
+				sends = append(sends, now)
+			}
+			within := func(list []time.Time, d time.Duration) int {
+				n := 0
+				for _, at := range list {
+					if now.Sub(at) < d {
+						n++
+					}
+				}
+				return n
+			}
+			// Counts are dropped in tenths of a window.
+			if n := within(sends, window*9/10); float64(n) > 0.2*float64(within(requests, 2*window))+3 {
+				t.Fatalf("%d sends", n)
+			}
+		}
+	})
+}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -215,7 +215,7 @@
 		}
 		k := c.checks[u.ID]
 		if k == nil {
-			k = &check{next: now.Add(_checkEvery)}
+			k = &check{next: now}
 			c.checks[u.ID] = k
 		}
 		if k.open || now.Before(k.next) {
--- a/internal/grouper/form.go
+++ b/internal/grouper/form.go
@@ -14,6 +14,14 @@
 // before hosts that hold another model are loaded anew.
 const _domainSettled = 3 * time.Second
 
+const (
+	// _appearing is how long a domain's number of upstreams must stand still
+	// before it counts as complete, ahead of the first request.
+	_appearing = time.Second
+	// _spares is the number of upstreams of a domain that are kept for repairs.
+	_spares = 2
+)
+
 // _loadBudget is the part of the allowed loads that is used; the rest covers
 // loads that an earlier lease holder began.
 const _loadBudget = 0.8
@@ -79,7 +87,7 @@
 				loads++
 			}
 		}
-		if !d.mayLoad(loads) || loads > 0 && !d.mayOverwrite(domain, members, m) {
+		if !d.mayLoad(loads) || loads > 0 && !d.mayOverwrite(domain, members, m) || !d.mayGrow(domain, candidates, members, m) {
 			continue
 		}
 		// lack is the smaller, the better a model is supplied for its need.
@@ -100,6 +108,30 @@
 	return true
 }
 
+// mayGrow says that a group may be formed that replaces none. While upstreams
+// still appear, a domain waits until every model could have a group there. Once
+// callers are served, some upstreams are kept as spares.
+func (d *decision) mayGrow(domain string, candidates, members []cataloguer.Upstream, m cataloguer.Model) bool {
+	if !d.world.Busy {
+		sizes := 0
+		for _, x := range d.world.Engine.Models {
+			sizes += x.Size
+		}
+		count := d.grown[domain].size
+		return count >= sizes || d.now.Sub(d.grown[domain].at) >= _appearing
+	}
+	loads := 0
+	for _, u := range members {
+		if !loaded(u, m) {
+			loads++
+		}
+	}
+	if loads*2 <= m.Size {
+		return true
+	}
+	return len(candidates) >= m.Size+_spares
+}
+
 // mayOverwrite says that a group may be formed with loads now. While upstreams
 // of the domain come back with other models on their hosts, a group that needs
 // few loads is better than one at once.
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -84,7 +84,7 @@
 	// up: a report that lags behind refuses one that is right.
 	_refusalsBorne = 3
 	// _stallMargin is the extra wait for a head that is cut off to stop.
-	_stallMargin = time.Second
+	_stallMargin = 500 * time.Millisecond
 	// _settled is how long the number of upstreams must stand still before spares
 	// are staged ahead of the first request.
 	_settled = 1500 * time.Millisecond
