--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -295,6 +295,10 @@
 	if o.Operation == grouper.OperationJoin && r.Group.Name == o.Group && r.Group.Epoch == o.Epoch {
 		return grouper.OutcomeAccepted, nil
 	}
+	if o.Operation == grouper.OperationStage && r.Busy {
+		// Another process has ordered it before.
+		return grouper.OutcomeAccepted, nil
+	}
 	if r.Group.Name != o.From.Name || r.Group.Epoch != o.From.Epoch {
 		return grouper.OutcomeRefused, fmt.Errorf("conductor: %s on %s: it is in group %q of epoch %d now", o.Operation, u.ID, r.Group.Name, r.Group.Epoch)
 	}
--- a/internal/grouper/form.go
+++ b/internal/grouper/form.go
@@ -18,6 +18,9 @@
 	// _appearing is how long a domain's number of upstreams must stand still
 	// before it counts as complete, ahead of the first request.
 	_appearing = time.Second
+	// _earlyOverlap is how many times the loads that run at full speed may be
+	// under way ahead of the first request.
+	_earlyOverlap = 2
 	// _spares is the number of upstreams of a domain that are kept for repairs.
 	_spares = 2
 )
@@ -266,10 +269,16 @@
 	if loads == 0 {
 		return true
 	}
-	if atOnce := d.world.Engine.LoadsAtOnce; atOnce > 0 && len(d.loading) >= atOnce {
+	atOnce := d.world.Engine.LoadsAtOnce
+	if !d.world.Busy {
+		// Loads that begin before the first request stay quick, so more begin than
+		// run at full speed.
+		return atOnce == 0 || len(d.loading) < atOnce*_earlyOverlap
+	}
+	if atOnce > 0 && len(d.loading) >= atOnce {
 		return false
 	}
-	if !d.world.Busy || d.world.Engine.LoadRate == 0 {
+	if d.world.Engine.LoadRate == 0 {
 		return true
 	}
 	allowed := d.world.Engine.LoadRate * _loadWindow.Seconds() * _loadBudget
@@ -291,11 +300,15 @@
 // stage loads a model onto the hosts of free upstreams, so that they can replace
 // a lost member quickly. Before the first request, groups go first.
 func (d *decision) stage() {
-	if !d.world.Busy && (len(d.plans) > 0 || d.now.Sub(d.grown[""].at) < _settled) {
+	if !d.world.Busy && d.now.Sub(d.grown[""].at) < _settled {
 		return
 	}
 	for _, domain := range d.domains() {
 		spares := d.candidates(domain)
+		if !d.world.Busy && len(spares) > _spares {
+			// A group may still be formed here.
+			continue
+		}
 		count := make(map[string]int)
 		for _, u := range spares {
 			for _, s := range u.Staged {
@@ -308,7 +321,7 @@
 		for _, u := range spares {
 			m, ok := d.wanted(domain, count)
 			_, under := d.staging[u.ID]
-			if !ok || under || len(u.Staged) > 0 || u.Group.Name != "" || !d.mayLoad(1) {
+			if !ok || under || len(u.Staged) > 0 || u.Group.Name != "" || d.world.Busy && !d.mayLoad(1) {
 				continue
 			}
 			count[m.Name]++
