--- /dev/null
+++ b/internal/accountant/report.go
@@ -0,0 +1,120 @@
+package accountant
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// Table writes the causes of each route's requests, the most frequent first.
+func Table(w io.Writer, requests []Request) error {
+	counts := make(map[string]map[string]int)
+	totals := make(map[string]int)
+	for i := range requests {
+		r := &requests[i]
+		cause := r.Cause()
+		if counts[cause] == nil {
+			counts[cause] = make(map[string]int)
+		}
+		counts[cause][r.Route]++
+		counts[cause][""]++
+		totals[r.Route]++
+	}
+	routes := slices.SortedFunc(maps.Keys(totals), func(a, b string) int {
+		return cmp.Or(cmp.Compare(totals[b], totals[a]), cmp.Compare(a, b))
+	})
+	const shown = 6 // routes with a column of their own
+	routes = routes[:min(len(routes), shown)]
+	causes := slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(counts[b][""], counts[a][""]), cmp.Compare(a, b))
+	})
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(t, "cause\tall\tshare\t%s\t\n", strings.Join(routes, "\t"))
+	for _, c := range causes {
+		fmt.Fprintf(t, "%s\t%d\t%.1f%%\t", c, counts[c][""], 100*float64(counts[c][""])/float64(len(requests)))
+		for _, r := range routes {
+			fmt.Fprintf(t, "%d\t", counts[c][r])
+		}
+		fmt.Fprintln(t)
+	}
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("accountant: write the table: %w", err)
+	}
+	return nil
+}
+
+// Sizes of the drawing, in pixels.
+const (
+	_width  = 900
+	_height = 260
+	_margin = 40
+)
+
+// _colours are the bands of the drawing, from the bottom: on time, late,
+// refused, failed.
+var _colours = []struct{ name, colour string }{
+	{"on time", "#4c9f70"}, {"late", "#e0b84c"}, {"refused", "#c05c4c"}, {"failed", "#6c4c8c"},
+}
+
+// Draw writes an SVG of the requests that ended in each second, in bands by what
+// became of them.
+func Draw(w io.Writer, requests []Request) error {
+	if len(requests) == 0 {
+		return fmt.Errorf("accountant: draw: no request in the log")
+	}
+	first, last := requests[0].At, requests[0].At
+	for i := range requests {
+		if requests[i].At.Before(first) {
+			first = requests[i].At
+		}
+		if requests[i].At.After(last) {
+			last = requests[i].At
+		}
+	}
+	seconds := int(last.Sub(first)/time.Second) + 1
+	bands := make([][4]int, seconds)
+	most := 1
+	for i := range requests {
+		b := &bands[int(requests[i].At.Sub(first)/time.Second)]
+		b[band(requests[i].Cause())]++
+		most = max(most, b[0]+b[1]+b[2]+b[3])
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"%d\" height=\"%d\" font-family=\"sans-serif\" font-size=\"11\">\n", _width, _height)
+	step := float64(_width-2*_margin) / float64(seconds)
+	scale := float64(_height-2*_margin) / float64(most)
+	for i, x := range bands {
+		bottom := float64(_height - _margin)
+		for j, n := range x {
+			tall := float64(n) * scale
+			bottom -= tall
+			fmt.Fprintf(&b, "<rect x=\"%.1f\" y=\"%.1f\" width=\"%.1f\" height=\"%.1f\" fill=\"%s\"/>\n", _margin+float64(i)*step, bottom, step, tall, _colours[j].colour)
+		}
+	}
+	for j, c := range _colours {
+		fmt.Fprintf(&b, "<rect x=\"%d\" y=\"10\" width=\"10\" height=\"10\" fill=\"%s\"/><text x=\"%d\" y=\"19\">%s</text>\n", _margin+j*90, c.colour, _margin+14+j*90, c.name)
+	}
+	fmt.Fprintf(&b, "<text x=\"2\" y=\"%d\">%d/s</text><text x=\"%d\" y=\"%d\">%d s</text>\n</svg>\n", _margin+4, most, _width-_margin, _height-_margin+16, seconds)
+	if _, err := io.WriteString(w, b.String()); err != nil {
+		return fmt.Errorf("accountant: write the drawing: %w", err)
+	}
+	return nil
+}
+
+func band(cause string) int {
+	switch {
+	case cause == OnTime:
+		return 0
+	case strings.HasPrefix(cause, "late"):
+		return 1
+	case strings.HasPrefix(cause, "refused"):
+		return 2
+	default:
+		return 3
+	}
+}
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -74,7 +74,7 @@
 		ShortUsage: "lbctl [-address ADDRESS] [-token TOKEN] [-json] <command>", LongHelp: _help, FlagSet: set,
 		Subcommands: []*ffcli.Command{
 			c.config(faults), c.groups(faults), c.instances(faults), c.upstreams(faults), c.processes(faults),
-			c.explain(faults), c.drain(faults), c.try(faults), c.digest(faults),
+			c.explain(faults), c.drain(faults), c.try(faults), c.digest(faults), c.losses(faults),
 		},
 		Options: []ff.Option{ff.WithEnvVarPrefix("LBCTL")},
 		Exec:    func(context.Context, []string) error { return flag.ErrHelp },
--- /dev/null
+++ b/internal/commander/losses.go
@@ -0,0 +1,74 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/accountant"
+)
+
+// losses reads the logs of instances; it asks no process.
+func (c *commander) losses(faults io.Writer) *ffcli.Command {
+	set := flags("lbctl losses", faults)
+	plot := set.String("plot", "", "SVG `file` to draw service over time into")
+	return &ffcli.Command{
+		Name: "losses", ShortUsage: "lbctl losses [-plot FILE] [LOG ...]",
+		ShortHelp: "tell from instances' logs what became of each request, and why", FlagSet: set,
+		Exec: func(_ context.Context, args []string) error {
+			requests, err := c.readLogs(args)
+			if err != nil {
+				return err
+			}
+			if len(requests) == 0 {
+				return fmt.Errorf("read the logs: no line of a request that ended")
+			}
+			if *plot != "" {
+				if err := draw(*plot, requests); err != nil {
+					return err
+				}
+			}
+			return accountant.Table(c.out, requests)
+		},
+	}
+}
+
+// readLogs reads the files given, or the standard input.
+func (c *commander) readLogs(files []string) ([]accountant.Request, error) {
+	if len(files) == 0 {
+		return accountant.Read(c.in)
+	}
+	var out []accountant.Request
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, fmt.Errorf("read the logs: %w", err)
+		}
+		requests, err := accountant.Read(f)
+		f.Close()
+		if err != nil {
+			return nil, fmt.Errorf("read %s: %w", name, err)
+		}
+		out = append(out, requests...)
+	}
+	return out, nil
+}
+
+func draw(name string, requests []accountant.Request) error {
+	f, err := os.Create(name)
+	if err != nil {
+		return fmt.Errorf("draw: %w", err)
+	}
+	if err := accountant.Draw(f, requests); err != nil {
+		f.Close()
+		return err
+	}
+	if err := f.Close(); err != nil {
+		return fmt.Errorf("draw: %w", err)
+	}
+	return nil
+}
+
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -106,6 +106,12 @@
 	ran bool
 	// first is when the first byte of the answer was passed on.
 	first time.Time
+	// latest is when bytes of the answer were last passed on, and gap the longest
+	// pause between two such moments.
+	latest time.Time
+	gap    time.Duration
+	// resumed counts sends that went on with a stream that another had begun.
+	resumed int
 	// started says that an answer's head was passed on.
 	started bool
 	status  int
@@ -136,6 +142,13 @@
 	}
 	if !c.first.IsZero() {
 		fields["first_ms"] = c.first.Sub(c.began).Milliseconds()
+		fields["late"] = c.late()
+	}
+	if c.gap > 0 {
+		fields["gap_ms"] = c.gap.Milliseconds()
+	}
+	if c.resumed > 0 {
+		fields["resumed"] = c.resumed
 	}
 	if c.Meter != nil {
 		c.Meter.Ended(c.organisation, c.outcome)
@@ -147,6 +160,19 @@
 	c.Log.Event("request", fields)
 }
 
+// late tells why an answer came later than its route wants: "first" for its
+// beginning, "gap" for a pause in it, "no" where it did not.
+func (c *call) late() string {
+	switch {
+	case c.route.Target > 0 && c.first.Sub(c.began) > c.route.Target:
+		return "first"
+	case c.route.GapTarget > 0 && c.gap > c.route.GapTarget:
+		return "gap"
+	default:
+		return "no"
+	}
+}
+
 // admit finds the route and the caller's organisation, and reads the body. It
 // returns false where the request was answered.
 func (c *call) admit() bool {
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -83,6 +83,7 @@
 	resumed := uint64(0)
 	if p.events > 0 {
 		resumed = p.last
+		c.resumed++
 	}
 	x, a, err := c.send(ctx, u, resumed)
 	if err != nil {
@@ -187,6 +188,7 @@
 	if !wrote {
 		return ""
 	}
+	c.passed(time.Now())
 	if err := http.NewResponseController(c.w).Flush(); err != nil {
 		c.last = err
 		return "caller-left"
@@ -194,6 +196,14 @@
 	return ""
 }
 
+// passed notes that events were passed on.
+func (c *call) passed(now time.Time) {
+	if !c.latest.IsZero() {
+		c.gap = max(c.gap, now.Sub(c.latest))
+	}
+	c.latest = now
+}
+
 // head passes on the head of the first answer.
 func (c *call) head(x *forwarder.Exchange) {
 	copyHeader(c.w.Header(), x.Response.Header)
