--- a/internal/cataloguer/upstream.go
+++ b/internal/cataloguer/upstream.go
@@ -13,6 +13,9 @@
 	DataCentre string
 	// Draining says that the upstream is about to leave.
 	Draining bool
+	// Unlisted says that the platform's list does not show the upstream any more,
+	// although it answers.
+	Unlisted bool
 	Slots    int
 	// Born is the start of this life, in Unix milliseconds; 0 where unknown.
 	Born int64
--- a/internal/commander/losses.go
+++ b/internal/commander/losses.go
@@ -71,4 +71,3 @@
 	}
 	return nil
 }
-
--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -118,7 +118,9 @@
 	c := &cataloguer.Catalogue{}
 	configurations := &follower.Follower[*cataloguer.Configuration]{
 		Kind: "configuration", Source: a.Configurations, Log: k.log,
-		Publish: func(revision uint64, values map[string]*cataloguer.Configuration) { publish(k.log, c, revision, values) },
+		Publish: func(revision uint64, values map[string]*cataloguer.Configuration) {
+			publish(k.log, c, revision, values)
+		},
 	}
 	upstreams := &follower.Follower[cataloguer.Upstream]{
 		Kind: "upstreams", Source: a.Upstreams, Log: k.log, Keep: _keepLapsed, Gather: _gather,
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -79,9 +79,12 @@
 	groupers map[string]*grouper.Grouper
 	checks   map[string]*check
 	counts   counts
-	results  chan func(now time.Time)
-	group    sync.WaitGroup
-	leading  bool
+	// members are the members of groups as last listed, and those that are
+	// unlisted and still answer.
+	members map[string]cataloguer.Upstream
+	results chan func(now time.Time)
+	group   sync.WaitGroup
+	leading bool
 	// mu guards hints, which Run makes.
 	mu sync.Mutex
 }
@@ -96,6 +99,7 @@
 // Run works until ctx ends, and waits for the orders that are under way.
 func (c *Conductor) Run(ctx context.Context) {
 	c.groupers, c.checks = make(map[string]*grouper.Grouper), make(map[string]*check)
+	c.members = make(map[string]cataloguer.Upstream)
 	c.results = make(chan func(time.Time))
 	c.mu.Lock()
 	c.hints = make(chan string, _hintsKept)
@@ -170,12 +174,14 @@
 	}
 	if !held || configuration == nil || fleet == nil {
 		clear(c.checks)
+		clear(c.members)
 		return
 	}
 	for name, s := range configuration.Services {
 		if s.Engine == nil {
 			continue
 		}
+		fleet := c.withUnlisted(fleet, name)
 		c.check(ctx, now, fleet, name)
 		g := c.groupers[name]
 		if g == nil {
@@ -229,13 +235,14 @@
 // ask checks one member on a goroutine of its own.
 func (c *Conductor) ask(ctx context.Context, u cataloguer.Upstream, k *check) {
 	c.group.Go(func() {
-		_, err := c.report(ctx, u)
+		r, err := c.report(ctx, u)
 		c.result(ctx, func(now time.Time) {
 			k.open = false
 			if err == nil {
 				if k.failed >= _lostAfter {
 					c.Log.Event("member-regained", logger.Fields{"upstream": u.ID, "group": u.Group.Name, "epoch": u.Group.Epoch})
 				}
+				c.reported(u.ID, r)
 				k.failed = 0
 				k.next = now.Add(_checkEvery)
 				return
--- a/internal/grouper/decision.go
+++ b/internal/grouper/decision.go
@@ -147,6 +147,11 @@
 		return
 	}
 	switch {
+	case x.whole() && x.head.Unlisted && d.since(d.now, x.key, "unlisted") < _unlistedBorne:
+		// Its entry may come back.
+		d.hold(x)
+	case x.whole() && x.head.Unlisted:
+		d.close(x, false, "head unlisted")
 	case d.dropped[x.key] && x.head != nil && x.head.Group.State != cataloguer.GroupOpen:
 		// Its members are free; nothing was opened.
 	case x.whole() && x.leaving == 0 && x.all(cataloguer.GroupReady, cataloguer.GroupOpen):
@@ -192,7 +197,7 @@
 	default:
 		// The head serves nothing. It joins another group before its members do;
 		// one that can't, leaves.
-		if x.head.Draining && !d.waits(x.head.ID) {
+		if (x.head.Draining || x.head.Unlisted) && !d.waits(x.head.ID) {
 			d.order(x.command(OperationLeave, "head leaves"))
 		}
 	}
--- a/internal/grouper/form.go
+++ b/internal/grouper/form.go
@@ -213,6 +213,9 @@
 	list := slices.Clone(candidates)
 	rank := func(u cataloguer.Upstream) int {
 		switch {
+		case u.Unlisted:
+			// It can't be the head, and may be about to leave.
+			return 5
 		case u.Group.Name != "" && u.Group.Model == m.Name:
 			return 0
 		case loaded(u, m):
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -88,6 +88,11 @@
 	// _settled is how long the number of upstreams must stand still before spares
 	// are staged ahead of the first request.
 	_settled = 1500 * time.Millisecond
+	// _sightingBreak is how long a condition may go unseen before it counts anew.
+	_sightingBreak = time.Second
+	// _unlistedBorne is how long a head may be missing in the platform's list
+	// before its group gets another one; nobody sends it requests meanwhile.
+	_unlistedBorne = time.Second
 	// _loadWindow is the span over which the rate of loads is kept.
 	_loadWindow = 5 * time.Second
 )
@@ -104,8 +109,8 @@
 	// sent is when the latest order to an upstream was given, while its outcome
 	// is open or it may not be given again yet.
 	sent map[string]sent
-	// seen is when a group was first seen in the state that it is in.
-	seen map[key]sighting
+	// seen is when a group was seen in a condition.
+	seen map[seenIn]sighting
 	// loads are the times at which loads began.
 	loads []time.Time
 	// loading is until when an upstream loads from the weight store.
@@ -150,9 +155,15 @@
 	epoch uint64
 }
 
+// seenIn is a group in a condition.
+type seenIn struct {
+	key       key
+	condition string
+}
+
+// sighting is when a condition was first and last seen.
 type sighting struct {
-	state string
-	at    time.Time
+	first, last time.Time
 }
 
 // plan is a group that is being formed.
@@ -233,7 +244,7 @@
 	}
 	g.term, g.count = w.Term, 0
 	g.plans, g.sent = make(map[uint64]*plan), make(map[string]sent)
-	g.seen, g.loading = make(map[key]sighting), make(map[string]time.Time)
+	g.seen, g.loading = make(map[seenIn]sighting), make(map[string]time.Time)
 	g.staging, g.grown = make(map[string]staging), make(map[string]growth)
 	g.quarantine, g.dropped = make(map[string]time.Time), make(map[key]bool)
 	g.loads = nil
@@ -282,13 +293,12 @@
 	g.dropped[p.key] = true
 }
 
-
 // forget drops what is over.
 func (g *Grouper) forget(now time.Time, d *decision) {
 	maps.DeleteFunc(g.sent, func(id string, s sent) bool {
 		return !s.open && now.Sub(s.at) >= _repeatAfter
 	})
-	maps.DeleteFunc(g.seen, func(k key, _ sighting) bool { return d.byKey[k] == nil })
+	maps.DeleteFunc(g.seen, func(_ seenIn, s sighting) bool { return now.Sub(s.last) > _sightingBreak })
 	if len(g.dropped) > _droppedKept {
 		maps.DeleteFunc(g.dropped, func(k key, _ bool) bool { return d.byKey[k] == nil })
 	}
@@ -304,14 +314,17 @@
 	g.loads = slices.DeleteFunc(g.loads, func(at time.Time) bool { return now.Sub(at) >= _loadWindow })
 }
 
-// since returns for how long a group has been seen in a state.
-func (g *Grouper) since(now time.Time, k key, state string) time.Duration {
-	s, ok := g.seen[k]
-	if !ok || s.state != state {
-		g.seen[k] = sighting{state: state, at: now}
-		return 0
+// since returns for how long a group has been seen in a condition without a
+// break.
+func (g *Grouper) since(now time.Time, k key, condition string) time.Duration {
+	c := seenIn{k, condition}
+	s, ok := g.seen[c]
+	if !ok || now.Sub(s.last) > _sightingBreak {
+		s.first = now
 	}
-	return now.Sub(s.at)
+	s.last = now
+	g.seen[c] = s
+	return now.Sub(s.first)
 }
 
 func (k key) String() string { return fmt.Sprintf("%s/%d", k.name, k.epoch) }
--- a/internal/grouper/grouper_test.go
+++ b/internal/grouper/grouper_test.go
@@ -21,6 +21,7 @@
 //	kill WHAT             an upstream is gone for good
 //	dark, heal            the system can't reach any upstream, or can again
 //	cut WHAT, heal        the system can't reach an upstream, or can again
+//	unlist WHAT           the platform's list loses an upstream that goes on
 //	drain WHAT            an upstream is about to leave
 //	term N                another process holds the lease
 //	lose DURATION, keep   orders get no answer and are carried out later, or not
@@ -60,10 +61,10 @@
 		w.busy = true
 	case "run":
 		w.run(duration(t, words[1]))
-	case "kill", "cut", "drain":
+	case "kill", "cut", "drain", "unlist":
 		h := w.find(rest)
 		require.NotNil(t, h, "line %d: no %s", line, rest)
-		h.dead, h.cut, h.Draining = words[0] == "kill", words[0] == "cut", words[0] == "drain"
+		h.dead, h.cut, h.Draining, h.unlisted = words[0] == "kill", words[0] == "cut", words[0] == "drain", words[0] == "unlist"
 	case "dark":
 		for _, h := range w.hosts {
 			h.cut = true
--- a/internal/grouper/world_test.go
+++ b/internal/grouper/world_test.go
@@ -45,7 +45,9 @@
 	cataloguer.Upstream
 	dead bool
 	// cut says that the system can't reach it; it goes on.
-	cut      bool
+	cut bool
+	// unlisted says that the platform's list has lost it.
+	unlisted bool
 	last     string // the model of its last group
 	ready    time.Time
 	staged   time.Time
@@ -83,7 +85,9 @@
 	list := make(map[string]cataloguer.Upstream)
 	for id, h := range w.hosts {
 		if !h.dead {
-			list[id] = h.Upstream
+			u := h.Upstream
+			u.Unlisted = h.unlisted
+			list[id] = u
 		}
 	}
 	return cataloguer.NewFleet(w.revision, list)
