internal/enumerator, internal/leaser: processes are counted, and looks at the store grow less with them

Now the list's changes gather longer the more processes there are (25 watches a second in all, at most half of the time in which a leaving upstream may be used), looks at a lease that others hold are reads that may be old, and the slack of retries is divided by the count. Ruled out: fewer watches of the configuration (a silent connection must be noticed within its bound).

--- a/internal/cataloguer/catalogue.go
+++ b/internal/cataloguer/catalogue.go
@@ -10,6 +10,7 @@
 type Catalogue struct {
 	configuration atomic.Pointer[Configuration]
 	fleet         atomic.Pointer[Fleet]
+	leading       atomic.Bool
 
 	mu      sync.Mutex
 	changed chan struct{}
@@ -21,6 +22,12 @@
 // Fleet returns the newest fleet, or nil.
 func (c *Catalogue) Fleet() *Fleet { return c.fleet.Load() }
 
+// Leading says that this process decides on groups.
+func (c *Catalogue) Leading() bool { return c.leading.Load() }
+
+// SetLeading notes whether this process decides on groups.
+func (c *Catalogue) SetLeading(leading bool) { c.leading.Store(leading) }
+
 // Changed is closed at the next change.
 func (c *Catalogue) Changed() <-chan struct{} {
 	c.mu.Lock()
--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/budgeter"
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
 	"github.com/lycheebarrow/lycheebarrow/internal/conductor"
+	"github.com/lycheebarrow/lycheebarrow/internal/enumerator"
 	"github.com/lycheebarrow/lycheebarrow/internal/follower"
 	"github.com/lycheebarrow/lycheebarrow/internal/forwarder"
 	"github.com/lycheebarrow/lycheebarrow/internal/leaser"
@@ -31,11 +33,12 @@
 
 // Names of the services of an instance.
 const (
-	NameAdapter   = "adapter"
-	NameCatalogue = "catalogue"
-	NameConductor = "conductor"
-	NameRelayer   = "relayer"
-	NameReloader  = "reloader"
+	NameAdapter    = "adapter"
+	NameCatalogue  = "catalogue"
+	NameConductor  = "conductor"
+	NameEnumerator = "enumerator"
+	NameRelayer    = "relayer"
+	NameReloader   = "reloader"
 )
 
 const (
@@ -46,24 +49,33 @@
 	_leaseDuration = 1500 * time.Millisecond
 	// _stopMargin is kept free at the end of a graceful shutdown.
 	_stopMargin = 500 * time.Millisecond
-	// _gather is the pause in which changes of the list of upstreams gather, so
-	// that each watch brings several.
-	_gather = 60 * time.Millisecond
+	// _gatherLeading is the pause in which changes of the list of upstreams gather
+	// where groups are decided on.
+	_gatherLeading = 60 * time.Millisecond
+	// _gatherEach is that pause elsewhere, for each process of the system, so that
+	// all of them together watch the list at most 25 times a second.
+	_gatherEach = 40 * time.Millisecond
 	// _keepLapsed is how long an upstream is still used whose entry lapsed while
 	// the store was away. Upstreams write theirs again within two seconds.
 	_keepLapsed = 1800 * time.Millisecond
 	// _memoryPart is the part of an instance's memory at which the garbage
 	// collector works harder.
 	_memoryPart = 0.6
-	// _slackShare is an instance's part of the second sends allowed besides.
-	_slackShare = 1.0 / 8
+	// _expectedInstances is the number of processes until they are counted.
+	_expectedInstances = 8
 	// _sweepEvery is the time between two looks for connections to close.
 	_sweepEvery = time.Second
 )
 
+// Store is what an instance keeps in the platform.
+type Store interface {
+	leaser.Store
+	enumerator.Store
+}
+
 // Adapter connects an instance to a platform.
 type Adapter struct {
-	Store          leaser.Store
+	Store          Store
 	Configurations follower.Source[*cataloguer.Configuration]
 	Upstreams      follower.Source[cataloguer.Upstream]
 	Orders         conductor.Upstreams
@@ -122,8 +134,19 @@
 			publish(k.log, c, revision, values)
 		},
 	}
+	e := &enumerator.Enumerator{Store: a.Store, Name: k.settings.Name(), Log: k.log, Expected: _expectedInstances}
+	k.run(e.Run)
+	if err := k.services.Register(NameEnumerator, e); err != nil {
+		return err
+	}
 	upstreams := &follower.Follower[cataloguer.Upstream]{
-		Kind: "upstreams", Source: a.Upstreams, Log: k.log, Keep: _keepLapsed, Gather: _gather,
+		Kind: "upstreams", Source: a.Upstreams, Log: k.log, Keep: _keepLapsed,
+		Gather: func() time.Duration {
+			if c.Leading() {
+				return _gatherLeading
+			}
+			return min(time.Duration(e.Count())*_gatherEach, k.settings.UpstreamDrain()/2)
+		},
 		Publish: func(revision uint64, values map[string]cataloguer.Upstream) {
 			c.SetFleet(cataloguer.NewFleet(revision, values))
 		},
@@ -167,36 +190,44 @@
 	}
 	s := &relayer.Relayer{
 		Knowledge: c, Protocol: a.Protocol, Pool: &forwarder.Pool{Network: k.network}, Balancer: b,
-		Budget: &budgeter.Budget{
-			Window: k.settings.RetryWindow(), Ratio: k.settings.RetryRatio(), Slack: k.settings.RetrySlack() * _slackShare,
-		},
-		Log: k.log, Meter: m, DataCentre: k.settings.DataCentre(), Watchdog: &relayer.Watchdog{Balancer: b, Log: k.log},
+		Budget: &budgeter.Budget{},
+		Log:    k.log, Meter: m, DataCentre: k.settings.DataCentre(), Watchdog: &relayer.Watchdog{Balancer: b, Log: k.log},
 	}
 	r, err := registrar.Find[*Reloader](&k.services, NameReloader)
 	if err != nil {
 		return err
 	}
-	r.onReload(func(next loader.Settings) {
-		s.Budget.Set(next.RetryWindow(), next.RetryRatio(), next.RetrySlack()*_slackShare)
-	})
+	e, err := registrar.Find[*enumerator.Enumerator](&k.services, NameEnumerator)
+	if err != nil {
+		return err
+	}
+	settings := &atomic.Pointer[loader.Settings]{}
+	settings.Store(&k.settings)
+	r.onReload(func(next loader.Settings) { settings.Store(&next) })
 	l, err := k.listen("callers", k.settings.CallersListen())
 	if err != nil {
 		return err
 	}
 	k.run(s.Watchdog.Run)
-	k.run(func(ctx context.Context) { sweep(ctx, s.Pool, b, c) })
+	k.run(func(ctx context.Context) {
+		for next := settings.Load(); ; next = settings.Load() {
+			s.Budget.Set(next.RetryWindow(), next.RetryRatio(), next.RetrySlack()/float64(e.Count()))
+			if !pauser.Pause(ctx, _sweepEvery) {
+				return
+			}
+			sweep(s.Pool, b, c, time.Now())
+		}
+	})
 	k.life.Append(fx.StopHook(s.Pool.Close))
 	k.serve("callers", l, s, nil)
 	return k.services.Register(NameRelayer, s)
 }
 
 // sweep closes old connections and drops the accounts of upstreams that are gone.
-func sweep(ctx context.Context, p *forwarder.Pool, b *balancer.Balancer, c *cataloguer.Catalogue) {
-	for pauser.Pause(ctx, _sweepEvery) {
-		p.Sweep(time.Now())
-		if f := c.Fleet(); f != nil {
-			b.Forget(f)
-		}
+func sweep(p *forwarder.Pool, b *balancer.Balancer, c *cataloguer.Catalogue, now time.Time) {
+	p.Sweep(now)
+	if f := c.Fleet(); f != nil {
+		b.Forget(f)
 	}
 }
 
@@ -216,7 +247,7 @@
 	lease := leaser.New(a.Store, _leaseName, k.settings.Name()+"/"+uuid.NewString(), k.log)
 	lease.Duration, lease.Spread = _leaseDuration, true
 	x := &conductor.Conductor{
-		Lease: lease, Knowledge: c, Upstreams: a.Orders, Log: k.log, StallTime: k.settings.StallTime(), Busy: s.Busy,
+		Leading: c.SetLeading, Lease: lease, Knowledge: c, Upstreams: a.Orders, Log: k.log, StallTime: k.settings.StallTime(), Busy: s.Busy,
 	}
 	s.Watchdog.Suspect = x.Suspect
 	k.run(func(ctx context.Context) {
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -74,6 +74,9 @@
 	StallTime time.Duration
 	// Busy says that callers' requests have begun.
 	Busy func() bool
+	// Leading is told when this process begins or ends to give orders; it may be
+	// nil.
+	Leading func(leading bool)
 
 	hints    chan string
 	groupers map[string]*grouper.Grouper
@@ -170,6 +173,9 @@
 	held := c.Lease.Held(now)
 	if held != c.leading {
 		c.leading = held
+		if c.Leading != nil {
+			c.Leading(held)
+		}
 		c.Log.Event("conductor", logger.Fields{"leading": held, "term": c.Lease.Term()})
 	}
 	if !held || configuration == nil || fleet == nil {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -64,8 +64,9 @@
 	// removed within this time of the store's return, is still shown: the store
 	// drops entries while it is away, and their owners write them again.
 	Keep time.Duration
-	// Gather is the pause between two watches, in which changes gather.
-	Gather time.Duration
+	// Gather returns the pause between two watches, in which changes gather; nil
+	// means none.
+	Gather func() time.Duration
 	// Publish is called from Run's goroutine with each new copy, which it may
 	// keep and must not change.
 	Publish func(revision uint64, values map[string]T)
@@ -103,7 +104,9 @@
 			f.expire(time.Now())
 			continue
 		}
-		pauser.Pause(ctx, f.Gather)
+		if f.Gather != nil {
+			pauser.Pause(ctx, f.Gather())
+		}
 	}
 }
 
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -43,6 +43,11 @@
 	Update(ctx context.Context, key string, version uint64, value []byte) (uint64, error)
 }
 
+// peeker is a Store that can also read cheaply what may be seconds old.
+type peeker interface {
+	Peek(ctx context.Context, key string) (storer.Object, error)
+}
+
 // Leaser holds or seeks one lease. Make it with New, start it with Run. Its
 // other methods are safe for concurrent use.
 type Leaser struct {
@@ -180,6 +185,9 @@
 	if l.seen.GetHolder() == l.holder && l.version != 0 {
 		return l.write(ctx, sent, l.version, l.seen.GetTerm())
 	}
+	if l.stands(ctx, sent) {
+		return nil
+	}
 	o, err := l.store.Get(ctx, l.key)
 	switch {
 	case errors.Is(err, storer.ErrNotFound):
@@ -209,6 +217,21 @@
 	return l.write(ctx, sent, o.Version, found.GetTerm()+1)
 }
 
+// stands says, from a cheap read, that another process renews the lease. What
+// may be old is never a reason to take it.
+func (l *Leaser) stands(ctx context.Context, sent time.Time) bool {
+	p, ok := l.store.(peeker)
+	if !ok || l.unsure || l.seen == nil || l.seen.GetHolder() == l.holder {
+		return false
+	}
+	o, err := p.Peek(ctx, l.key)
+	if err != nil || o.Version <= l.version {
+		return false
+	}
+	l.version, l.seenAt = o.Version, sent
+	return true
+}
+
 // lose notes that another process holds the lease.
 func (l *Leaser) lose() {
 	l.mu.Lock()
--- a/internal/loader/instance.go
+++ b/internal/loader/instance.go
@@ -30,6 +30,10 @@
 			key: "engine-stall", meaning: "how long the head of a group that lost a member goes on before it fails", allowed: _allowedDuration, byDefault: "6s",
 			store: storeDuration(&s.stallTime),
 		},
+		{
+			key: "engine-drain", meaning: "how long an upstream that has said that it leaves may still be sent requests", allowed: _allowedDuration, byDefault: "2s",
+			store: storeDuration(&s.upstreamDrain),
+		},
 		{
 			key: "retry-ratio", meaning: "second sends for each request in a window, over all instances", allowed: "a number from 0 to 1", byDefault: "0.2",
 			store: storeNumber(&s.retryRatio, 0, 1),
@@ -73,6 +77,10 @@
 // StallTime returns how long the head of a group that lost a member goes on.
 func (s Settings) StallTime() time.Duration { return s.stallTime }
 
+// UpstreamDrain returns how long an upstream that has said that it leaves may
+// still be sent requests.
+func (s Settings) UpstreamDrain() time.Duration { return s.upstreamDrain }
+
 // RetryRatio returns the second sends allowed for each request in a window.
 func (s Settings) RetryRatio() float64 { return s.retryRatio }
 
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -42,6 +42,7 @@
 	drainLimit        time.Duration
 	maxBodyBytes      int64
 	stallTime         time.Duration
+	upstreamDrain     time.Duration
 	retryRatio        float64
 	retryWindow       time.Duration
 	retrySlack        float64
