--- /dev/null
+++ b/internal/accountant/accountant_test.go
@@ -0,0 +1,37 @@
+package accountant_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/accountant"
+)
+
+const _log = `
+ 1.2 host time="2026-01-01T00:00:01Z" level=info event=request first_ms=100 late=no outcome=answered request=a route=r status=200 total_ms=900 sends=1
+time="2026-01-01T00:00:02Z" level=info event=request first_ms=700 late=first outcome=answered request=b route=r sends=2 status=200 total_ms=900
+time="2026-01-01T00:00:02Z" level=info event=request first_ms=70 late=gap outcome=answered request=c resumed=1 route=s sends=2 status=200 total_ms=900
+time="2026-01-01T00:00:03Z" level=warning error="it said \"event=request \" twice" event=request outcome=crowded request=d route=s sends=0 status=503 total_ms=0
+time="2026-01-01T00:00:03Z" level=info event=route request=d route=s
+time="2026-01-01T00:00:03Z" level=info event=request outcome=no-route request=e status=404 total_ms=0
+`
+
+func TestTable(t *testing.T) {
+	requests, err := accountant.Read(strings.NewReader(_log))
+	require.NoError(t, err)
+	var causes []string
+	for i := range requests {
+		causes = append(causes, requests[i].Cause())
+	}
+	assert.Equal(t, []string{accountant.OnTime, "late: sent again before its first event", "late: resumed after a pause", "refused: crowded"}, causes)
+	var table, drawing bytes.Buffer
+	require.NoError(t, accountant.Table(&table, requests))
+	assert.Contains(t, table.String(), "refused: crowded    1  25.0%  0  1")
+	require.NoError(t, accountant.Draw(&drawing, requests))
+	assert.True(t, strings.HasPrefix(drawing.String(), "<svg"))
+	assert.Error(t, accountant.Draw(&drawing, nil))
+}
--- /dev/null
+++ b/internal/admitter/admitter.go
@@ -0,0 +1,133 @@
+package admitter
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// _headroom is how much more than its even share of the places a process may
+	// use at first, since callers are spread unevenly.
+	_headroom = 1.3
+	// _least and _most bound what a process may use, in even shares.
+	_least = 0.75
+	_most  = 1.9
+	// _slowPart is the part of a route's target above which a wait for the first
+	// event shows that the groups are full.
+	_slowPart = 0.8
+	// _shrink is the factor on the limit after a slow first event.
+	_shrink = 0.95
+	// _shrinkEvery is the shortest time between two of them: the waits of requests
+	// that were sent together say one thing.
+	_shrinkEvery = 100 * time.Millisecond
+	// _growth is added to the limit, in requests, after a quick first event while
+	// most of the limit is used.
+	_growth = 0.25
+	// _usedPart is the part of the limit from which it counts as used.
+	_usedPart = 0.7
+	// _returnBonus is how much further a caller that was refused before may go.
+	_returnBonus = 1.25
+	// _returnPart is the part of a route's time below which a caller's deadline
+	// shows that it has waited already.
+	_returnPart = 0.93
+)
+
+// Places are what the groups of a model offer to all processes.
+type Places struct {
+	// Slots is the number of requests that all groups run at once.
+	Slots int
+	// Processes is the number of processes that share them.
+	Processes int
+}
+
+// share is a process's even share, in requests.
+func (p Places) share() float64 {
+	return float64(p.Slots) / float64(max(p.Processes, 1))
+}
+
+// Decision is whether a request may be sent, with what decided it.
+type Decision struct {
+	Admitted bool
+	InFlight int
+	Limit    float64
+	// Returning says that the caller was refused before.
+	Returning bool
+}
+
+// Admitter keeps the limit of one model at one process. The zero value is ready
+// for use. It is safe for concurrent use.
+type Admitter struct {
+	mu sync.Mutex
+	// factor is the limit in even shares; 0 before the first use.
+	factor   float64
+	inFlight int
+	shrunk   time.Time
+}
+
+// Admit decides on a request whose caller waits for left of the route's time
+// all. An admitted request counts as in flight until Done.
+func (a *Admitter) Admit(p Places, left, all time.Duration) Decision {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	limit := a.limit(p)
+	d := Decision{InFlight: a.inFlight, Limit: limit, Returning: float64(left) < _returnPart*float64(all)}
+	if d.Returning {
+		limit *= _returnBonus
+	}
+	d.Admitted = float64(a.inFlight) < math.Max(limit, 1)
+	if d.Admitted {
+		a.inFlight++
+	}
+	return d
+}
+
+// limit is how many requests may be in flight; the lock is held.
+func (a *Admitter) limit(p Places) float64 {
+	if a.factor == 0 {
+		a.factor = _headroom
+	}
+	return a.factor * p.share()
+}
+
+// Done takes a request out of those in flight.
+func (a *Admitter) Done() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.inFlight--
+}
+
+// First notes how long a request that was sent undisturbed waited for its first
+// event, against its route's target.
+func (a *Admitter) First(now time.Time, p Places, wait, target time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	limit := a.limit(p)
+	switch {
+	case target <= 0 || p.Slots == 0:
+		return
+	case float64(wait) > _slowPart*float64(target):
+		if now.Sub(a.shrunk) >= _shrinkEvery {
+			a.factor, a.shrunk = math.Max(_least, a.factor*_shrink), now
+		}
+	case float64(a.inFlight) >= _usedPart*limit:
+		a.factor = math.Min(_most, a.factor+_growth/p.share())
+	}
+}
+
+// ComeBack returns when a refused caller should come back: spread over the time
+// in which places become free, within the third of its time that callers honour.
+// draw is a random number from 0 up to 1.
+func ComeBack(left time.Duration, draw float64) time.Duration {
+	const (
+		earliest = 300 * time.Millisecond
+		latest   = 2 * time.Second
+		parts    = 3
+		margin   = 20 * time.Millisecond
+	)
+	bound := min(latest, left/parts-margin)
+	if bound <= earliest {
+		return max(bound, 0)
+	}
+	return earliest + time.Duration(draw*float64(bound-earliest))
+}
--- /dev/null
+++ b/internal/admitter/admitter_test.go
@@ -0,0 +1,132 @@
+package admitter_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/admitter"
+)
+
+// play runs a wave of load on places that processes share, and returns the parts
+// of the requests that began in time and that were served at all. Without
+// admitters, whoever comes waits in line.
+func play(withAdmitters bool) (inTime, served float64) {
+	const (
+		slots, processes = 130, 7
+		work             = 1200 * time.Millisecond
+		base             = 150 * time.Millisecond
+		target           = 250 * time.Millisecond
+		timeout          = 6 * time.Second
+		length           = 60 * time.Second
+		tick             = 5 * time.Millisecond
+	)
+	type job struct {
+		came, back time.Duration
+		process    int
+		tries      int
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	list := make([]admitter.Admitter, processes)
+	places := admitter.Places{Slots: slots, Processes: processes}
+	var line, away []job
+	var ends []time.Duration
+	ending := make(map[time.Duration][]int)
+	asked, good, done := 0, 0, 0
+	epoch := time.Unix(1_800_000_000, 0)
+	for now := time.Duration(0); now < length; now += tick {
+		// The crest asks for a third more than the places can carry.
+		rate := 95 * (1 + 0.55*math.Sin(2*math.Pi*now.Seconds()/15))
+		var arriving []job
+		if random.Float64() < rate*tick.Seconds() {
+			asked++
+			// Two processes get more callers than the others.
+			arriving = append(arriving, job{came: now, process: []int{0, 0, 1, 1, 2, 3, 4, 5, 6}[random.IntN(9)]})
+		}
+		sort.SliceStable(away, func(i, j int) bool { return away[i].back < away[j].back })
+		for len(away) > 0 && away[0].back <= now {
+			away[0].process = random.IntN(processes)
+			arriving, away = append(arriving, away[0]), away[1:]
+		}
+		for _, j := range arriving {
+			left := timeout - (now - j.came)
+			if withAdmitters && !list[j.process].Admit(places, left, timeout).Admitted {
+				if j.tries++; j.tries <= 1 {
+					j.back = now + admitter.ComeBack(left, random.Float64())
+					away = append(away, j)
+				}
+				continue
+			}
+			j.back = now
+			line = append(line, j)
+		}
+		for _, p := range ending[now] {
+			if withAdmitters {
+				list[p].Done()
+			}
+		}
+		n := 0
+		for _, e := range ends {
+			if e > now {
+				ends[n] = e
+				n++
+			}
+		}
+		ends = ends[:n]
+		for len(line) > 0 && len(ends) < slots {
+			j := line[0]
+			line = line[1:]
+			over := now + work
+			ends = append(ends, over)
+			ending[over] = append(ending[over], j.process)
+			if now-j.came < timeout {
+				done++
+			}
+			if now+base-j.came <= target {
+				good++
+			}
+			if withAdmitters {
+				list[j.process].First(epoch.Add(now), places, now+base-j.back, target)
+			}
+		}
+	}
+	return float64(good) / float64(asked), float64(done) / float64(asked)
+}
+
+// At the crest most callers are served in time, and those that are refused
+// nearly all get a place when they come back.
+func TestCrest(t *testing.T) {
+	inTime, served := play(true)
+	firstComeInTime, firstComeServed := play(false)
+	t.Logf("in time %.3f, served %.3f; first come, first served: %.3f, %.3f", inTime, served, firstComeInTime, firstComeServed)
+	assert.Greater(t, inTime, firstComeInTime)
+	assert.Greater(t, served, 0.9)
+}
+
+func TestAdmit(t *testing.T) {
+	var a admitter.Admitter
+	p := admitter.Places{Slots: 14, Processes: 7}
+	for range 3 {
+		assert.True(t, a.Admit(p, 6*time.Second, 6*time.Second).Admitted)
+	}
+	assert.False(t, a.Admit(p, 6*time.Second, 6*time.Second).Admitted)
+	assert.True(t, a.Admit(p, 5*time.Second, 6*time.Second).Admitted, "one that was refused before goes further")
+	assert.False(t, a.Admit(p, 5*time.Second, 6*time.Second).Admitted)
+	a.Done()
+	a.Done()
+	assert.True(t, a.Admit(p, 6*time.Second, 6*time.Second).Admitted)
+}
+
+func TestComeBack(t *testing.T) {
+	for left := time.Duration(0); left < 20*time.Second; left += 50 * time.Millisecond {
+		for _, draw := range []float64{0, 0.5, 0.999} {
+			after := admitter.ComeBack(left, draw)
+			assert.GreaterOrEqual(t, after, time.Duration(0))
+			assert.LessOrEqual(t, after, left/3)
+		}
+	}
+}
--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -201,6 +201,7 @@
 	if err != nil {
 		return err
 	}
+	s.Processes = e.Count
 	settings := &atomic.Pointer[loader.Settings]{}
 	settings.Store(&k.settings)
 	r.onReload(func(next loader.Settings) { settings.Store(&next) })
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -55,6 +55,7 @@
 // resumed stream goes on.
 func (c *call) send(ctx context.Context, u cataloguer.Upstream, lastEvent uint64) (*forwarder.Exchange, Answer, error) {
 	c.sends++
+	c.sent = time.Now()
 	c.tried = append(c.tried, u.ID)
 	h := c.Protocol.Forward(c.r.Header, Forward{
 		Deadline: time.Until(c.deadline), Upstream: u.ID, Organisation: c.organisation, LastEvent: lastEvent,
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -8,9 +8,11 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/lycheebarrow/lycheebarrow/internal/admitter"
 	"github.com/lycheebarrow/lycheebarrow/internal/balancer"
 	"github.com/lycheebarrow/lycheebarrow/internal/budgeter"
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
@@ -44,6 +46,12 @@
 	Meter      Meter
 	DataCentre string
 	Watchdog   *Watchdog
+	// Processes returns the number of processes that share the upstreams; nil
+	// means that there are no others.
+	Processes func() int
+
+	// admitters are the *admitter.Admitter of each placeKey.
+	admitters sync.Map
 
 	// requests counts the requests that were taken.
 	requests atomic.Int64
@@ -71,6 +79,11 @@
 	defer cancel()
 	c.ctx = ctx
 	if c.route.Kind == cataloguer.KindStream {
+		leave, ok := c.enter()
+		if !ok {
+			return
+		}
+		defer leave()
 		c.stream()
 		return
 	}
@@ -101,6 +114,8 @@
 
 	// sends counts the sends to upstreams, and tried names them.
 	sends int
+	// sent is when the latest of them began.
+	sent  time.Time
 	tried []string
 	// ran says that an upstream may have run the request.
 	ran bool
@@ -117,6 +132,9 @@
 	status  int
 	outcome string
 	last    error
+
+	admitter *admitter.Admitter
+	places   admitter.Places
 }
 
 func (s *Relayer) begin(w http.ResponseWriter, r *http.Request) *call {
@@ -222,7 +240,7 @@
 // time returns the time that the request may take.
 func (c *call) time() time.Duration {
 	d := _defaultDeadline
-	if c.route.Timeout > 0 {
+	if c.route != nil && c.route.Timeout > 0 {
 		d = c.route.Timeout
 	}
 	if c.request.Deadline > 0 {
@@ -239,6 +257,44 @@
 	return strings.ToLower(host)
 }
 
+// placeKey names what requests share the places of.
+type placeKey struct{ service, model string }
+
+// enter asks for the request to be let in among those that share the places of
+// its model's groups. Where it is not, the request was answered; otherwise the
+// caller calls the function returned at the end.
+func (c *call) enter() (leave func(), ok bool) {
+	a, _ := c.admitters.LoadOrStore(placeKey{c.service.Name, c.request.Model}, &admitter.Admitter{})
+	c.admitter = a.(*admitter.Admitter)
+	c.places = c.count()
+	if c.places.Slots == 0 {
+		// Without a group there is nothing to share; the choice says so.
+		return func() {}, true
+	}
+	d := c.admitter.Admit(c.places, c.time(), c.route.Timeout)
+	if d.Admitted {
+		return c.admitter.Done, true
+	}
+	c.Log.Event("admit", logger.Fields{
+		"request": c.request.ID, "model": c.request.Model, "in_flight": d.InFlight, "limit": d.Limit, "slots": c.places.Slots,
+		"processes": c.places.Processes, "returning": d.Returning, "outcome": "refused",
+	})
+	c.refuse(http.StatusServiceUnavailable, "crowded")
+	return nil, false
+}
+
+// count returns the places of the groups of the request's model.
+func (c *call) count() admitter.Places {
+	p := admitter.Places{Processes: 1}
+	if c.Processes != nil {
+		p.Processes = c.Processes()
+	}
+	if f := c.Knowledge.Fleet(); f != nil && c.service.Engine != nil {
+		p.Slots = len(f.Heads(c.service.Name, c.request.Model)) * c.service.Engine.Slots
+	}
+	return p
+}
+
 // refuse answers that the request has not run and never will, and when to come
 // back.
 func (c *call) refuse(status int, reason string) {
@@ -249,19 +305,13 @@
 	c.answer(status, reason)
 }
 
-// comeBack returns when a refused caller should come back. It is spread, so that
-// callers that were refused together don't come together.
+// comeBack returns when a refused caller should come back.
 func (c *call) comeBack() time.Duration {
-	const (
-		least  = 150 * time.Millisecond
-		spread = 600 * time.Millisecond
-		parts  = 3 // callers honour up to a third of the time that they have left
-	)
-	after := least + rand.N(spread)
-	if left := time.Until(c.deadline); !c.deadline.IsZero() {
-		after = min(after, left/(parts+1))
+	left := c.time()
+	if !c.deadline.IsZero() {
+		left = time.Until(c.deadline)
 	}
-	return max(after, 0)
+	return admitter.ComeBack(left, rand.Float64())
 }
 
 // fail answers with a failure that promises nothing.
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -209,6 +209,9 @@
 	copyHeader(c.w.Header(), x.Response.Header)
 	c.status, c.started, c.first = x.Response.StatusCode, true, time.Now()
 	c.w.WriteHeader(c.status)
+	if c.sends == 1 {
+		c.admitter.First(c.first, c.places, c.first.Sub(c.sent), c.route.Target)
+	}
 	if c.Meter != nil {
 		c.Meter.FirstToken(c.organisation, c.first.Sub(c.began))
 	}
