internal/conductor: the last holder of the lease goes on while the store is away

The lease only saves work, so its last holder may go on; while the list can't be read, what upstreams report of themselves takes its place. It ends once an upstream shows an order of a later term.

--- a/internal/cataloguer/catalogue.go
+++ b/internal/cataloguer/catalogue.go
@@ -11,6 +11,7 @@
 	configuration atomic.Pointer[Configuration]
 	fleet         atomic.Pointer[Fleet]
 	leading       atomic.Bool
+	away          atomic.Bool
 
 	mu      sync.Mutex
 	changed chan struct{}
@@ -22,6 +23,13 @@
 // Fleet returns the newest fleet, or nil.
 func (c *Catalogue) Fleet() *Fleet { return c.fleet.Load() }
 
+// Away says that the list of upstreams can't be read, so that the fleet is as it
+// was.
+func (c *Catalogue) Away() bool { return c.away.Load() }
+
+// SetAway notes whether the list of upstreams can be read.
+func (c *Catalogue) SetAway(away bool) { c.away.Store(away) }
+
 // Leading says that this process decides on groups.
 func (c *Catalogue) Leading() bool { return c.leading.Load() }
 
--- a/internal/commander/losses.go
+++ b/internal/commander/losses.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -48,7 +49,7 @@
 			return nil, fmt.Errorf("read the logs: %w", err)
 		}
 		requests, err := accountant.Read(f)
-		f.Close()
+		_ = f.Close() // it was only read
 		if err != nil {
 			return nil, fmt.Errorf("read %s: %w", name, err)
 		}
@@ -63,8 +64,7 @@
 		return fmt.Errorf("draw: %w", err)
 	}
 	if err := accountant.Draw(f, requests); err != nil {
-		f.Close()
-		return err
+		return errors.Join(err, f.Close())
 	}
 	if err := f.Close(); err != nil {
 		return fmt.Errorf("draw: %w", err)
--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -140,7 +140,7 @@
 		return err
 	}
 	upstreams := &follower.Follower[cataloguer.Upstream]{
-		Kind: "upstreams", Source: a.Upstreams, Log: k.log, Keep: _keepLapsed,
+		Kind: "upstreams", Source: a.Upstreams, Log: k.log, Keep: _keepLapsed, Away: c.SetAway,
 		Gather: func() time.Duration {
 			if c.Leading() {
 				return _gatherLeading
@@ -297,7 +297,7 @@
 		return code
 	}
 	log := logger.NewBuffer(output)
-	defer log.Close()
+	defer func() { _ = log.Close() }() // it never fails
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -53,6 +53,8 @@
 // Lease says whether this process gives the orders.
 type Lease interface {
 	Held(now time.Time) bool
+	// Last says that this process held the lease last, as far as it knows.
+	Last() bool
 	Term() uint64
 }
 
@@ -60,6 +62,8 @@
 type Knowledge interface {
 	Configuration() *cataloguer.Configuration
 	Fleet() *cataloguer.Fleet
+	// Away says that the platform's list can't be read.
+	Away() bool
 	// Changed is closed at the next change.
 	Changed() <-chan struct{}
 }
@@ -85,6 +89,9 @@
 	// members are the members of groups as last listed, and those that are
 	// unlisted and still answer.
 	members map[string]cataloguer.Upstream
+	// reports are what upstreams have said of themselves since the platform's
+	// list could last be read.
+	reports map[string]cataloguer.Report
 	results chan func(now time.Time)
 	group   sync.WaitGroup
 	leading bool
@@ -102,7 +109,7 @@
 // Run works until ctx ends, and waits for the orders that are under way.
 func (c *Conductor) Run(ctx context.Context) {
 	c.groupers, c.checks = make(map[string]*grouper.Grouper), make(map[string]*check)
-	c.members = make(map[string]cataloguer.Upstream)
+	c.members, c.reports = make(map[string]cataloguer.Upstream), make(map[string]cataloguer.Report)
 	c.results = make(chan func(time.Time))
 	c.mu.Lock()
 	c.hints = make(chan string, _hintsKept)
@@ -170,24 +177,25 @@
 
 func (c *Conductor) step(ctx context.Context, now time.Time) {
 	configuration, fleet := c.Knowledge.Configuration(), c.Knowledge.Fleet()
-	held := c.Lease.Held(now)
+	held := c.Lease.Held(now) || c.lingers()
 	if held != c.leading {
 		c.leading = held
 		if c.Leading != nil {
 			c.Leading(held)
 		}
-		c.Log.Event("conductor", logger.Fields{"leading": held, "term": c.Lease.Term()})
+		c.Log.Event("conductor", logger.Fields{"leading": held, "term": c.Lease.Term(), "store_away": c.Knowledge.Away()})
 	}
 	if !held || configuration == nil || fleet == nil {
 		clear(c.checks)
 		clear(c.members)
+		clear(c.reports)
 		return
 	}
 	for name, s := range configuration.Services {
 		if s.Engine == nil {
 			continue
 		}
-		fleet := c.withUnlisted(fleet, name)
+		fleet := c.withReports(c.withUnlisted(fleet, name), name)
 		c.check(ctx, now, fleet, name)
 		g := c.groupers[name]
 		if g == nil {
@@ -217,12 +225,12 @@
 // check asks the members of groups whether they are there.
 func (c *Conductor) check(ctx context.Context, now time.Time, fleet *cataloguer.Fleet, service string) {
 	for id := range c.checks {
-		if u, ok := fleet.Upstreams[id]; !ok || u.Service == service && u.Group.Name == "" && c.checks[id].failed == 0 {
+		if u, ok := fleet.Upstreams[id]; !ok || u.Service == service && u.Group.Name == "" && c.checks[id].failed == 0 && !c.Knowledge.Away() {
 			delete(c.checks, id)
 		}
 	}
 	for _, u := range fleet.OfService(service) {
-		if u.Group.Name == "" && c.checks[u.ID] == nil {
+		if u.Group.Name == "" && c.checks[u.ID] == nil && !c.Knowledge.Away() {
 			continue
 		}
 		k := c.checks[u.ID]
@@ -279,6 +287,9 @@
 		outcome, err := c.carryOut(ctx, u, o)
 		c.result(ctx, func(now time.Time) {
 			g.Done(now, o, outcome)
+			if k := c.checks[o.Upstream]; k != nil && c.Knowledge.Away() {
+				k.next = now
+			}
 			fields := logger.Fields{
 				"operation": o.Operation, "upstream": o.Upstream, "group": o.Group, "epoch": o.Epoch, "model": o.Model,
 				"reason": o.Reason, "fleet_revision": fleet.Revision, "outcome": outcome, "took_ms": now.Sub(sent).Milliseconds(),
--- a/internal/conductor/unlisted.go
+++ b/internal/conductor/unlisted.go
@@ -4,6 +4,7 @@
 	"maps"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
+	"github.com/lycheebarrow/lycheebarrow/internal/grouper"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 )
 
@@ -49,6 +50,9 @@
 
 // reported notes what an unlisted member says of itself.
 func (c *Conductor) reported(id string, r cataloguer.Report) {
+	if c.Knowledge.Away() {
+		c.reports[id] = r
+	}
 	u, ok := c.members[id]
 	if !ok || !u.Unlisted {
 		return
@@ -60,3 +64,43 @@
 	u.Group, u.Staged = r.Group, r.Staged
 	c.members[id] = u
 }
+
+// lingers says that this process goes on to give orders although its lease has
+// lapsed: the store can't be reached, so nobody else can take the lease, or, if
+// only this process can't reach it, the other's orders and these can't harm a
+// group. It ends once an upstream shows an order of a later term.
+func (c *Conductor) lingers() bool {
+	if !c.Knowledge.Away() || !c.Lease.Last() {
+		return false
+	}
+	for _, r := range c.reports {
+		if grouper.TermOf(r.Group.Epoch) > c.Lease.Term() {
+			return false
+		}
+	}
+	return true
+}
+
+// withReports returns the fleet with what upstreams have said themselves, while
+// the platform's list can't be read.
+func (c *Conductor) withReports(fleet *cataloguer.Fleet, service string) *cataloguer.Fleet {
+	if !c.Knowledge.Away() {
+		clear(c.reports)
+		return fleet
+	}
+	all := maps.Clone(fleet.Upstreams)
+	for id, r := range c.reports {
+		u, ok := all[id]
+		if !ok || u.Service != service {
+			continue
+		}
+		if u.Born != 0 && r.Born != u.Born {
+			// Its requests name the life that the list knows.
+			delete(all, id)
+			continue
+		}
+		u.Group, u.Staged = r.Group, r.Staged
+		all[id] = u
+	}
+	return cataloguer.NewFleet(fleet.Revision, all)
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -67,6 +67,9 @@
 	// Gather returns the pause between two watches, in which changes gather; nil
 	// means none.
 	Gather func() time.Duration
+	// Away is told when the store can't be read any more, and when it can; it may
+	// be nil.
+	Away func(away bool)
 	// Publish is called from Run's goroutine with each new copy, which it may
 	// keep and must not change.
 	Publish func(revision uint64, values map[string]T)
@@ -123,6 +126,7 @@
 	case err == nil || errors.Is(err, ErrGone):
 		if f.away {
 			f.away, f.regained = false, time.Now()
+			f.tell(false)
 			f.Log.Event("store-regained", logger.Fields{"kind": f.Kind, "revision": f.revision, "failures": f.failures})
 		}
 		if err != nil {
@@ -132,12 +136,19 @@
 	default:
 		if !f.away {
 			f.away = true
+			f.tell(true)
 			f.Log.Failure("store-lost", err, logger.Fields{"kind": f.Kind, "revision": f.revision})
 		}
 		f.failures++
 	}
 }
 
+func (f *Follower[T]) tell(away bool) {
+	if f.Away != nil {
+		f.Away(away)
+	}
+}
+
 func (f *Follower[T]) faults(faults []error) {
 	for _, err := range faults {
 		f.Log.Failure("object-unreadable", err, logger.Fields{"kind": f.Kind})
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -256,6 +256,9 @@
 	return g.term<<_termShift | g.count
 }
 
+// TermOf returns the term of an epoch.
+func TermOf(epoch uint64) uint64 { return epoch >> _termShift }
+
 // Done takes the outcome of an order.
 func (g *Grouper) Done(now time.Time, o Order, outcome Outcome) {
 	s, ok := g.sent[o.Upstream]
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -107,6 +107,14 @@
 	return now.Sub(l.heldSince)
 }
 
+// Last says that this process was the last known holder of the lease: it held
+// it, and has not read that another one does.
+func (l *Leaser) Last() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.heldSince.IsZero()
+}
+
 // Term returns the term of the lease as this process last wrote it.
 func (l *Leaser) Term() uint64 {
 	l.mu.Lock()
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -90,7 +90,7 @@
 		c.suspect(u, err)
 		return false, "upstream-failed"
 	}
-	defer x.Close()
+	defer func() { _ = x.Close() }() // a connection that can't be closed can't be used either
 	watch.Heard()
 	status := x.Response.StatusCode
 	switch {
