internal/conductor: a head that serves by now is not joined to another group

Cause: the state of a head was read just before its order, but only its group was compared with the one that the order was decided on. Ruled out: late orders (the count refuses them). TestServingHeadIsNotJoined fails before with four joins.

--- a/internal/cataloguer/upstream.go
+++ b/internal/cataloguer/upstream.go
@@ -50,6 +50,12 @@
 	Model string
 }
 
+// Serving says that the member is the head of a group that has requests or may
+// take them.
+func (m Membership) Serving() bool {
+	return m.Name != "" && m.Rank == 0 && (m.State == GroupOpen || m.State == GroupClosing)
+}
+
 // Report is an upstream's own account of itself.
 type Report struct {
 	Group  Membership
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -326,6 +326,9 @@
 	if r.Group.Name != o.From.Name || r.Group.Epoch != o.From.Epoch {
 		return grouper.OutcomeRefused, fmt.Errorf("conductor: %s on %s: it is in group %q of epoch %d now", o.Operation, u.ID, r.Group.Name, r.Group.Epoch)
 	}
+	if leaves := o.Operation == grouper.OperationJoin || o.Operation == grouper.OperationLeave; leaves && r.Group.Serving() {
+		return grouper.OutcomeRefused, fmt.Errorf("conductor: %s on %s: it is the head of group %q, which is %s now", o.Operation, u.ID, r.Group.Name, r.Group.State)
+	}
 	ctx, cancel := context.WithTimeout(ctx, _orderTimeout)
 	defer cancel()
 	expect := c.counts.expect(u.ID, r)
