internal/conductor, internal/grouper: an order to open that doesn't show yet is waited for

Cause: a head shows 'open' only some time after it accepted the order. Now a head leaves only where the latest order was this process's own, or its count has stood still for 1.2 s, and a group that another has closed is not opened for 3 s. Ruled out: a lagging count (the second join named the right one). TestHeadIsLeftAloneAfterAnothersOrder fails before.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -27,6 +27,9 @@
 	// _lostAfter is the number of checks in a row that fail before a member
 	// counts as lost.
 	_lostAfter = 2
+	// _openShows is the time after which an order to open shows in the state of a
+	// head: the engine's own time to form and the lag of reports.
+	_openShows = 1200 * time.Millisecond
 	// _hintsKept bounds the hints that wait.
 	_hintsKept = 64
 )
@@ -257,6 +260,7 @@
 					c.Log.Event("member-regained", logger.Fields{"upstream": u.ID, "group": u.Group.Name, "epoch": u.Group.Epoch})
 				}
 				c.reported(u.ID, r)
+				c.counts.seen(u.ID, r, now)
 				k.failed = 0
 				k.next = now.Add(_checkEvery)
 				return
@@ -329,6 +333,9 @@
 	if leaves := o.Operation == grouper.OperationJoin || o.Operation == grouper.OperationLeave; leaves && r.Group.Serving() {
 		return grouper.OutcomeRefused, fmt.Errorf("conductor: %s on %s: it is the head of group %q, which is %s now", o.Operation, u.ID, r.Group.Name, r.Group.State)
 	}
+	if err := c.mayLeave(u, o, r); err != nil {
+		return grouper.OutcomeUnknown, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, _orderTimeout)
 	defer cancel()
 	expect := c.counts.expect(u.ID, r)
@@ -347,6 +354,23 @@
 	}
 }
 
+// mayLeave says that an upstream may be told to leave its group. A head may have
+// been told to open by another process, which its state shows only some time
+// later; that is ruled out where the latest order was this process's own, or the
+// number of orders has stood still for long enough.
+func (c *Conductor) mayLeave(u cataloguer.Upstream, o grouper.Order, r cataloguer.Report) error {
+	now := time.Now()
+	c.counts.seen(u.ID, r, now)
+	leaves := o.Operation == grouper.OperationJoin || o.Operation == grouper.OperationLeave
+	if !leaves || r.Group.Name == "" || r.Group.Rank != 0 {
+		return nil
+	}
+	if _, own := c.counts.chained(u.ID, r); own || c.counts.steadyFor(u.ID, r, now) >= _openShows {
+		return nil
+	}
+	return fmt.Errorf("conductor: %s on %s: another process may have opened group %q", o.Operation, u.ID, r.Group.Name)
+}
+
 // result hands a result to Run's goroutine.
 func (c *Conductor) result(ctx context.Context, f func(now time.Time)) {
 	select {
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -26,22 +26,26 @@
 	mu      sync.Mutex
 	reports map[string]cataloguer.Report
 	orders  []conductor.Command
-	refuse  bool
+	times   []time.Time
+	// moved is when the report of "a" first shows one order more.
+	moved time.Time
 }
 
 func (u *upstreams) Report(_ context.Context, x cataloguer.Upstream) (cataloguer.Report, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.reports[x.ID], nil
+	r := u.reports[x.ID]
+	if x.ID == "a" && !u.moved.IsZero() && !time.Now().Before(u.moved) {
+		r.Orders++
+	}
+	return r, nil
 }
 
 func (u *upstreams) Order(_ context.Context, _ cataloguer.Upstream, c conductor.Command) (bool, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.orders = append(u.orders, c)
-	if u.refuse {
-		return false, conductor.ErrRefused
-	}
+	u.times = append(u.times, time.Now())
 	return true, nil
 }
 
@@ -91,6 +95,24 @@
 	})
 }
 
+// A head that another process has just given an order is not joined to another
+// group before that order would show.
+func TestHeadIsLeftAloneAfterAnothersOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		listed := cataloguer.Membership{Name: "g", Epoch: 5, State: cataloguer.GroupReady, Model: "m"}
+		u := &upstreams{reports: map[string]cataloguer.Report{"a": {Group: listed, Orders: 2}}}
+		u.moved = time.Now().Add(4 * time.Second)
+		run(20*time.Second, u, cataloguer.Upstream{ID: "a", Group: listed}, cataloguer.Upstream{ID: "b"}, cataloguer.Upstream{ID: "c"})
+		assert.NotEmpty(t, u.given(grouper.OperationJoin, "a"))
+		for i, c := range u.orders {
+			if after := u.times[i].Sub(u.moved); c.Upstream == "a" && after >= 0 {
+				assert.GreaterOrEqual(t, after, time.Second)
+				break
+			}
+		}
+	})
+}
+
 // An order names the number of orders that the upstream has accepted, counting
 // those that its report does not show yet.
 func TestOrdersExpectWhatWasAccepted(t *testing.T) {
--- a/internal/conductor/counts.go
+++ b/internal/conductor/counts.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
 )
@@ -11,6 +12,13 @@
 type counts struct {
 	mu    sync.Mutex
 	known map[string]count
+	// steady is since when upstreams' reports have shown the same number.
+	steady map[string]steady
+}
+
+type steady struct {
+	count
+	since time.Time
 }
 
 type count struct {
@@ -18,6 +26,39 @@
 	orders uint64
 }
 
+// chained returns the number of orders that an upstream has accepted, where the
+// latest of them is this process's own.
+func (c *counts) chained(id string, r cataloguer.Report) (uint64, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k, ok := c.known[id]
+	return k.orders, ok && k.born == r.Born && k.orders >= r.Orders
+}
+
+// seen notes the number of orders in a report.
+func (c *counts) seen(id string, r cataloguer.Report, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.steady == nil {
+		c.steady = make(map[string]steady)
+	}
+	s, ok := c.steady[id]
+	if !ok || s.born != r.Born || s.orders != r.Orders {
+		c.steady[id] = steady{count: count{born: r.Born, orders: r.Orders}, since: now}
+	}
+}
+
+// steadyFor returns for how long the number of orders in a report has been seen.
+func (c *counts) steadyFor(id string, r cataloguer.Report, now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, ok := c.steady[id]
+	if !ok || s.born != r.Born || s.orders != r.Orders {
+		return 0
+	}
+	return now.Sub(s.since)
+}
+
 // expect returns the number of orders that an upstream with this report has
 // accepted.
 func (c *counts) expect(id string, r cataloguer.Report) uint64 {
--- a/internal/grouper/decision.go
+++ b/internal/grouper/decision.go
@@ -156,7 +156,10 @@
 		// Its members are free; nothing was opened.
 	case x.whole() && x.leaving == 0 && x.all(cataloguer.GroupReady, cataloguer.GroupOpen):
 		d.hold(x)
-		if x.head.Group.State == cataloguer.GroupReady && !d.waits(x.head.ID) {
+		if x.head.Group.State == cataloguer.GroupOpen {
+			d.opened[x.key] = true
+		}
+		if x.head.Group.State == cataloguer.GroupReady && !d.waits(x.head.ID) && !d.closedByAnother(x) {
 			d.order(x.command(OperationOpen, "complete"))
 		}
 	case x.whole() && x.leaving == 0 && d.since(d.now, x.key, "forming") < x.model.Load+_joinMargin:
@@ -172,6 +175,11 @@
 	}
 }
 
+// closedByAnother says that another process has closed a group a moment ago.
+func (d *decision) closedByAnother(x *group) bool {
+	return d.opened[x.key] && !d.closed[x.key] && d.since(d.now, x.key, "closed by another") < _reopenAfter
+}
+
 // close ends the service of a group and keeps its members until its head serves
 // no more.
 func (d *decision) close(x *group, evict bool, reason string) {
@@ -185,6 +193,7 @@
 		if !d.waits(x.head.ID) {
 			o := x.command(OperationClose, reason)
 			o.Evict = evict
+			d.closed[x.key] = true
 			d.order(o)
 		}
 	case cataloguer.GroupClosing:
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -88,6 +88,9 @@
 	// _settled is how long the number of upstreams must stand still before spares
 	// are staged ahead of the first request.
 	_settled = 1500 * time.Millisecond
+	// _reopenAfter is the wait before a group that another process has closed is
+	// opened again: that process may be about to use its members.
+	_reopenAfter = 3 * time.Second
 	// _sightingBreak is how long a condition may go unseen before it counts anew.
 	_sightingBreak = time.Second
 	// _unlistedBorne is how long a head may be missing in the platform's list
@@ -123,6 +126,9 @@
 	// grown tells when the number of upstreams of a domain last changed; the key
 	// "" stands for all domains.
 	grown map[string]growth
+	// opened and closed are groups that were seen open, and those that this process
+	// has told to close.
+	opened, closed map[key]bool
 	// dropped are groups whose plan was given up before they were complete.
 	dropped map[key]bool
 }
@@ -246,6 +252,7 @@
 	g.plans, g.sent = make(map[uint64]*plan), make(map[string]sent)
 	g.seen, g.loading = make(map[seenIn]sighting), make(map[string]time.Time)
 	g.staging, g.grown = make(map[string]staging), make(map[string]growth)
+	g.opened, g.closed = make(map[key]bool), make(map[key]bool)
 	g.quarantine, g.dropped = make(map[string]time.Time), make(map[key]bool)
 	g.loads = nil
 }
@@ -302,6 +309,8 @@
 		return !s.open && now.Sub(s.at) >= _repeatAfter
 	})
 	maps.DeleteFunc(g.seen, func(_ seenIn, s sighting) bool { return now.Sub(s.last) > _sightingBreak })
+	maps.DeleteFunc(g.opened, func(k key, _ bool) bool { return d.byKey[k] == nil })
+	maps.DeleteFunc(g.closed, func(k key, _ bool) bool { return d.byKey[k] == nil })
 	if len(g.dropped) > _droppedKept {
 		maps.DeleteFunc(g.dropped, func(k key, _ bool) bool { return d.byKey[k] == nil })
 	}
