--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -9,10 +9,10 @@
 const (
 	// _headroom is how much more than its even share of the places a process may
 	// use at first, since callers are spread unevenly.
-	_headroom = 1.3
+	_headroom = 1.4
 	// _least and _most bound what a process may use, in even shares.
-	_least = 0.75
-	_most  = 1.9
+	_least = 1.0
+	_most  = 2.2
 	// _slowPart is the part of a route's target above which a wait for the first
 	// event shows that the groups are full.
 	_slowPart = 0.8
@@ -23,7 +23,7 @@
 	_shrinkEvery = 100 * time.Millisecond
 	// _growth is added to the limit, in requests, after a quick first event while
 	// most of the limit is used.
-	_growth = 0.25
+	_growth = 0.5
 	// _usedPart is the part of the limit from which it counts as used.
 	_usedPart = 0.7
 	// _returnBonus is how much further a caller that was refused before may go.
