--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -82,7 +82,9 @@
 	_droppedKept = 1000
 	// _refusalsBorne is how many joins of a plan may be refused before it is given
 	// up: a report that lags behind refuses one that is right.
-	_refusalsBorne = 3
+	_refusalsBorne = 8
+	// _refusedAfter is the wait before an order that was refused is given again.
+	_refusedAfter = 150 * time.Millisecond
 	// _stallMargin is the extra wait for a head that is cut off to stop.
 	_stallMargin = 500 * time.Millisecond
 	// _settled is how long the number of upstreams must stand still before spares
@@ -276,6 +278,9 @@
 	if s.at.Before(now) {
 		s.at = now
 	}
+	if outcome == OutcomeRefused {
+		s.at = now.Add(_refusedAfter - _repeatAfter)
+	}
 	g.sent[o.Upstream] = s
 	p := g.plans[o.Epoch]
 	if o.Operation == OperationStage && outcome == OutcomeRefused {
