--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -95,6 +95,8 @@
 	// reports are what upstreams have said of themselves since the platform's
 	// list could last be read.
 	reports map[string]cataloguer.Report
+	// latest is the latest term whose orders an upstream has shown.
+	latest uint64
 	results chan func(now time.Time)
 	group   sync.WaitGroup
 	leading bool
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -14,10 +14,10 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/grouper"
 )
 
-// lease is always held.
-type lease struct{}
+// lease is held, or was held last.
+type lease struct{ lapsed bool }
 
-func (lease) Held(time.Time) bool { return true }
+func (l lease) Held(time.Time) bool { return !l.lapsed }
 func (lease) Last() bool          { return true }
 func (lease) Term() uint64        { return 7 }
 
@@ -63,7 +63,12 @@
 
 // run plays a conductor for d on a fleet that does not change.
 func run(d time.Duration, u *upstreams, list ...cataloguer.Upstream) {
+	play(d, u, lease{}, func(bool) {}, list...)
+}
+
+func play(d time.Duration, u *upstreams, l lease, leading func(bool), list ...cataloguer.Upstream) {
 	var k cataloguer.Catalogue
+	k.SetAway(l.lapsed)
 	c := &cataloguer.Configuration{Version: 1, Services: map[string]cataloguer.Service{"s": {Name: "s", Engine: &cataloguer.Engine{
 		Slots: 26, Models: []cataloguer.Model{{Name: "m", Size: 3, Share: 1, Pace: 1, Load: time.Second, Warm: time.Second}},
 	}}}}
@@ -75,7 +80,7 @@
 		fleet[x.ID] = x
 	}
 	k.SetFleet(cataloguer.NewFleet(1, fleet))
-	x := &conductor.Conductor{Lease: lease{}, Knowledge: &k, Upstreams: u, StallTime: 6 * time.Second, Busy: func() bool { return true }}
+	x := &conductor.Conductor{Lease: l, Leading: leading, Knowledge: &k, Upstreams: u, StallTime: 6 * time.Second, Busy: func() bool { return true }}
 	ctx, cancel := context.WithTimeout(context.Background(), d)
 	defer cancel()
 	x.Run(ctx)
@@ -113,6 +118,20 @@
 	})
 }
 
+// A holder that goes on without the store ends once for all when an upstream
+// shows an order of a later term.
+func TestLingeringEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		own := cataloguer.Membership{Name: "g", Epoch: 7 << 20, Rank: 1, State: cataloguer.GroupReady, Model: "m"}
+		later := own
+		later.Epoch = 8 << 20
+		u := &upstreams{reports: map[string]cataloguer.Report{"a": {Group: later}}}
+		var changes []bool
+		play(10*time.Second, u, lease{lapsed: true}, func(leading bool) { changes = append(changes, leading) }, cataloguer.Upstream{ID: "a", Group: own})
+		assert.Equal(t, []bool{true, false}, changes)
+	})
+}
+
 // An order names the number of orders that the upstream has accepted, counting
 // those that its report does not show yet.
 func TestOrdersExpectWhatWasAccepted(t *testing.T) {
--- a/internal/conductor/unlisted.go
+++ b/internal/conductor/unlisted.go
@@ -50,6 +50,7 @@
 
 // reported notes what an unlisted member says of itself.
 func (c *Conductor) reported(id string, r cataloguer.Report) {
+	c.latest = max(c.latest, grouper.TermOf(r.Group.Epoch))
 	if c.Knowledge.Away() {
 		c.reports[id] = r
 	}
@@ -73,12 +74,7 @@
 	if !c.Knowledge.Away() || !c.Lease.Last() {
 		return false
 	}
-	for _, r := range c.reports {
-		if grouper.TermOf(r.Group.Epoch) > c.Lease.Term() {
-			return false
-		}
-	}
-	return true
+	return c.latest <= c.Lease.Term()
 }
 
 // withReports returns the fleet with what upstreams have said themselves, while
