--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -27,6 +27,9 @@
 	// _lostAfter is the number of checks in a row that fail before a member
 	// counts as lost.
 	_lostAfter = 2
+	// _openShows is the time after which an order to open shows in the state of a
+	// head: the engine's own time to form and the lag of reports.
+	_openShows = 1200 * time.Millisecond
 	// _hintsKept bounds the hints that wait.
 	_hintsKept = 64
 )
@@ -53,6 +56,8 @@
 // Lease says whether this process gives the orders.
 type Lease interface {
 	Held(now time.Time) bool
+	// Last says that this process held the lease last, as far as it knows.
+	Last() bool
 	Term() uint64
 }
 
@@ -60,6 +65,8 @@
 type Knowledge interface {
 	Configuration() *cataloguer.Configuration
 	Fleet() *cataloguer.Fleet
+	// Away says that the platform's list can't be read.
+	Away() bool
 	// Changed is closed at the next change.
 	Changed() <-chan struct{}
 }
@@ -85,6 +92,9 @@
 	// members are the members of groups as last listed, and those that are
 	// unlisted and still answer.
 	members map[string]cataloguer.Upstream
+	// reports are what upstreams have said of themselves since the platform's
+	// list could last be read.
+	reports map[string]cataloguer.Report
 	results chan func(now time.Time)
 	group   sync.WaitGroup
 	leading bool
@@ -102,7 +112,7 @@
 // Run works until ctx ends, and waits for the orders that are under way.
 func (c *Conductor) Run(ctx context.Context) {
 	c.groupers, c.checks = make(map[string]*grouper.Grouper), make(map[string]*check)
-	c.members = make(map[string]cataloguer.Upstream)
+	c.members, c.reports = make(map[string]cataloguer.Upstream), make(map[string]cataloguer.Report)
 	c.results = make(chan func(time.Time))
 	c.mu.Lock()
 	c.hints = make(chan string, _hintsKept)
@@ -170,24 +180,25 @@
 
 func (c *Conductor) step(ctx context.Context, now time.Time) {
 	configuration, fleet := c.Knowledge.Configuration(), c.Knowledge.Fleet()
-	held := c.Lease.Held(now)
+	held := c.Lease.Held(now) || c.lingers()
 	if held != c.leading {
 		c.leading = held
 		if c.Leading != nil {
 			c.Leading(held)
 		}
-		c.Log.Event("conductor", logger.Fields{"leading": held, "term": c.Lease.Term()})
+		c.Log.Event("conductor", logger.Fields{"leading": held, "term": c.Lease.Term(), "store_away": c.Knowledge.Away()})
 	}
 	if !held || configuration == nil || fleet == nil {
 		clear(c.checks)
 		clear(c.members)
+		clear(c.reports)
 		return
 	}
 	for name, s := range configuration.Services {
 		if s.Engine == nil {
 			continue
 		}
-		fleet := c.withUnlisted(fleet, name)
+		fleet := c.withReports(c.withUnlisted(fleet, name), name)
 		c.check(ctx, now, fleet, name)
 		g := c.groupers[name]
 		if g == nil {
@@ -217,12 +228,12 @@
 // check asks the members of groups whether they are there.
 func (c *Conductor) check(ctx context.Context, now time.Time, fleet *cataloguer.Fleet, service string) {
 	for id := range c.checks {
-		if u, ok := fleet.Upstreams[id]; !ok || u.Service == service && u.Group.Name == "" && c.checks[id].failed == 0 {
+		if u, ok := fleet.Upstreams[id]; !ok || u.Service == service && u.Group.Name == "" && c.checks[id].failed == 0 && !c.Knowledge.Away() {
 			delete(c.checks, id)
 		}
 	}
 	for _, u := range fleet.OfService(service) {
-		if u.Group.Name == "" && c.checks[u.ID] == nil {
+		if u.Group.Name == "" && c.checks[u.ID] == nil && !c.Knowledge.Away() {
 			continue
 		}
 		k := c.checks[u.ID]
@@ -249,6 +260,7 @@
 					c.Log.Event("member-regained", logger.Fields{"upstream": u.ID, "group": u.Group.Name, "epoch": u.Group.Epoch})
 				}
 				c.reported(u.ID, r)
+				c.counts.seen(u.ID, r, now)
 				k.failed = 0
 				k.next = now.Add(_checkEvery)
 				return
@@ -279,6 +291,9 @@
 		outcome, err := c.carryOut(ctx, u, o)
 		c.result(ctx, func(now time.Time) {
 			g.Done(now, o, outcome)
+			if k := c.checks[o.Upstream]; k != nil && c.Knowledge.Away() {
+				k.next = now
+			}
 			fields := logger.Fields{
 				"operation": o.Operation, "upstream": o.Upstream, "group": o.Group, "epoch": o.Epoch, "model": o.Model,
 				"reason": o.Reason, "fleet_revision": fleet.Revision, "outcome": outcome, "took_ms": now.Sub(sent).Milliseconds(),
@@ -315,6 +330,12 @@
 	if r.Group.Name != o.From.Name || r.Group.Epoch != o.From.Epoch {
 		return grouper.OutcomeRefused, fmt.Errorf("conductor: %s on %s: it is in group %q of epoch %d now", o.Operation, u.ID, r.Group.Name, r.Group.Epoch)
 	}
+	if leaves := o.Operation == grouper.OperationJoin || o.Operation == grouper.OperationLeave; leaves && r.Group.Serving() {
+		return grouper.OutcomeRefused, fmt.Errorf("conductor: %s on %s: it is the head of group %q, which is %s now", o.Operation, u.ID, r.Group.Name, r.Group.State)
+	}
+	if err := c.mayLeave(u, o, r); err != nil {
+		return grouper.OutcomeUnknown, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, _orderTimeout)
 	defer cancel()
 	expect := c.counts.expect(u.ID, r)
@@ -333,6 +354,23 @@
 	}
 }
 
+// mayLeave says that an upstream may be told to leave its group. A head may have
+// been told to open by another process, which its state shows only some time
+// later; that is ruled out where the latest order was this process's own, or the
+// number of orders has stood still for long enough.
+func (c *Conductor) mayLeave(u cataloguer.Upstream, o grouper.Order, r cataloguer.Report) error {
+	now := time.Now()
+	c.counts.seen(u.ID, r, now)
+	leaves := o.Operation == grouper.OperationJoin || o.Operation == grouper.OperationLeave
+	if !leaves || r.Group.Name == "" || r.Group.Rank != 0 {
+		return nil
+	}
+	if _, own := c.counts.chained(u.ID, r); own || c.counts.steadyFor(u.ID, r, now) >= _openShows {
+		return nil
+	}
+	return fmt.Errorf("conductor: %s on %s: another process may have opened group %q", o.Operation, u.ID, r.Group.Name)
+}
+
 // result hands a result to Run's goroutine.
 func (c *Conductor) result(ctx context.Context, f func(now time.Time)) {
 	select {
