--- a/internal/cataloguer/catalogue.go
+++ b/internal/cataloguer/catalogue.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Catalogue holds the newest configuration and fleet that a process knows. The
@@ -12,6 +13,8 @@
 	fleet         atomic.Pointer[Fleet]
 	leading       atomic.Bool
 	away          atomic.Bool
+	// seen is when the list of upstreams was last read.
+	seen atomic.Pointer[time.Time]
 
 	mu      sync.Mutex
 	changed chan struct{}
@@ -23,6 +26,19 @@
 // Fleet returns the newest fleet, or nil.
 func (c *Catalogue) Fleet() *Fleet { return c.fleet.Load() }
 
+// SetSeen notes that the list of upstreams was read.
+func (c *Catalogue) SetSeen(now time.Time) { c.seen.Store(&now) }
+
+// Age returns the time since the list of upstreams was read, or 0 where it never
+// was.
+func (c *Catalogue) Age(now time.Time) time.Duration {
+	seen := c.seen.Load()
+	if seen == nil {
+		return 0
+	}
+	return now.Sub(*seen)
+}
+
 // Away says that the list of upstreams can't be read, so that the fleet is as it
 // was.
 func (c *Catalogue) Away() bool { return c.away.Load() }
--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -140,7 +140,7 @@
 		return err
 	}
 	upstreams := &follower.Follower[cataloguer.Upstream]{
-		Kind: "upstreams", Source: a.Upstreams, Log: k.log, Keep: _keepLapsed, Away: c.SetAway,
+		Kind: "upstreams", Source: a.Upstreams, Log: k.log, Keep: _keepLapsed, Away: c.SetAway, Seen: c.SetSeen,
 		Gather: func() time.Duration {
 			if c.Leading() {
 				return _gatherLeading
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -96,7 +96,7 @@
 	// list could last be read.
 	reports map[string]cataloguer.Report
 	// latest is the latest term whose orders an upstream has shown.
-	latest uint64
+	latest  uint64
 	results chan func(now time.Time)
 	group   sync.WaitGroup
 	leading bool
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -37,7 +37,8 @@
 	})
 	fields := logger.Fields{
 		"request": c.request.ID, "configuration": c.version, "fleet_revision": fleet.Revision,
-		"service": c.service.Name, "candidates": len(candidates), "send": c.sends + 1,
+		"fleet_age_ms": c.Knowledge.Age(time.Now()).Milliseconds(),
+		"service":      c.service.Name, "candidates": len(candidates), "send": c.sends + 1,
 	}
 	if c.request.Model != "" {
 		fields["model"] = c.request.Model
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -152,6 +152,9 @@
 		fields["route"] = c.route.Name
 		fields["service"] = c.service.Name
 	}
+	if c.organisation != "" {
+		fields["organisation"] = c.organisation
+	}
 	if c.request.Model != "" {
 		fields["model"] = c.request.Model
 	}
