internal/relayer: what follows each answer of an upstream, tested; events before a gap in a stream reach the caller

Cause: events that came in one read with an event out of order were not flushed before the stream was cut, so the caller got a closed connection without an answer. Found by TestRelay/stream_with_a_missing_event, which failed before.

--- /dev/null
+++ b/internal/relayer/relayer_test.go
@@ -0,0 +1,220 @@
+package relayer_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/balancer"
+	"github.com/lycheebarrow/lycheebarrow/internal/budgeter"
+	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
+	"github.com/lycheebarrow/lycheebarrow/internal/forwarder"
+	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/networker"
+	"github.com/lycheebarrow/lycheebarrow/internal/relayer"
+)
+
+// protocol has one-word headers.
+type protocol struct{}
+
+func (protocol) Request(h http.Header) relayer.Request {
+	last, _ := strconv.ParseUint(h.Get("Last"), 10, 64)
+	return relayer.Request{ID: h.Get("Id"), Key: h.Get("Key"), Model: h.Get("Model"), LastEvent: last}
+}
+
+func (protocol) Forward(h http.Header, f relayer.Forward) http.Header {
+	out := http.Header{"Id": h["Id"]}
+	if f.LastEvent > 0 {
+		out.Set("Last", strconv.FormatUint(f.LastEvent, 10))
+	}
+	return out
+}
+
+func (protocol) Answer(h http.Header) relayer.Answer {
+	return relayer.Answer{ID: h.Get("Id"), Signed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != ""}
+}
+
+func (protocol) Refuse(h http.Header, _ string, after time.Duration) {
+	h.Set("Retry-After", fmt.Sprint(after.Seconds()))
+}
+
+// script makes the answers of one upstream: "ok", "500", "503", "not-run",
+// "cut", "unsigned", or for streams "N", "N cut", "N torn", "N skip".
+func script(name string, ran *atomic.Int32) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		word, how, _ := strings.Cut(name, " ")
+		w.Header().Set("Id", r.Header.Get("Id"))
+		if word == "not-run" {
+			w.Header().Set("Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		ran.Add(1)
+		if word == "cut" {
+			panic(http.ErrAbortHandler)
+		}
+		if word != "unsigned" {
+			w.Header().Set("Seal", "s")
+		}
+		if status, err := strconv.Atoi(word); err == nil && status >= 500 {
+			w.WriteHeader(status)
+			return
+		}
+		count, err := strconv.Atoi(word)
+		if err != nil {
+			_, _ = io.WriteString(w, "done")
+			return
+		}
+		from, _ := strconv.Atoi(r.Header.Get("Last"))
+		for n := from + 1; n <= count; n++ {
+			if how == "skip" && n == count {
+				n++
+			}
+			fmt.Fprintf(w, "id: %d\ndata: x\n\n", n)
+			_ = http.NewResponseController(w).Flush()
+		}
+		switch how {
+		case "torn":
+			_, _ = io.WriteString(w, "id: 99\nda")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		case "cut":
+			panic(http.ErrAbortHandler)
+		}
+	})
+}
+
+func TestRelay(t *testing.T) {
+	testCases := []struct {
+		name      string
+		kind      cataloguer.Kind
+		resumable bool
+		// upstreams are tried in this order.
+		upstreams []string
+		want      string
+		runs      int32
+	}{
+		{name: "safe", kind: cataloguer.KindSafe, upstreams: []string{"ok"}, want: "200 done", runs: 1},
+		{name: "safe again after 500", kind: cataloguer.KindSafe, upstreams: []string{"500", "ok"}, want: "200 done", runs: 2},
+		{name: "safe again after a cut", kind: cataloguer.KindSafe, upstreams: []string{"cut", "ok"}, want: "200 done", runs: 2},
+		{name: "safe, unsigned", kind: cataloguer.KindSafe, upstreams: []string{"unsigned", "ok"}, want: "200 done", runs: 2},
+		{name: "safe, all cut", kind: cataloguer.KindSafe, upstreams: []string{"cut", "cut", "ok"}, want: "502", runs: 2},
+		{name: "safe, nobody", kind: cataloguer.KindSafe, want: "503 come back"},
+		{name: "unsafe", kind: cataloguer.KindUnsafe, upstreams: []string{"ok"}, want: "200 done", runs: 1},
+		{name: "unsafe not again after a cut", kind: cataloguer.KindUnsafe, upstreams: []string{"cut", "ok"}, want: "502", runs: 1},
+		{name: "unsafe again where it was not run", kind: cataloguer.KindUnsafe, upstreams: []string{"not-run", "ok"}, want: "200 done", runs: 1},
+		{name: "unsafe, refused by all", kind: cataloguer.KindUnsafe, upstreams: []string{"not-run", "not-run"}, want: "503 come back"},
+		{name: "unsafe, its own 500", kind: cataloguer.KindUnsafe, upstreams: []string{"500", "ok"}, want: "500", runs: 1},
+		{name: "a 503 that ran is no refusal", kind: cataloguer.KindUnsafe, upstreams: []string{"503"}, want: "502", runs: 1},
+		{name: "unsigned success", kind: cataloguer.KindUnsafe, upstreams: []string{"unsigned"}, want: "502", runs: 1},
+		{name: "stream", kind: cataloguer.KindStream, upstreams: []string{"3"}, want: "200 1 2 3", runs: 1},
+		{name: "stream resumed", kind: cataloguer.KindStream, resumable: true, upstreams: []string{"2 cut", "4"}, want: "200 1 2 3 4", runs: 2},
+		{name: "stream resumed after a torn event", kind: cataloguer.KindStream, resumable: true, upstreams: []string{"2 torn", "4"}, want: "200 1 2 3 4", runs: 2},
+		{name: "stream that may not be resumed", kind: cataloguer.KindStream, upstreams: []string{"2 cut", "4"}, want: "200 1 2 broken", runs: 1},
+		{name: "stream cut twice", kind: cataloguer.KindStream, resumable: true, upstreams: []string{"1 cut", "2 cut", "4"}, want: "200 1 2 broken", runs: 2},
+		{name: "stream with a missing event", kind: cataloguer.KindStream, upstreams: []string{"3 skip"}, want: "200 1 2 broken", runs: 1},
+		{name: "stream refused", kind: cataloguer.KindStream, upstreams: []string{"not-run", "3"}, want: "200 1 2 3", runs: 1},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			var runs atomic.Int32
+			s := setUp(t, tc.kind, tc.resumable, tc.upstreams, &runs)
+			assert.Equal(t, tc.want, ask(t, s, "/a/x", "k"))
+			assert.Equal(t, tc.runs, runs.Load())
+		})
+	}
+}
+
+func TestAdmittance(t *testing.T) {
+	var runs atomic.Int32
+	s := setUp(t, cataloguer.KindSafe, false, []string{"ok"}, &runs)
+	assert.Equal(t, "404", ask(t, s, "/b/x", "k"))
+	assert.Equal(t, "404", ask(t, s, "/a", "k"))
+	assert.Equal(t, "401", ask(t, s, "/a/x", "other"))
+	assert.Equal(t, "200 done", ask(t, s, "/a/x", "k"))
+}
+
+// setUp serves a relayer with one route to upstreams that are tried in order.
+func setUp(t *testing.T, kind cataloguer.Kind, resumable bool, scripts []string, runs *atomic.Int32) *httptest.Server {
+	k := &cataloguer.Catalogue{}
+	service := cataloguer.Service{Name: "s"}
+	if kind == cataloguer.KindStream {
+		service.Engine = &cataloguer.Engine{Slots: 9}
+	}
+	c := &cataloguer.Configuration{
+		Version: 1, Services: map[string]cataloguer.Service{"s": service}, Organisations: []cataloguer.Organisation{{Name: "o", Keys: []string{"k"}}},
+		Routes: []cataloguer.Route{{
+			Name: "r", Host: "127.0.0.1", Prefix: "/a/", Kind: kind, Timeout: 5 * time.Second, Target: time.Second,
+			Split: []cataloguer.Share{{Service: "s", Weight: 1}}, Attempts: 2, Resumable: resumable,
+		}},
+	}
+	c.Index()
+	k.SetConfiguration(c)
+	fleet := make(map[string]cataloguer.Upstream)
+	b := &balancer.Balancer{}
+	for i, x := range scripts {
+		u := httptest.NewServer(script(x, runs))
+		t.Cleanup(u.Close)
+		id := fmt.Sprint(i)
+		fleet[id] = cataloguer.Upstream{
+			ID: id, Service: "s", Address: u.Listener.Addr().String(), Slots: 9,
+			Group: cataloguer.Membership{Name: "g", State: cataloguer.GroupOpen},
+		}
+		// Those that come later have more in flight.
+		for range i {
+			b.Take([]cataloguer.Upstream{fleet[id]}, balancer.Query{})
+		}
+	}
+	k.SetFleet(cataloguer.NewFleet(1, fleet))
+	s := httptest.NewServer(&relayer.Relayer{
+		Knowledge: k, Protocol: protocol{}, Pool: &forwarder.Pool{Network: networker.System{}}, Balancer: b,
+		Budget:   &budgeter.Budget{Window: time.Minute, Slack: 100},
+		Watchdog: &relayer.Watchdog{Balancer: b, Log: logger.Logger{}},
+	})
+	t.Cleanup(s.Close)
+	return s
+}
+
+// ask sends a request and tells what came.
+func ask(t *testing.T, s *httptest.Server, path, key string) string {
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.URL+path, strings.NewReader("body"))
+	require.NoError(t, err)
+	host, _, err := net.SplitHostPort(req.URL.Host)
+	require.NoError(t, err)
+	req.Host = host
+	req.Header.Set("Id", "1")
+	req.Header.Set("Key", key)
+	res, err := s.Client().Do(req)
+	require.NoError(t, err)
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	out := fmt.Sprint(res.StatusCode)
+	if res.Header.Get("Retry-After") != "" {
+		return out + " come back"
+	}
+	if res.StatusCode != http.StatusOK {
+		return out
+	}
+	if string(body) == "done" {
+		return out + " done"
+	}
+	for line := range strings.SplitSeq(string(body), "\n") {
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			out += " " + id
+		}
+	}
+	if err != nil {
+		out += " broken"
+	}
+	return out
+}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -162,7 +162,7 @@
 // passEvents passes on the whole events that have come. It returns why the
 // stream can't go on, or "".
 func (c *call) passEvents(x *forwarder.Exchange, s *splitter, p *position) string {
-	wrote := false
+	wrote, fault := false, ""
 	for {
 		e, ok := s.next()
 		if !ok {
@@ -170,7 +170,8 @@
 		}
 		if e.id != 0 && p.last != 0 && e.id != p.last+1 {
 			c.last = fmt.Errorf("event %d came after event %d", e.id, p.last)
-			return "answer-broken"
+			fault = "answer-broken"
+			break
 		}
 		if !c.started {
 			c.head(x)
@@ -186,14 +187,14 @@
 		}
 	}
 	if !wrote {
-		return ""
+		return fault
 	}
 	c.passed(time.Now())
 	if err := http.NewResponseController(c.w).Flush(); err != nil {
 		c.last = err
 		return "caller-left"
 	}
-	return ""
+	return fault
 }
 
 // passed notes that events were passed on.
