--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -7,10 +7,12 @@
 )
 
 const (
-	// _headroom is how much more than its even share of the places a process may
-	// use at first, since callers are spread unevenly.
+	// _spare is added to each share, in requests.
+	_spare = 1
+	// _headroom is how much more than its share of the places a process may use at
+	// first.
 	_headroom = 1.4
-	// _least and _most bound what a process may use, in even shares.
+	// _least and _most bound what a process may use, in shares.
 	_least = 1.0
 	_most  = 2.2
 	// _slowPart is the part of a route's target above which a wait for the first
@@ -37,13 +39,14 @@
 type Places struct {
 	// Slots is the number of requests that all groups run at once.
 	Slots int
-	// Processes is the number of processes that share them.
-	Processes int
+	// Part is this process's part of all callers, from 0 to 1.
+	Part float64
 }
 
-// share is a process's even share, in requests.
+// share is a process's own share, in requests. A small one is rounded up a
+// little, since few callers come unevenly.
 func (p Places) share() float64 {
-	return float64(p.Slots) / float64(max(p.Processes, 1))
+	return float64(p.Slots)*p.Part + _spare
 }
 
 // Decision is whether a request may be sent, with what decided it.
@@ -59,7 +62,7 @@
 // for use. It is safe for concurrent use.
 type Admitter struct {
 	mu sync.Mutex
-	// factor is the limit in even shares; 0 before the first use.
+	// factor is the limit in shares; 0 before the first use.
 	factor   float64
 	inFlight int
 	shrunk   time.Time
--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -201,7 +201,8 @@
 	if err != nil {
 		return err
 	}
-	s.Processes = e.Count
+	e.Load = s.Load
+	s.Part = func() float64 { return part(e) }
 	settings := &atomic.Pointer[loader.Settings]{}
 	settings.Store(&k.settings)
 	r.onReload(func(next loader.Settings) { settings.Store(&next) })
@@ -224,6 +225,16 @@
 	return k.services.Register(NameRelayer, s)
 }
 
+// part returns this process's part of all callers. Until loads are known it is
+// taken for larger than an even one, since callers are spread unevenly.
+func part(e *enumerator.Enumerator) float64 {
+	const uneven = 3
+	if share, ok := e.Share(); ok {
+		return share
+	}
+	return min(1, uneven/float64(e.Count()))
+}
+
 // sweep closes old connections and drops the accounts of upstreams that are gone.
 func sweep(p *forwarder.Pool, b *balancer.Balancer, c *cataloguer.Catalogue, now time.Time) {
 	p.Sweep(now)
--- a/internal/enumerator/enumerator.go
+++ b/internal/enumerator/enumerator.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,7 +23,10 @@
 	// processes that start together have written their objects.
 	_firstLook = 2 * time.Second
 	// _lookEvery is the time between two counts.
-	_lookEvery = 10 * time.Second
+	_lookEvery = 4 * time.Second
+	// _loadMoved is the part by which the load must have changed to be told before
+	// the next renewal.
+	_loadMoved = 0.3
 	// _renewEvery is the time between two renewals of an object.
 	_renewEvery = time.Minute
 	// _staleAfter is how long an object may stand still before its process counts
@@ -37,9 +42,8 @@
 	Update(ctx context.Context, key string, version uint64, value []byte) (uint64, error)
 	Delete(ctx context.Context, key string, version uint64) error
 	Get(ctx context.Context, key string) (storer.Object, error)
-	// Revisions returns the revisions of a kind's objects by name; they may be
-	// seconds old.
-	Revisions(ctx context.Context, kind string) (map[string]uint64, error)
+	// Objects returns a kind's objects by name; they may be seconds old.
+	Objects(ctx context.Context, kind string) (map[string]storer.Object, error)
 }
 
 // Enumerator counts processes. Set its fields before Run.
@@ -49,16 +53,30 @@
 	Log   logger.Logger
 	// Expected is the number that counts until the first look; 0 means 1.
 	Expected int
+	// Load returns the requests a second that this process takes, as a mean over
+	// some time; nil means that they are not told.
+	Load func() float64
 
 	count atomic.Int64
+	// share holds the bits of this process's part of the load; 0 where unknown.
+	share atomic.Uint64
 	once  sync.Once
 
 	// What follows belongs to Run's goroutine.
 	written uint64
 	renewed time.Time
+	told    float64
 	seen    map[string]sighting
 }
 
+// record is the value of a process's object.
+type record struct {
+	// Renewed is when it was written, in Unix milliseconds.
+	Renewed int64 `json:"renewed"`
+	// Load is the requests a second that the process takes.
+	Load float64 `json:"load"`
+}
+
 // sighting is an object's revision and when it was first seen.
 type sighting struct {
 	revision uint64
@@ -78,7 +96,7 @@
 	e.renew(ctx, time.Now())
 	for wait := _firstLook; pauser.Pause(ctx, wait); wait = _lookEvery {
 		now := time.Now()
-		if e.written == 0 || now.Sub(e.renewed) >= _renewEvery {
+		if e.written == 0 || now.Sub(e.renewed) >= _renewEvery || e.moved() {
 			e.renew(ctx, now)
 		}
 		e.look(ctx, now)
@@ -107,7 +125,11 @@
 
 func (e *Enumerator) write(ctx context.Context, now time.Time) error {
 	key := Kind + "/" + e.Name
-	value := fmt.Appendf(nil, `{"renewed":%d}`, now.UnixMilli())
+	e.told = e.load()
+	value, err := json.Marshal(record{Renewed: now.UnixMilli(), Load: e.told})
+	if err != nil {
+		return fmt.Errorf("enumerator: encode %s: %w", key, err)
+	}
 	if e.written == 0 {
 		version, err := e.Store.Create(ctx, key, value)
 		if err == nil {
@@ -132,26 +154,65 @@
 	return nil
 }
 
+// load returns the requests a second that this process takes.
+func (e *Enumerator) load() float64 {
+	if e.Load == nil {
+		return 0
+	}
+	return e.Load()
+}
+
+// moved says that the load is no longer what was told.
+func (e *Enumerator) moved() bool {
+	load := e.load()
+	return math.Abs(load-e.told) > _loadMoved*max(load, e.told)
+}
+
+// divide takes this process's part of a total load.
+func (e *Enumerator) divide(total float64) {
+	if total > 0 {
+		e.share.Store(math.Float64bits(e.load() / total))
+	}
+}
+
+// Share returns this process's part of the load of all, and false where it isn't
+// known yet.
+func (e *Enumerator) Share() (float64, bool) {
+	share := math.Float64frombits(e.share.Load())
+	return share, share > 0
+}
+
 // look counts the objects that are renewed.
 func (e *Enumerator) look(ctx context.Context, now time.Time) {
-	revisions, err := e.Store.Revisions(ctx, Kind)
+	objects, err := e.Store.Objects(ctx, Kind)
 	if err != nil {
 		e.Log.Failure("instance-count", err, logger.Fields{"count": e.Count(), "outcome": "the old count stays"})
 		return
 	}
-	next := make(map[string]sighting, len(revisions))
-	n := 0
-	for name, r := range revisions {
+	next := make(map[string]sighting, len(objects))
+	n, total := 0, 0.0
+	for name, o := range objects {
 		s := e.seen[name]
-		if s.revision != r {
-			s = sighting{revision: r, at: now}
+		if s.revision != o.Version {
+			s = sighting{revision: o.Version, at: now}
 		}
 		next[name] = s
-		if now.Sub(s.at) < _staleAfter {
-			n++
+		if now.Sub(s.at) >= _staleAfter {
+			continue
+		}
+		n++
+		var r record
+		if err := json.Unmarshal(o.Value, &r); err != nil {
+			e.Log.Failure("instance-object", err, logger.Fields{"step": "read", "instance": name})
+			continue
+		}
+		if name == e.Name {
+			r.Load = e.load()
 		}
+		total += r.Load
 	}
 	e.seen = next
+	e.divide(total)
 	if before := e.Count(); before != max(n, 1) {
 		e.count.Store(int64(max(n, 1)))
 		e.Log.Event("instance-count", logger.Fields{"count": max(n, 1), "before": before})
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -46,21 +46,25 @@
 	Meter      Meter
 	DataCentre string
 	Watchdog   *Watchdog
-	// Processes returns the number of processes that share the upstreams; nil
-	// means that there are no others.
-	Processes func() int
+	// Part returns this process's part of all callers; nil means that there are
+	// no other processes.
+	Part func() float64
 
 	// admitters are the *admitter.Admitter of each placeKey.
 	admitters sync.Map
 
 	// requests counts the requests that were taken.
 	requests atomic.Int64
+	load     load
 	leaving  atomic.Bool
 }
 
 // Busy says that callers' requests have begun.
 func (s *Relayer) Busy() bool { return s.requests.Load() > 0 }
 
+// Load returns the requests a second that are taken, as a mean over some time.
+func (s *Relayer) Load() float64 { return s.load.rate(time.Now()) }
+
 // Leave makes each answer ask for another connection, since the process is
 // about to end.
 func (s *Relayer) Leave() { s.leaving.Store(true) }
@@ -235,6 +239,7 @@
 	}
 	c.body = body
 	c.requests.Add(1)
+	c.load.count(c.began)
 	c.Budget.Request(c.service.Name, c.began)
 	c.deadline = c.began.Add(c.time())
 	return true
@@ -280,7 +285,7 @@
 	}
 	c.Log.Event("admit", logger.Fields{
 		"request": c.request.ID, "model": c.request.Model, "in_flight": d.InFlight, "limit": d.Limit, "slots": c.places.Slots,
-		"processes": c.places.Processes, "returning": d.Returning, "outcome": "refused",
+		"part": c.places.Part, "returning": d.Returning, "outcome": "refused",
 	})
 	c.refuse(http.StatusServiceUnavailable, "crowded")
 	return nil, false
@@ -288,9 +293,9 @@
 
 // count returns the places of the groups of the request's model.
 func (c *call) count() admitter.Places {
-	p := admitter.Places{Processes: 1}
-	if c.Processes != nil {
-		p.Processes = c.Processes()
+	p := admitter.Places{Part: 1}
+	if c.Part != nil {
+		p.Part = c.Part()
 	}
 	if f := c.Knowledge.Fleet(); f != nil && c.service.Engine != nil {
 		p.Slots = len(f.Heads(c.service.Name, c.request.Model)) * c.service.Engine.Slots
