internal/conductor: a holder without the store waits for signs of another before it goes on

It now only checks members for 3 s after its lease has lapsed, and gives no orders if an upstream shows a later term.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -30,6 +30,10 @@
 	// _openShows is the time after which an order to open shows in the state of a
 	// head: the engine's own time to form and the lag of reports.
 	_openShows = 1200 * time.Millisecond
+	// _lingerAfter is how long after its lease has lapsed a holder that can't reach
+	// the store gives no orders: another one that can has taken the lease by then,
+	// and upstreams show its orders.
+	_lingerAfter = 3 * time.Second
 	// _hintsKept bounds the hints that wait.
 	_hintsKept = 64
 )
@@ -96,10 +100,12 @@
 	// list could last be read.
 	reports map[string]cataloguer.Report
 	// latest is the latest term whose orders an upstream has shown.
-	latest  uint64
-	results chan func(now time.Time)
-	group   sync.WaitGroup
-	leading bool
+	latest uint64
+	// lastHeld is when the lease was last held.
+	lastHeld time.Time
+	results  chan func(now time.Time)
+	group    sync.WaitGroup
+	leading  bool
 	// mu guards hints, which Run makes.
 	mu sync.Mutex
 }
@@ -182,7 +188,12 @@
 
 func (c *Conductor) step(ctx context.Context, now time.Time) {
 	configuration, fleet := c.Knowledge.Configuration(), c.Knowledge.Fleet()
-	held := c.Lease.Held(now) || c.lingers()
+	held := c.Lease.Held(now)
+	if held {
+		c.lastHeld = now
+	}
+	waits := !held && c.mayLinger()
+	held = held || waits && now.Sub(c.lastHeld) >= _lingerAfter
 	if held != c.leading {
 		c.leading = held
 		if c.Leading != nil {
@@ -190,6 +201,10 @@
 		}
 		c.Log.Event("conductor", logger.Fields{"leading": held, "term": c.Lease.Term(), "store_away": c.Knowledge.Away()})
 	}
+	if waits && !held && configuration != nil && fleet != nil {
+		c.watch(ctx, now, configuration, fleet)
+		return
+	}
 	if !held || configuration == nil || fleet == nil {
 		clear(c.checks)
 		clear(c.members)
--- a/internal/conductor/unlisted.go
+++ b/internal/conductor/unlisted.go
@@ -1,7 +1,9 @@
 package conductor
 
 import (
+	"context"
 	"maps"
+	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
 	"github.com/lycheebarrow/lycheebarrow/internal/grouper"
@@ -66,17 +68,27 @@
 	c.members[id] = u
 }
 
-// lingers says that this process goes on to give orders although its lease has
-// lapsed: the store can't be reached, so nobody else can take the lease, or, if
-// only this process can't reach it, the other's orders and these can't harm a
+// mayLinger says that this process may go on to give orders although its lease
+// has lapsed: the store can't be reached, so nobody else can take the lease, or,
+// if only this process can't reach it, the other's orders and these can't harm a
 // group. It ends once an upstream shows an order of a later term.
-func (c *Conductor) lingers() bool {
+func (c *Conductor) mayLinger() bool {
 	if !c.Knowledge.Away() || !c.Lease.Last() {
 		return false
 	}
 	return c.latest <= c.Lease.Term()
 }
 
+// watch only checks the members of groups, to see whether another process gives
+// orders.
+func (c *Conductor) watch(ctx context.Context, now time.Time, configuration *cataloguer.Configuration, fleet *cataloguer.Fleet) {
+	for name, s := range configuration.Services {
+		if s.Engine != nil {
+			c.check(ctx, now, c.withReports(c.withUnlisted(fleet, name), name), name)
+		}
+	}
+}
+
 // withReports returns the fleet with what upstreams have said themselves, while
 // the platform's list can't be read.
 func (c *Conductor) withReports(fleet *cataloguer.Fleet, service string) *cataloguer.Fleet {
