internal/grouper: a group without a head is not whole

Cause: members of the right number without a rank 0, as an odd entry of the list can show them, passed for a whole group, and the decision used its head: a panic that would end each holder of the lease in turn. Seen in reading, not in a run. TestGroupWithoutHead fails with that panic before.

--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -202,8 +202,10 @@
 	leaving int
 }
 
-// whole says that every member is there.
-func (g *group) whole() bool { return len(g.members) == g.model.Size && g.lost == 0 }
+// whole says that every member is there, the head among them.
+func (g *group) whole() bool {
+	return g.head != nil && len(g.members) == g.model.Size && g.lost == 0
+}
 
 // all says that every member is in one of the states.
 func (g *group) all(states ...cataloguer.GroupState) bool {
--- /dev/null
+++ b/internal/grouper/odd_test.go
@@ -0,0 +1,29 @@
+package grouper_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
+	"github.com/lycheebarrow/lycheebarrow/internal/grouper"
+)
+
+// A group of the right size that shows no head is not taken for a whole one.
+func TestGroupWithoutHead(t *testing.T) {
+	w := newWorld()
+	w.add("a", 3)
+	list := make(map[string]cataloguer.Upstream)
+	for i, id := range w.order {
+		u := w.hosts[id].Upstream
+		u.Group = cataloguer.Membership{Name: "g", Epoch: 4, Rank: i + 1, State: cataloguer.GroupReady, Model: "small"}
+		list[id] = u
+	}
+	orders := w.grouper.Decide(time.Unix(1_800_000_000, 0), grouper.World{
+		Engine: &w.engine, Service: _service, Fleet: cataloguer.NewFleet(1, list), Busy: true, Term: 1,
+	})
+	for _, o := range orders {
+		assert.NotEqual(t, grouper.OperationOpen, o.Operation)
+	}
+}
