--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -215,8 +215,7 @@
 		if s.Engine == nil {
 			continue
 		}
-		fleet := c.withReports(c.withUnlisted(fleet, name), name)
-		c.check(ctx, now, fleet, name)
+		fleet := c.checked(ctx, now, fleet, name)
 		g := c.groupers[name]
 		if g == nil {
 			g = &grouper.Grouper{StallTime: c.StallTime}
@@ -231,6 +230,14 @@
 	}
 }
 
+// checked checks the members of a service's groups, and returns the fleet as it
+// is known besides the platform's list.
+func (c *Conductor) checked(ctx context.Context, now time.Time, fleet *cataloguer.Fleet, service string) *cataloguer.Fleet {
+	known := c.withReports(c.withUnlisted(fleet, service), service)
+	c.check(ctx, now, known, service)
+	return known
+}
+
 // lost returns the upstreams that failed their latest checks.
 func (c *Conductor) lost() map[string]bool {
 	out := make(map[string]bool)
@@ -382,7 +389,7 @@
 	if !leaves || r.Group.Name == "" || r.Group.Rank != 0 {
 		return nil
 	}
-	if _, own := c.counts.chained(u.ID, r); own || c.counts.steadyFor(u.ID, r, now) >= _openShows {
+	if c.counts.chained(u.ID, r) || c.counts.steadyFor(u.ID, r, now) >= _openShows {
 		return nil
 	}
 	return fmt.Errorf("conductor: %s on %s: another process may have opened group %q", o.Operation, u.ID, r.Group.Name)
--- a/internal/conductor/counts.go
+++ b/internal/conductor/counts.go
@@ -26,13 +26,13 @@
 	orders uint64
 }
 
-// chained returns the number of orders that an upstream has accepted, where the
-// latest of them is this process's own.
-func (c *counts) chained(id string, r cataloguer.Report) (uint64, bool) {
+// chained says that the latest order that an upstream has accepted is this
+// process's own.
+func (c *counts) chained(id string, r cataloguer.Report) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k, ok := c.known[id]
-	return k.orders, ok && k.born == r.Born && k.orders >= r.Orders
+	return ok && k.born == r.Born && k.orders >= r.Orders
 }
 
 // seen notes the number of orders in a report.
--- a/internal/conductor/unlisted.go
+++ b/internal/conductor/unlisted.go
@@ -84,7 +84,7 @@
 func (c *Conductor) watch(ctx context.Context, now time.Time, configuration *cataloguer.Configuration, fleet *cataloguer.Fleet) {
 	for name, s := range configuration.Services {
 		if s.Engine != nil {
-			c.check(ctx, now, c.withReports(c.withUnlisted(fleet, name), name), name)
+			c.checked(ctx, now, fleet, name)
 		}
 	}
 }
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -346,8 +345,6 @@
 	return now.Sub(s.first)
 }
 
-func (k key) String() string { return fmt.Sprintf("%s/%d", k.name, k.epoch) }
-
 func byRank(a, b cataloguer.Upstream) int {
 	return cmp.Or(cmp.Compare(a.Group.Rank, b.Group.Rank), cmp.Compare(a.ID, b.ID))
 }
