internal/conductor: a group that was away behind a cut is asked before it is closed

When a cut heals, a head is checked with success or listed again while its other members still count as lost from checks up to a second old, or their entries are not back yet. The group then looked incomplete, was closed and its streams were evicted, and it was opened again half a second later. Ruled out: the lease (it moved once, as it should), orders done late, lost open orders (the three groups that open late wait for a load of 16 s). Now a member that answers again makes the holder ask the silent ones of its group again, and until then the group is held; members that were away with their whole group are remembered for 30 s and asked when the first of them is listed again. Tests: TestHealedCutKeepsGroup and TestHealedCutKeepsGroupWhoseEntriesLapsed failed first.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -95,7 +95,7 @@
 	counts   counts
 	// members are the members of groups as last listed, and those that are
 	// unlisted and still answer.
-	members map[string]cataloguer.Upstream
+	members map[string]member
 	// reports are what upstreams have said of themselves since the platform's
 	// list could last be read.
 	reports map[string]cataloguer.Report
@@ -115,12 +115,21 @@
 	next   time.Time
 	failed int
 	open   bool
+	// since is when the member fell silent, and answered when it last answered.
+	since, answered time.Time
+	// group and epoch are the member's group when it was last asked.
+	group string
+	epoch uint64
+	// doubted is when another member of the group answered again after it was lost:
+	// what ended its silence may have ended this member's. Zero where this member
+	// was asked since.
+	doubted time.Time
 }
 
 // Run works until ctx ends, and waits for the orders that are under way.
 func (c *Conductor) Run(ctx context.Context) {
 	c.groupers, c.checks = make(map[string]*grouper.Grouper), make(map[string]*check)
-	c.members, c.reports = make(map[string]cataloguer.Upstream), make(map[string]cataloguer.Report)
+	c.members, c.reports = make(map[string]member), make(map[string]cataloguer.Report)
 	c.results = make(chan func(time.Time))
 	c.mu.Lock()
 	c.hints = make(chan string, _hintsKept)
@@ -221,8 +230,9 @@
 			g = &grouper.Grouper{StallTime: c.StallTime}
 			c.groupers[name] = g
 		}
+		lost, doubted := c.lost()
 		orders := g.Decide(now, grouper.World{
-			Engine: s.Engine, Service: name, Fleet: fleet, Lost: c.lost(), Busy: c.Busy(), Term: c.Lease.Term(),
+			Engine: s.Engine, Service: name, Fleet: fleet, Lost: lost, Doubted: doubted, Busy: c.Busy(), Term: c.Lease.Term(),
 		})
 		for _, o := range orders {
 			c.give(ctx, g, fleet, o)
@@ -233,20 +243,22 @@
 // checked checks the members of a service's groups, and returns the fleet as it
 // is known besides the platform's list.
 func (c *Conductor) checked(ctx context.Context, now time.Time, fleet *cataloguer.Fleet, service string) *cataloguer.Fleet {
-	known := c.withReports(c.withUnlisted(fleet, service), service)
+	known := c.withReports(c.withUnlisted(now, fleet, service), service)
 	c.check(ctx, now, known, service)
 	return known
 }
 
-// lost returns the upstreams that failed their latest checks.
-func (c *Conductor) lost() map[string]bool {
-	out := make(map[string]bool)
+// lost returns the upstreams that failed their latest checks, and those of them
+// that are being asked again.
+func (c *Conductor) lost() (lost, doubted map[string]bool) {
+	lost, doubted = make(map[string]bool), make(map[string]bool)
 	for id, k := range c.checks {
 		if k.failed >= _lostAfter {
-			out[id] = true
+			lost[id] = true
+			doubted[id] = !k.doubted.IsZero()
 		}
 	}
-	return out
+	return lost, doubted
 }
 
 // check asks the members of groups whether they are there.
@@ -275,32 +287,70 @@
 
 // ask checks one member on a goroutine of its own.
 func (c *Conductor) ask(ctx context.Context, u cataloguer.Upstream, k *check) {
+	k.group, k.epoch = u.Group.Name, u.Group.Epoch
+	began := time.Now()
 	c.group.Go(func() {
 		r, err := c.report(ctx, u)
 		c.result(ctx, func(now time.Time) {
 			k.open = false
-			if err == nil {
-				if k.failed >= _lostAfter {
-					c.Log.Event("member-regained", logger.Fields{"upstream": u.ID, "group": u.Group.Name, "epoch": u.Group.Epoch})
-				}
-				c.reported(u.ID, r)
-				c.counts.seen(u.ID, r, now)
-				k.failed = 0
-				k.next = now.Add(_checkEvery)
+			if err != nil {
+				c.unanswered(u, k, began, now, err)
 				return
 			}
-			k.failed++
-			k.next = now.Add(_recheck)
-			if k.failed == _lostAfter {
-				c.Log.Failure("member-lost", err, logger.Fields{"upstream": u.ID, "group": u.Group.Name, "epoch": u.Group.Epoch, "checks": k.failed})
-			}
-			if k.failed > _lostAfter {
-				k.next = now.Add(_checkEvery)
-			}
+			c.answered(u, k, now)
+			c.reported(u.ID, r)
+			c.counts.seen(u.ID, r, now)
 		})
 	})
 }
 
+// answered notes a check that was answered.
+func (c *Conductor) answered(u cataloguer.Upstream, k *check, now time.Time) {
+	if k.failed >= _lostAfter {
+		n := c.doubt(k, now)
+		c.Log.Event("member-regained", logger.Fields{"upstream": u.ID, "group": u.Group.Name, "epoch": u.Group.Epoch, "rechecked": n})
+	}
+	k.failed = 0
+	k.answered = now
+	k.doubted = time.Time{}
+	k.next = now.Add(_checkEvery)
+}
+
+// unanswered notes a check that began at the time given and failed.
+func (c *Conductor) unanswered(u cataloguer.Upstream, k *check, began, now time.Time, err error) {
+	if began.Before(k.doubted) {
+		// It was asked before the other member answered again.
+		k.next = now
+		return
+	}
+	k.doubted = time.Time{}
+	if k.failed == 0 {
+		k.since = began
+	}
+	k.failed++
+	k.next = now.Add(_recheck)
+	if k.failed == _lostAfter {
+		c.Log.Failure("member-lost", err, logger.Fields{"upstream": u.ID, "group": u.Group.Name, "epoch": u.Group.Epoch, "checks": k.failed})
+	}
+	if k.failed > _lostAfter {
+		k.next = now.Add(_checkEvery)
+	}
+}
+
+// doubt asks the lost members of a group again, since one of them has answered,
+// and returns how many they are.
+func (c *Conductor) doubt(back *check, now time.Time) int {
+	n := 0
+	for _, k := range c.checks {
+		if k == back || k.failed < _lostAfter || k.group != back.group || k.epoch != back.epoch {
+			continue
+		}
+		k.doubted, k.next = now, now
+		n++
+	}
+	return n
+}
+
 func (c *Conductor) report(ctx context.Context, u cataloguer.Upstream) (cataloguer.Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, _reportTimeout)
 	defer cancel()
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -29,9 +30,27 @@
 	times   []time.Time
 	// moved is when the report of "a" first shows one order more.
 	moved time.Time
+	// cut and healed bound the time in which reports are not answered, each after
+	// a wait of its own.
+	cut, healed time.Time
+	waits       map[string]time.Duration
+	// gone are upstreams that never answer.
+	gone map[string]bool
+}
+
+// away says that an upstream can't be reached now.
+func (u *upstreams) away(id string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := time.Now()
+	return u.gone[id] || !u.cut.IsZero() && !now.Before(u.cut) && now.Before(u.healed)
 }
 
 func (u *upstreams) Report(_ context.Context, x cataloguer.Upstream) (cataloguer.Report, error) {
+	if u.away(x.ID) {
+		time.Sleep(u.waits[x.ID])
+		return cataloguer.Report{}, errors.New("no answer")
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	r := u.reports[x.ID]
@@ -61,6 +80,24 @@
 	return out
 }
 
+// lose makes an upstream answer no more.
+func (u *upstreams) lose(id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.gone == nil {
+		u.gone = make(map[string]bool)
+	}
+	u.gone[id] = true
+}
+
+// threeMembers returns the members of a group that serves, the head first.
+func threeMembers() (a, b, c cataloguer.Upstream) {
+	member := func(id string, rank int, state cataloguer.GroupState) cataloguer.Upstream {
+		return cataloguer.Upstream{ID: id, Group: cataloguer.Membership{Name: "g", Epoch: 5, Rank: rank, State: state, Model: "m"}}
+	}
+	return member("a", 0, cataloguer.GroupOpen), member("b", 1, cataloguer.GroupReady), member("c", 2, cataloguer.GroupReady)
+}
+
 // run plays a conductor for d on a fleet that does not change.
 func run(d time.Duration, u *upstreams, list ...cataloguer.Upstream) {
 	play(d, u, lease{}, func(bool) {}, list...)
@@ -69,18 +106,27 @@
 func play(d time.Duration, u *upstreams, l lease, leading func(bool), list ...cataloguer.Upstream) {
 	var k cataloguer.Catalogue
 	k.SetAway(l.lapsed)
-	c := &cataloguer.Configuration{Version: 1, Services: map[string]cataloguer.Service{"s": {Name: "s", Engine: &cataloguer.Engine{
-		Slots: 26, Models: []cataloguer.Model{{Name: "m", Size: 3, Share: 1, Pace: 1, Load: time.Second, Warm: time.Second}},
-	}}}}
-	c.Index()
-	k.SetConfiguration(c)
+	playOn(&k, d, u, l, leading, list...)
+}
+
+// setFleet lists the upstreams given, which are all of one domain.
+func setFleet(k *cataloguer.Catalogue, revision uint64, list ...cataloguer.Upstream) {
 	fleet := make(map[string]cataloguer.Upstream)
 	for _, x := range list {
 		x.Service, x.Domain, x.Staged = "s", "d", []string{"m"}
 		fleet[x.ID] = x
 	}
-	k.SetFleet(cataloguer.NewFleet(1, fleet))
-	x := &conductor.Conductor{Lease: l, Leading: leading, Knowledge: &k, Upstreams: u, StallTime: 6 * time.Second, Busy: func() bool { return true }}
+	k.SetFleet(cataloguer.NewFleet(revision, fleet))
+}
+
+func playOn(k *cataloguer.Catalogue, d time.Duration, u *upstreams, l lease, leading func(bool), list ...cataloguer.Upstream) {
+	c := &cataloguer.Configuration{Version: 1, Services: map[string]cataloguer.Service{"s": {Name: "s", Engine: &cataloguer.Engine{
+		Slots: 26, Models: []cataloguer.Model{{Name: "m", Size: 3, Share: 1, Pace: 1, Load: time.Second, Warm: time.Second}},
+	}}}}
+	c.Index()
+	k.SetConfiguration(c)
+	setFleet(k, 1, list...)
+	x := &conductor.Conductor{Lease: l, Leading: leading, Knowledge: k, Upstreams: u, StallTime: 6 * time.Second, Busy: func() bool { return true }}
 	ctx, cancel := context.WithTimeout(context.Background(), d)
 	defer cancel()
 	x.Run(ctx)
@@ -118,6 +164,54 @@
 	})
 }
 
+// When a cut between the holder and a whole group heals, the group is not closed
+// although the head answers again before its members have been asked again. A
+// member that does not answer after that is lost.
+func TestHealedCutKeepsGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b, c := threeMembers()
+		begun := time.Now()
+		u := &upstreams{
+			reports: map[string]cataloguer.Report{"a": {Group: a.Group}, "b": {Group: b.Group}, "c": {Group: c.Group}},
+			cut:     begun.Add(2500 * time.Millisecond), healed: begun.Add(6 * time.Second),
+			waits: map[string]time.Duration{"a": 0, "b": 150 * time.Millisecond, "c": 290 * time.Millisecond},
+		}
+		run(12*time.Second, u, a, b, c)
+		assert.Empty(t, u.given(grouper.OperationClose, "a"))
+		u.lose("c")
+		run(6*time.Second, u, a, b, c)
+		assert.NotEmpty(t, u.given(grouper.OperationClose, "a"))
+	})
+}
+
+// A group that a cut kept from the store and from the holder, so that its entries
+// lapsed, is not closed when they come back one after the other.
+func TestHealedCutKeepsGroupWhoseEntriesLapsed(t *testing.T) {
+	for _, gone := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			a, b, c := threeMembers()
+			begun := time.Now()
+			u := &upstreams{
+				reports: map[string]cataloguer.Report{"a": {Group: a.Group}, "b": {Group: b.Group}, "c": {Group: c.Group}},
+				cut:     begun.Add(2500 * time.Millisecond), healed: begun.Add(10 * time.Second),
+				waits: map[string]time.Duration{"a": 290 * time.Millisecond, "b": 290 * time.Millisecond, "c": 290 * time.Millisecond},
+			}
+			var k cataloguer.Catalogue
+			for i, list := range [][]cataloguer.Upstream{{a, b, c}, {b, c}, {c}, {}, {a}, {a, b}, {a, b, c}} {
+				at := []time.Duration{0, 5500, 5600, 5700, 10200, 10800, 11300}[i] * time.Millisecond
+				time.AfterFunc(at, func() { setFleet(&k, uint64(i+2), list...) })
+			}
+			if gone {
+				// It was lost behind the cut, and its entry does not come back.
+				time.AfterFunc(9*time.Second, func() { u.lose("c") })
+				time.AfterFunc(11400*time.Millisecond, func() { setFleet(&k, 9, a, b) })
+			}
+			playOn(&k, 15*time.Second, u, lease{}, func(bool) {}, a, b, c)
+			assert.Equal(t, gone, len(u.given(grouper.OperationClose, "a")) > 0)
+		})
+	}
+}
+
 // A holder that goes on without the store ends once for all when an upstream
 // shows an order of a later term.
 func TestLingeringEnds(t *testing.T) {
--- a/internal/conductor/unlisted.go
+++ b/internal/conductor/unlisted.go
@@ -10,36 +10,44 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 )
 
+// _partedKept is how long a member that is neither listed nor answers is
+// remembered, in case a cut keeps its whole group away.
+const _partedKept = 30 * time.Second
+
+// member is a member of a group as it was last known.
+type member struct {
+	cataloguer.Upstream
+	// parted is when it was first neither listed nor answering; zero before.
+	parted time.Time
+	// awaited says that it counts as a member again until it has been asked, since
+	// another one of its group is back.
+	awaited bool
+}
+
 // withUnlisted returns the fleet with the members of groups whose entries have
 // gone from the platform's list although they still answer checks: an entry
 // lapses also where its owner is cut off from the platform, and its group goes
-// on.
-func (c *Conductor) withUnlisted(fleet *cataloguer.Fleet, service string) *cataloguer.Fleet {
-	for id, u := range c.members {
-		if u.Service != service {
+// on. Those that were away together with their whole group are in it while they
+// are asked again.
+func (c *Conductor) withUnlisted(now time.Time, fleet *cataloguer.Fleet, service string) *cataloguer.Fleet {
+	unlisted := make(map[string]cataloguer.Upstream)
+	for id, m := range c.members {
+		if m.Service != service {
 			continue
 		}
-		_, listed := fleet.Upstreams[id]
-		k := c.checks[id]
-		switch {
-		case listed:
-			if u.Unlisted {
-				c.Log.Event("member-listed", logger.Fields{"upstream": id, "group": u.Group.Name, "epoch": u.Group.Epoch, "fleet_revision": fleet.Revision})
-			}
+		next, kept := c.review(now, fleet, m)
+		if !kept {
 			delete(c.members, id)
-		case k == nil || k.failed >= _lostAfter || u.Group.Name == "":
-			c.Log.Event("member-gone", logger.Fields{"upstream": id, "group": u.Group.Name, "epoch": u.Group.Epoch, "fleet_revision": fleet.Revision})
-			delete(c.members, id)
-		case !u.Unlisted:
-			u.Unlisted = true
-			c.members[id] = u
-			c.Log.Event("member-unlisted", logger.Fields{"upstream": id, "group": u.Group.Name, "epoch": u.Group.Epoch, "fleet_revision": fleet.Revision, "outcome": "kept while it answers"})
+			continue
+		}
+		c.members[id] = next
+		if next.parted.IsZero() {
+			unlisted[id] = next.Upstream
 		}
 	}
-	unlisted := maps.Clone(c.members)
 	for _, u := range fleet.OfService(service) {
 		if u.Group.Name != "" {
-			c.members[u.ID] = u
+			c.members[u.ID] = member{Upstream: u}
 		}
 	}
 	if len(unlisted) == 0 {
@@ -50,22 +58,91 @@
 	return cataloguer.NewFleet(fleet.Revision, all)
 }
 
+// review returns what becomes of a member that was listed before, and false where
+// it needs no more care: it is listed again, or gone.
+func (c *Conductor) review(now time.Time, fleet *cataloguer.Fleet, m member) (next member, kept bool) {
+	k := c.checks[m.ID]
+	silent := k == nil || k.failed >= _lostAfter && k.doubted.IsZero()
+	_, listed := fleet.Upstreams[m.ID]
+	event, outcome := "", ""
+	switch {
+	case listed:
+		if m.Unlisted {
+			event = "member-listed"
+		}
+	case m.Group.Name == "", m.awaited && silent, !m.parted.IsZero() && now.Sub(m.parted) > _partedKept:
+		event, outcome = "member-gone", "forgotten"
+	case m.awaited:
+		m.awaited = k.failed >= _lostAfter
+		kept = true
+	case !m.parted.IsZero():
+		kept = true
+		if c.mateBack(fleet, m) {
+			event, outcome = "member-awaited", "asked again"
+			m.parted, m.awaited = time.Time{}, true
+			c.checks[m.ID] = &check{next: now, failed: _lostAfter, doubted: now, group: m.Group.Name, epoch: m.Group.Epoch}
+		}
+	case silent && (k == nil || c.mateAnswered(k)):
+		event, outcome = "member-gone", "forgotten"
+	case silent:
+		event, outcome = "member-gone", "remembered, since its whole group is silent"
+		m.parted, m.Unlisted = now, true
+		kept = true
+	default:
+		kept = true
+		if !m.Unlisted {
+			event, outcome = "member-unlisted", "kept while it answers"
+			m.Unlisted = true
+		}
+	}
+	if event != "" {
+		c.Log.Event(event, logger.Fields{
+			"upstream": m.ID, "group": m.Group.Name, "epoch": m.Group.Epoch, "fleet_revision": fleet.Revision, "outcome": outcome,
+		})
+	}
+	return m, kept
+}
+
+// mateBack says that another member of a group that was away is listed again.
+func (c *Conductor) mateBack(fleet *cataloguer.Fleet, m member) bool {
+	for _, u := range fleet.OfService(m.Service) {
+		if u.Group.Name != m.Group.Name || u.Group.Epoch != m.Group.Epoch {
+			continue
+		}
+		if k := c.checks[u.ID]; k == nil || k.answered.After(m.parted) {
+			return true
+		}
+	}
+	return false
+}
+
+// mateAnswered says that another member of a group has answered since this one
+// fell silent, so that it alone is lost.
+func (c *Conductor) mateAnswered(silent *check) bool {
+	for _, k := range c.checks {
+		if k != silent && k.group == silent.group && k.epoch == silent.epoch && k.answered.After(silent.since) {
+			return true
+		}
+	}
+	return false
+}
+
 // reported notes what an unlisted member says of itself.
 func (c *Conductor) reported(id string, r cataloguer.Report) {
 	c.latest = max(c.latest, grouper.TermOf(r.Group.Epoch))
 	if c.Knowledge.Away() {
 		c.reports[id] = r
 	}
-	u, ok := c.members[id]
-	if !ok || !u.Unlisted {
+	m, ok := c.members[id]
+	if !ok || !m.Unlisted {
 		return
 	}
-	if r.Born != u.Born {
+	if r.Born != m.Born {
 		delete(c.members, id)
 		return
 	}
-	u.Group, u.Staged = r.Group, r.Staged
-	c.members[id] = u
+	m.Group, m.Staged = r.Group, r.Staged
+	c.members[id] = m
 }
 
 // mayLinger says that this process may go on to give orders although its lease
--- a/internal/grouper/decision.go
+++ b/internal/grouper/decision.go
@@ -43,6 +43,9 @@
 		if d.world.Lost[u.ID] {
 			x.lost++
 		}
+		if d.world.Doubted[u.ID] {
+			x.doubted++
+		}
 		if u.Draining {
 			x.leaving++
 		}
@@ -147,6 +150,9 @@
 		return
 	}
 	switch {
+	case x.uncertain():
+		// The answers to the checks decide.
+		d.hold(x)
 	case x.whole() && x.head.Unlisted && d.since(d.now, x.key, "unlisted") < _unlistedBorne:
 		// Its entry may come back.
 		d.hold(x)
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -61,6 +61,9 @@
 	Fleet   *cataloguer.Fleet
 	// Lost are the upstreams that did not answer lately.
 	Lost map[string]bool
+	// Doubted are those of them that are being asked again, since another member
+	// of their group answers again.
+	Doubted map[string]bool
 	// Busy says that callers' requests have begun; before that, loads do not
 	// count against the rate.
 	Busy bool
@@ -197,6 +200,8 @@
 	head    *cataloguer.Upstream
 	// lost counts members that do not answer.
 	lost int
+	// doubted counts those of them whose loss is in doubt.
+	doubted int
 	// leaving counts members that drain.
 	leaving int
 }
@@ -206,6 +211,11 @@
 	return g.head != nil && len(g.members) == g.model.Size && g.lost == 0
 }
 
+// uncertain says that every member is there but for some whose loss is in doubt.
+func (g *group) uncertain() bool {
+	return g.head != nil && len(g.members) == g.model.Size && g.lost > 0 && g.lost == g.doubted
+}
+
 // all says that every member is in one of the states.
 func (g *group) all(states ...cataloguer.GroupState) bool {
 	for _, m := range g.members {
