internal/grouper: spares too few for another group are staged before traffic

Cause: on the grown deployments a domain of 27 holds groups of 12, 6 and 6 and leaves three spares. Ahead of the first request a domain with more than two free upstreams was left alone, as if another group might still be formed there, so nothing was staged until the first request. Then all 24 loads began at once at full length; members lost at 4 to 10 s were replaced at 18 s. Ruled out: the rate of loads, detection (closes came within a second). Now a domain waits only while its free upstreams are enough for the smallest group.

--- a/internal/grouper/form.go
+++ b/internal/grouper/form.go
@@ -308,7 +308,7 @@
 	}
 	for _, domain := range d.domains() {
 		spares := d.candidates(domain)
-		if !d.world.Busy && len(spares) > _spares {
+		if !d.world.Busy && len(spares) >= d.smallest() {
 			// A group may still be formed here.
 			continue
 		}
@@ -335,6 +335,17 @@
 	}
 }
 
+// smallest returns the number of upstreams of the smallest group.
+func (d *decision) smallest() int {
+	least := 0
+	for _, m := range d.world.Engine.Models {
+		if least == 0 || m.Size < least {
+			least = m.Size
+		}
+	}
+	return least
+}
+
 // wanted returns the model that a domain's next spare should hold: the one with
 // the most members for each spare.
 func (d *decision) wanted(domain string, spares map[string]int) (cataloguer.Model, bool) {
--- a/internal/grouper/grouper_test.go
+++ b/internal/grouper/grouper_test.go
@@ -15,6 +15,7 @@
 
 // TestScripts plays the files of testdata. Each line is a command:
 //
+//	sizes LARGE SMALL     how many upstreams a group of each model spans
 //	add DOMAIN N          N empty upstreams come
 //	busy                  callers' requests begin
 //	run DURATION          time passes
@@ -25,6 +26,7 @@
 //	drain WHAT            an upstream is about to leave
 //	term N                another process holds the lease
 //	lose DURATION, keep   orders get no answer and are carried out later, or not
+//	staged N              so many upstreams without a group hold a model
 //	expect MODEL N        so many whole groups are open
 //	within DURATION MODEL N   so many are open before the time is over
 func TestScripts(t *testing.T) {
@@ -55,6 +57,10 @@
 func command(t *testing.T, w *world, line int, words []string) {
 	rest := strings.Join(words[1:], " ")
 	switch words[0] {
+	case "sizes":
+		w.engine.Models[0].Size, w.engine.Models[1].Size = number(t, words[1]), number(t, words[2])
+	case "staged":
+		assert.Equal(t, number(t, words[1]), w.stagedSpares(), "line %d: staged spares", line)
 	case "add":
 		w.add(words[1], number(t, words[2]))
 	case "busy":
--- a/internal/grouper/world_test.go
+++ b/internal/grouper/world_test.go
@@ -306,6 +306,17 @@
 	return n
 }
 
+// stagedSpares counts the upstreams without a group that hold a model.
+func (w *world) stagedSpares() int {
+	n := 0
+	for _, h := range w.hosts {
+		if !h.dead && h.Group.Name == "" && len(h.Staged) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // find returns the first living upstream that fits: "head MODEL", "member MODEL",
 // "spare" or an id.
 func (w *world) find(what string) *host {
