internal/relayer: a wait that is usual is no silence; no send is broken off without another place

Cause: on the grown deployments 77 processes share the traffic, so one of them has one or two requests at a group. Of 1145 silences half were at groups that had lost nobody, nearly all at the crest of the wave. Ruled out: the list (51 ms old), the budget (18 of 406 failures). Now a request without its first event waits three times the usual wait, up to 1.2 s, before that says something of its upstream; a send is broken off only where another place is free.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -28,6 +28,8 @@
 	_growth = 0.5
 	// _usedPart is the part of the limit from which it counts as used.
 	_usedPart = 0.7
+	// _newest is the weight of the newest wait in the usual one.
+	_newest = 0.3
 	// _returnBonus is how much further a caller that was refused before may go.
 	_returnBonus = 1.25
 	// _returnPart is the part of a route's time below which a caller's deadline
@@ -66,6 +68,15 @@
 	factor   float64
 	inFlight int
 	shrunk   time.Time
+	// wait is the usual wait for a first event; 0 before the first one.
+	wait time.Duration
+}
+
+// Wait returns the usual wait for a first event, as of late; 0 where none was seen.
+func (a *Admitter) Wait() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.wait
 }
 
 // Admit decides on a request whose caller waits for left of the route's time
@@ -105,6 +116,7 @@
 func (a *Admitter) First(now time.Time, p Places, wait, target time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.wait += time.Duration(_newest * float64(wait-a.wait))
 	limit := a.limit(p)
 	switch {
 	case target <= 0 || p.Slots == 0:
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -62,6 +62,25 @@
 func (b *Balancer) Take(candidates []cataloguer.Upstream, q Query) (cataloguer.Upstream, Reason) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	i, reason := b.choose(candidates, q)
+	if i < 0 {
+		return cataloguer.Upstream{}, reason
+	}
+	b.load(candidates[i].ID).inFlight++
+	return candidates[i], ""
+}
+
+// Room says that Take would choose a candidate.
+func (b *Balancer) Room(candidates []cataloguer.Upstream, q Query) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	i, _ := b.choose(candidates, q)
+	return i >= 0
+}
+
+// choose returns the index of the best candidate, or -1 and why there is none;
+// the lock is held.
+func (b *Balancer) choose(candidates []cataloguer.Upstream, q Query) (int, Reason) {
 	var best []int
 	least := 0.0
 	reason := ReasonNone
@@ -93,11 +112,9 @@
 		}
 	}
 	if len(best) == 0 {
-		return cataloguer.Upstream{}, reason
+		return -1, reason
 	}
-	u := candidates[best[int(q.Draw*float64(len(best)))]]
-	b.load(u.ID).inFlight++
-	return u, ""
+	return best[int(q.Draw*float64(len(best)))], ""
 }
 
 func avoided(list []string, id string) bool {
--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -50,16 +50,27 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.at(service, now)
+	if !b.left(a) {
+		return false
+	}
+	a.sends[a.slice%_slices]++
+	return true
+}
+
+// Left says whether Spend would.
+func (b *Budget) Left(service string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.left(b.at(service, now))
+}
+
+func (b *Budget) left(a *account) bool {
 	requests, sends := 0, 0
 	for i := range _slices {
 		requests += a.requests[i]
 		sends += a.sends[i]
 	}
-	if float64(sends+1) > b.Ratio*float64(requests)+b.Slack {
-		return false
-	}
-	a.sends[a.slice%_slices]++
-	return true
+	return float64(sends+1) <= b.Ratio*float64(requests)+b.Slack
 }
 
 // at returns a service's account with the counts that are too old removed; the
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -24,14 +24,7 @@
 	if fleet == nil {
 		return cataloguer.Upstream{}, balancer.ReasonNone
 	}
-	candidates := fleet.OfService(c.service.Name)
-	limit := 0
-	if e := c.service.Engine; e != nil {
-		candidates = fleet.Heads(c.service.Name, c.request.Model)
-		limit = e.Slots
-	} else if len(candidates) > 0 {
-		limit = candidates[0].Slots
-	}
+	candidates, limit := c.candidates()
 	u, reason := c.Balancer.Take(candidates, balancer.Query{
 		Now: time.Now(), DataCentre: c.DataCentre, Limit: limit, Avoid: c.tried, Draw: rand.Float64(),
 	})
@@ -52,6 +45,23 @@
 	return u, reason
 }
 
+// candidates returns the upstreams that can serve the request, and how many
+// requests each runs at once.
+func (c *call) candidates() ([]cataloguer.Upstream, int) {
+	fleet := c.Knowledge.Fleet()
+	if fleet == nil {
+		return nil, 0
+	}
+	if e := c.service.Engine; e != nil {
+		return fleet.Heads(c.service.Name, c.request.Model), e.Slots
+	}
+	candidates := fleet.OfService(c.service.Name)
+	if len(candidates) == 0 {
+		return nil, 0
+	}
+	return candidates, candidates[0].Slots
+}
+
 // send sends the request to an upstream. lastEvent is the event after which a
 // resumed stream goes on.
 func (c *call) send(ctx context.Context, u cataloguer.Upstream, lastEvent uint64) (*forwarder.Exchange, Answer, error) {
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
+	"github.com/lycheebarrow/lycheebarrow/internal/balancer"
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
 	"github.com/lycheebarrow/lycheebarrow/internal/forwarder"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
@@ -78,7 +80,7 @@
 	defer c.Balancer.Release(u.ID)
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
-	watch := c.Watchdog.Watch(u.ID, func() { cancel(errSilent) }, c.mayResume)
+	watch := c.Watchdog.Watch(Send{Upstream: u.ID, Wait: c.admitter.Wait(), End: func() { cancel(errSilent) }, May: c.elsewhere(u.ID)})
 	defer watch.End()
 	resumed := uint64(0)
 	if p.events > 0 {
@@ -123,10 +125,18 @@
 	return true, ""
 }
 
-// mayResume says whether the request could go on at another upstream, were this
-// one given up.
-func (c *call) mayResume() bool {
-	return c.route.Repeatable() && c.sends < c.route.Attempts
+// elsewhere returns a function that says whether the request could go on at
+// another upstream now, were the next send, to the one given, broken off.
+func (c *call) elsewhere(id string) func() bool {
+	if !c.route.Repeatable() || c.sends+1 >= c.route.Attempts {
+		return func() bool { return false }
+	}
+	avoid := append(slices.Clone(c.tried), id)
+	return func() bool {
+		candidates, limit := c.candidates()
+		now := time.Now()
+		return c.Balancer.Room(candidates, balancer.Query{Now: now, Limit: limit, Avoid: avoid}) && c.Budget.Left(c.service.Name, now)
+	}
 }
 
 // relay passes events on until the stream is whole.
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -18,6 +18,9 @@
 	// _patience is how long one stream may be silent while others of its upstream
 	// go on. Callers give up after two seconds.
 	_patience = 1200 * time.Millisecond
+	// _usualWaits is how many times the usual wait for a first event a request may
+	// wait for its own before that says something of the upstream.
+	_usualWaits = 3
 )
 
 // Watchdog ends sends to upstreams that fell silent, so that their streams can
@@ -33,21 +36,35 @@
 	watches map[*Watch]bool
 }
 
+// Send is what the watchdog needs to know of a send.
+type Send struct {
+	Upstream string
+	// Wait is the usual wait for a first event; 0 where none was seen.
+	Wait time.Duration
+	// End is called once where the upstream falls silent and the request can go on
+	// elsewhere.
+	End func()
+	// May says that the request can go on elsewhere now.
+	May func() bool
+}
+
 // Watch is one send that is watched.
 type Watch struct {
-	dog      *Watchdog
-	upstream string
-	end      func()
-	may      func() bool
+	dog  *Watchdog
+	send Send
 
-	// last is when the send was begun or last heard of; the dog's lock guards it.
+	// The dog's lock guards what follows. last is when the send was begun or last
+	// heard of.
 	last time.Time
+	// begun says that the upstream has begun to answer.
+	begun bool
+	// noted says that the upstream's silence was noted.
+	noted bool
 }
 
-// Watch watches a send; end is called once where the upstream falls silent and
-// may says that the request can go on elsewhere. End the watch.
-func (d *Watchdog) Watch(upstream string, end func(), may func() bool) *Watch {
-	w := &Watch{dog: d, upstream: upstream, end: end, may: may, last: time.Now()}
+// Watch watches a send. End the watch.
+func (d *Watchdog) Watch(s Send) *Watch {
+	w := &Watch{dog: d, send: s, last: time.Now()}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.watches == nil {
@@ -60,12 +77,21 @@
 // Heard notes that something came.
 func (w *Watch) Heard() {
 	now := time.Now()
-	w.dog.Balancer.Heard(w.upstream, now)
+	w.dog.Balancer.Heard(w.send.Upstream, now)
 	w.dog.mu.Lock()
-	w.last = now
+	w.last, w.begun, w.noted = now, true, false
 	w.dog.mu.Unlock()
 }
 
+// limit returns how long the upstream may be silent before that says something of
+// it. A request that waits for its turn among others hears nothing meanwhile.
+func (w *Watch) limit() time.Duration {
+	if w.begun {
+		return _silence
+	}
+	return min(max(_silence, _usualWaits*w.send.Wait), _patience)
+}
+
 // End ends the watch.
 func (w *Watch) End() {
 	w.dog.mu.Lock()
@@ -83,33 +109,37 @@
 			return
 		case now := <-t.C:
 			for _, w := range d.silent(now) {
-				w.end()
+				w.send.End()
 			}
 		}
 	}
 }
 
-// silent takes out the watches whose upstream fell silent.
+// silent notes the upstreams that fell silent, and takes out the watches of those
+// sends that can go on elsewhere.
 func (d *Watchdog) silent(now time.Time) []*Watch {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var out []*Watch
 	for w := range d.watches {
-		quiet := now.Sub(w.last)
-		if quiet < _silence || !w.may() {
+		quiet, limit := now.Sub(w.last), w.limit()
+		if quiet < limit {
 			continue
 		}
-		heard := now.Sub(d.Balancer.LastHeard(w.upstream))
-		if heard < _silence && quiet < _patience {
-			continue
-		}
-		if heard >= _silence {
-			d.Balancer.Silent(w.upstream, now)
+		heard := now.Sub(d.Balancer.LastHeard(w.send.Upstream))
+		if heard >= limit && !w.noted {
+			w.noted = true
+			d.Balancer.Silent(w.send.Upstream, now)
 			if d.Suspect != nil {
-				d.Suspect(w.upstream)
+				d.Suspect(w.send.Upstream)
 			}
 		}
-		d.Log.Event("send-silent", logger.Fields{"upstream": w.upstream, "quiet_ms": quiet.Milliseconds(), "upstream_quiet_ms": heard.Milliseconds()})
+		if heard < limit && quiet < _patience || !w.send.May() {
+			continue
+		}
+		d.Log.Event("send-silent", logger.Fields{
+			"upstream": w.send.Upstream, "quiet_ms": quiet.Milliseconds(), "upstream_quiet_ms": heard.Milliseconds(), "limit_ms": limit.Milliseconds(), "begun": w.begun,
+		})
 		delete(d.watches, w)
 		out = append(out, w)
 	}
