internal/sharer: one reader a data centre, and loads that all processes know

Ruled out: fewer watches alone (the list would age), the store's own cheap reads (they are seconds old), reports of engines to all (priced). Now instances exchange rounds over QUIC, five a second: one process of a data centre watches the store for the others, and all know what all have in flight. By that the admitter lets in the part of the callers that keeps the places full, and the balancer spreads them. A process without word from peers goes on as before. Tests: internal/sharer (one reader, gatherer dead or cut off, loads; run against the new package), grouper/testdata/standby.txt (fails without the join beforehand).

--- a/cmd/lbinstance/main.go
+++ b/cmd/lbinstance/main.go
@@ -31,7 +31,8 @@
 	store := platform.NewStore(s.Platform(), network)
 	store.Meter = m
 	return composer.Adapter{
-		Store: store, Configurations: store.Configurations(), Upstreams: store.Upstreams(),
+		Store: store, Configurations: store.Configurations(), DecodeConfiguration: platform.DecodeConfiguration,
+		Upstreams: store.Upstreams(), DecodeUpstream: platform.DecodeUpstream,
 		Orders: platform.NewUpstreams(network), Protocol: platform.Protocol{}, ReadinessPath: platform.ReadinessPath,
 	}
 }
--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -28,6 +28,11 @@
 	_growth = 0.5
 	// _usedPart is the part of the limit from which it counts as used.
 	_usedPart = 0.7
+	// _filled is the part of all places that is filled before requests are refused;
+	// groups are never filled quite evenly.
+	_filled = 0.95
+	// _settling is the time in which the places are filled or emptied to that.
+	_settling = 500 * time.Millisecond
 	// _newest is the weight of the newest wait in the usual one.
 	_newest = 0.3
 	// _returnBonus is how much further a caller that was refused before may go.
@@ -51,11 +56,32 @@
 	return float64(p.Slots)*p.Part + _spare
 }
 
+// Crowd is what all processes have under way for a model, as last told.
+type Crowd struct {
+	// InFlight is the number of requests at the groups that answer.
+	InFlight float64
+	// Asked and Ended are the requests that come and end, a second; those that are
+	// refused come, and do not end.
+	Asked, Ended float64
+}
+
+// part returns the part of the requests to let in, so that the places are full and
+// nobody waits for one.
+func (c Crowd) part(slots int) float64 {
+	room := _filled*float64(slots) - c.InFlight
+	if c.Asked <= 0 {
+		return 1
+	}
+	return min(max((c.Ended+room/_settling.Seconds())/c.Asked, 0), 1)
+}
+
 // Decision is whether a request may be sent, with what decided it.
 type Decision struct {
 	Admitted bool
 	InFlight int
 	Limit    float64
+	// Part is the part of all requests that is let in; 0 where a limit decides.
+	Part float64
 	// Returning says that the caller was refused before.
 	Returning bool
 }
@@ -68,6 +94,9 @@
 	factor   float64
 	inFlight int
 	shrunk   time.Time
+	// credit grows with each request by the part that is let in; a request that
+	// fills it up to one is let in and takes it away.
+	credit float64
 	// wait is the usual wait for a first event; 0 before the first one.
 	wait time.Duration
 }
@@ -96,6 +125,23 @@
 	return d
 }
 
+// AdmitPart decides on a request where it is known what all processes have under
+// way. An admitted request counts as in flight until Done.
+func (a *Admitter) AdmitPart(p Places, c Crowd) Decision {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	d := Decision{InFlight: a.inFlight, Part: c.part(p.Slots)}
+	a.credit += d.Part
+	// The sum of many parts that should be one may fall short of it by a rounding.
+	const rounding = 1e-9
+	if a.credit >= 1-rounding {
+		a.credit = max(a.credit-1, 0)
+		a.inFlight++
+		d.Admitted = true
+	}
+	return d
+}
+
 // limit is how many requests may be in flight; the lock is held.
 func (a *Admitter) limit(p Places) float64 {
 	if a.factor == 0 {
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -29,6 +29,9 @@
 	Avoid []string
 	// Draw is a random number from 0 up to 1 that breaks ties.
 	Draw float64
+	// Expected is the number of requests like this one that all processes send until
+	// loads are told anew; 0 where loads are not told.
+	Expected float64
 }
 
 // Reason tells why no upstream was chosen.
@@ -46,6 +49,45 @@
 type Balancer struct {
 	mu    sync.Mutex
 	loads map[string]*load
+	// others is what other processes have in flight at each upstream, as last told.
+	others map[string]int
+}
+
+// SetOthers notes what other processes have in flight at each upstream; nil where
+// that is not known. The map is kept and must not be changed.
+func (b *Balancer) SetOthers(others map[string]int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.others = others
+}
+
+// Usable returns the number of candidates that answer, and what all processes have
+// in flight there.
+func (b *Balancer) Usable(candidates []cataloguer.Upstream, now time.Time) (count, inFlight int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i := range candidates {
+		l := b.load(candidates[i].ID)
+		if candidates[i].Draining || now.Before(l.silent) {
+			continue
+		}
+		count++
+		inFlight += l.inFlight + b.others[candidates[i].ID]
+	}
+	return count, inFlight
+}
+
+// All returns what this process has in flight at each upstream.
+func (b *Balancer) All() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]int, len(b.loads))
+	for id, l := range b.loads {
+		if l.inFlight > 0 {
+			out[id] = l.inFlight
+		}
+	}
+	return out
 }
 
 type load struct {
@@ -81,8 +123,8 @@
 // choose returns the index of the best candidate, or -1 and why there is none;
 // the lock is held.
 func (b *Balancer) choose(candidates []cataloguer.Upstream, q Query) (int, Reason) {
-	var best []int
-	least := 0.0
+	var able []int
+	var costs []float64
 	reason := ReasonNone
 	for i := range candidates {
 		u := &candidates[i]
@@ -100,21 +142,19 @@
 			reason = ReasonFull
 			continue
 		}
-		cost := float64(l.inFlight)
+		cost := float64(l.inFlight + b.others[u.ID])
 		if u.DataCentre != q.DataCentre {
 			cost += _remoteCost
 		}
-		if best == nil || cost < least {
-			best, least = best[:0], cost
-		}
-		if cost == least {
-			best = append(best, i)
-		}
+		able, costs = append(able, i), append(costs, cost)
 	}
-	if len(best) == 0 {
+	if len(able) == 0 {
 		return -1, reason
 	}
-	return best[int(q.Draw*float64(len(best)))], ""
+	if b.others == nil {
+		return able[least(costs, q.Draw)], ""
+	}
+	return able[level(costs, max(q.Expected, 1), q.Draw)], ""
 }
 
 func avoided(list []string, id string) bool {
--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -29,6 +29,7 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/pauser"
 	"github.com/lycheebarrow/lycheebarrow/internal/registrar"
 	"github.com/lycheebarrow/lycheebarrow/internal/relayer"
+	"github.com/lycheebarrow/lycheebarrow/internal/sharer"
 )
 
 // Names of the services of an instance.
@@ -39,6 +40,7 @@
 	NameEnumerator = "enumerator"
 	NameRelayer    = "relayer"
 	NameReloader   = "reloader"
+	NameSharer     = "sharer"
 )
 
 const (
@@ -75,11 +77,14 @@
 
 // Adapter connects an instance to a platform.
 type Adapter struct {
-	Store          Store
-	Configurations follower.Source[*cataloguer.Configuration]
-	Upstreams      follower.Source[cataloguer.Upstream]
-	Orders         conductor.Upstreams
-	Protocol       relayer.Protocol
+	Store Store
+	// Configurations and Upstreams are read as bytes in the platform's form.
+	Configurations      follower.Source[[]byte]
+	DecodeConfiguration func(name string, value []byte) (*cataloguer.Configuration, error)
+	Upstreams           follower.Source[[]byte]
+	DecodeUpstream      func(name string, value []byte) (cataloguer.Upstream, error)
+	Orders              conductor.Upstreams
+	Protocol            relayer.Protocol
 	// ReadinessPath is where the platform asks whether the process is ready.
 	ReadinessPath string
 }
@@ -99,7 +104,7 @@
 		}
 		return buildAdapter(k, adapt)
 	}
-	return compose(s, network, output, adapted, buildCatalogue, buildRelayer, buildConductor, buildInstanceReadiness)
+	return compose(s, network, output, adapted, buildSharer, buildCatalogue, buildRelayer, buildConductor, buildSharing, buildInstanceReadiness)
 }
 
 // buildAdapter makes the meter and the adapter, and serves metrics and health.
@@ -127,24 +132,34 @@
 	if err != nil {
 		return err
 	}
+	x, err := registrar.Find[*sharer.Sharer](&k.services, NameSharer)
+	if err != nil {
+		return err
+	}
+	e, err := registrar.Find[*enumerator.Enumerator](&k.services, NameEnumerator)
+	if err != nil {
+		return err
+	}
 	c := &cataloguer.Catalogue{}
 	configurations := &follower.Follower[*cataloguer.Configuration]{
-		Kind: "configuration", Source: a.Configurations, Log: k.log,
+		Kind: "configuration", Log: k.log,
+		Source: follower.Decoded[*cataloguer.Configuration]{Source: x.Source("configuration", a.Configurations), Decode: a.DecodeConfiguration},
 		Publish: func(revision uint64, values map[string]*cataloguer.Configuration) {
 			publish(k.log, c, revision, values)
 		},
 	}
-	e := &enumerator.Enumerator{Store: a.Store, Name: k.settings.Name(), Log: k.log, Expected: _expectedInstances}
-	k.run(e.Run)
-	if err := k.services.Register(NameEnumerator, e); err != nil {
-		return err
-	}
 	upstreams := &follower.Follower[cataloguer.Upstream]{
-		Kind: "upstreams", Source: a.Upstreams, Log: k.log, Keep: _keepLapsed, Away: c.SetAway, Seen: c.SetSeen,
+		Kind: "upstreams", Log: k.log,
+		Source: follower.Decoded[cataloguer.Upstream]{Source: x.Source("upstreams", a.Upstreams), Decode: a.DecodeUpstream},
+		Keep:   _keepLapsed, Away: c.SetAway, Seen: c.SetSeen,
 		Gather: func() time.Duration {
-			if c.Leading() {
+			if c.Leading() || x.Shares() && x.Gathers() {
 				return _gatherLeading
 			}
+			if x.Asks() {
+				// What the gatherer told has gathered there.
+				return 0
+			}
 			return min(time.Duration(e.Count())*_gatherEach, k.settings.UpstreamDrain()/2)
 		},
 		Publish: func(revision uint64, values map[string]cataloguer.Upstream) {
@@ -218,6 +233,7 @@
 				return
 			}
 			sweep(s.Pool, b, c, time.Now())
+			s.ForgetCrowd(time.Now())
 		}
 	})
 	k.life.Append(fx.StopHook(s.Pool.Close))
--- a/internal/composer/peers.go
+++ b/internal/composer/peers.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return fmt.Errorf("composer: listen for peers at %s: %w; choose a free port with -peer-listen", k.settings.PeerListen(), err)
 	}
-	carrier, err := transporter.Listen(packets, k.settings.PeerSecret())
+	carrier, err := transporter.Listen[wire.Digest](packets, k.settings.PeerSecret())
 	if err != nil {
 		return err
 	}
--- a/internal/conductor/unlisted.go
+++ b/internal/conductor/unlisted.go
@@ -82,7 +82,7 @@
 			m.parted, m.awaited = time.Time{}, true
 			c.checks[m.ID] = &check{next: now, failed: _lostAfter, doubted: now, group: m.Group.Name, epoch: m.Group.Epoch}
 		}
-	case silent && (k == nil || c.mateAnswered(k)):
+	case silent && (k == nil || !c.groupSilent(k)):
 		event, outcome = "member-gone", "forgotten"
 	case silent:
 		event, outcome = "member-gone", "remembered, since its whole group is silent"
@@ -116,15 +116,23 @@
 	return false
 }
 
-// mateAnswered says that another member of a group has answered since this one
-// fell silent, so that it alone is lost.
-func (c *Conductor) mateAnswered(silent *check) bool {
+// groupSilent says that no other member of a group has answered since this one
+// fell silent, and that another one is silent too.
+func (c *Conductor) groupSilent(silent *check) bool {
+	others := false
 	for _, k := range c.checks {
-		if k != silent && k.group == silent.group && k.epoch == silent.epoch && k.answered.After(silent.since) {
-			return true
+		if k == silent || k.group != silent.group || k.epoch != silent.epoch {
+			continue
+		}
+		if k.answered.After(silent.since) {
+			return false
 		}
+		others = others || k.failed > 0
 	}
-	return false
+	for _, m := range c.members {
+		others = others || !m.parted.IsZero() && m.Group.Name == silent.group && m.Group.Epoch == silent.epoch
+	}
+	return others
 }
 
 // reported notes what an unlisted member says of itself.
--- a/internal/enumerator/enumerator.go
+++ b/internal/enumerator/enumerator.go
@@ -53,6 +53,10 @@
 	Log   logger.Logger
 	// Expected is the number that counts until the first look; 0 means 1.
 	Expected int
+	// DataCentre is where this process is, and Address where peers reach it; empty
+	// where they don't.
+	DataCentre string
+	Address    string
 	// Load returns the requests a second that this process takes, as a mean over
 	// some time; nil means that they are not told.
 	Load func() float64
@@ -61,6 +65,7 @@
 	// share holds the bits of this process's part of the load; 0 where unknown.
 	share atomic.Uint64
 	once  sync.Once
+	peers atomic.Pointer[[]Peer]
 
 	// What follows belongs to Run's goroutine.
 	written uint64
@@ -75,14 +80,28 @@
 	Renewed int64 `json:"renewed"`
 	// Load is the requests a second that the process takes.
 	Load float64 `json:"load"`
+	// DataCentre is where the process is, and Address where peers reach it.
+	DataCentre string `json:"data_centre,omitempty"`
+	Address    string `json:"address,omitempty"`
 }
 
+// Peer is a process that is renewed, as its object tells.
+type Peer struct{ Name, DataCentre, Address string }
+
 // sighting is an object's revision and when it was first seen.
 type sighting struct {
 	revision uint64
 	at       time.Time
 }
 
+// Peers returns the processes, this one included, as of the latest look.
+func (e *Enumerator) Peers() []Peer {
+	if list := e.peers.Load(); list != nil {
+		return *list
+	}
+	return nil
+}
+
 // Count returns the number of processes, this one included.
 func (e *Enumerator) Count() int {
 	e.once.Do(func() { e.count.CompareAndSwap(0, int64(max(e.Expected, 1))) })
@@ -126,7 +145,7 @@
 func (e *Enumerator) write(ctx context.Context, now time.Time) error {
 	key := Kind + "/" + e.Name
 	e.told = e.load()
-	value, err := json.Marshal(record{Renewed: now.UnixMilli(), Load: e.told})
+	value, err := json.Marshal(record{Renewed: now.UnixMilli(), Load: e.told, DataCentre: e.DataCentre, Address: e.Address})
 	if err != nil {
 		return fmt.Errorf("enumerator: encode %s: %w", key, err)
 	}
@@ -191,6 +210,7 @@
 	}
 	next := make(map[string]sighting, len(objects))
 	n, total := 0, 0.0
+	var peers []Peer
 	for name, o := range objects {
 		s := e.seen[name]
 		if s.revision != o.Version {
@@ -210,8 +230,10 @@
 			r.Load = e.load()
 		}
 		total += r.Load
+		peers = append(peers, Peer{Name: name, DataCentre: r.DataCentre, Address: r.Address})
 	}
 	e.seen = next
+	e.peers.Store(&peers)
 	e.divide(total)
 	if before := e.Count(); before != max(n, 1) {
 		e.count.Store(int64(max(n, 1)))
--- /dev/null
+++ b/internal/follower/decoded.go
@@ -0,0 +1,53 @@
+package follower
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// Decoded reads objects whose values come as bytes. One that can't be decoded is
+// left out of the values, and is named in the faults.
+type Decoded[T any] struct {
+	Source Source[[]byte]
+	Decode func(name string, value []byte) (T, error)
+}
+
+// List reads all objects.
+func (d Decoded[T]) List(ctx context.Context) (Listing[T], error) {
+	l, err := d.Source.List(ctx)
+	if err != nil {
+		return Listing[T]{}, err
+	}
+	out := Listing[T]{Values: make(map[string]T, len(l.Values)), Revision: l.Revision, Faults: l.Faults}
+	for name, value := range l.Values {
+		v, err := d.Decode(name, value)
+		if err != nil {
+			out.Faults = append(out.Faults, fmt.Errorf("follower: decode %s: %w", name, err))
+			continue
+		}
+		out.Values[name] = v
+	}
+	return out, nil
+}
+
+// Watch waits for changes; one that can't be decoded counts as a removal.
+func (d Decoded[T]) Watch(ctx context.Context, after uint64, wait time.Duration) (Changes[T], error) {
+	c, err := d.Source.Watch(ctx, after, wait)
+	if err != nil {
+		return Changes[T]{}, err
+	}
+	out := Changes[T]{Revision: c.Revision, Faults: c.Faults}
+	for _, x := range c.Changes {
+		next := Change[T]{Name: x.Name, Deleted: x.Deleted}
+		if !x.Deleted {
+			next.Value, err = d.Decode(x.Name, x.Value)
+			if err != nil {
+				out.Faults = append(out.Faults, fmt.Errorf("follower: decode %s: %w", x.Name, err))
+				next.Deleted = true
+			}
+		}
+		out.Changes = append(out.Changes, next)
+	}
+	return out, nil
+}
--- a/internal/grouper/decision.go
+++ b/internal/grouper/decision.go
@@ -146,7 +146,7 @@
 
 // tend opens a complete group, and closes or frees one that lost a member.
 func (d *decision) tend(x *group) {
-	if d.plans[x.key.epoch] != nil {
+	if d.plans[x.key.epoch] != nil || x.standby() {
 		return
 	}
 	switch {
--- a/internal/grouper/form.go
+++ b/internal/grouper/form.go
@@ -351,7 +351,7 @@
 func (d *decision) wanted(domain string, spares map[string]int) (cataloguer.Model, bool) {
 	members := make(map[string]int)
 	for _, u := range d.world.Fleet.OfService(d.world.Service) {
-		if u.Domain == domain && u.Group.Name != "" {
+		if u.Domain == domain && u.Group.Name != "" && !isStandby(u.Group.Name) {
 			members[u.Group.Model]++
 		}
 	}
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -206,6 +206,9 @@
 	leaving int
 }
 
+// standby says that it is no group but a spare that holds its model ready.
+func (g *group) standby() bool { return isStandby(g.key.name) }
+
 // whole says that every member is there, the head among them.
 func (g *group) whole() bool {
 	return g.head != nil && len(g.members) == g.model.Size && g.lost == 0
@@ -238,6 +241,7 @@
 	}
 	d.form()
 	d.stage()
+	d.warmUp()
 	g.forget(now, d)
 	return d.orders
 }
--- /dev/null
+++ b/internal/grouper/standby.go
@@ -0,0 +1,43 @@
+package grouper
+
+import (
+	"strings"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
+)
+
+// _standbyPrefix begins the names of groups of one spare. Such a group never
+// opens. It makes the spare take the model from its host beforehand, so that it
+// joins a group that lost a member as quickly as those that were in it.
+const _standbyPrefix = "lb-standby-"
+
+func isStandby(group string) bool { return strings.HasPrefix(group, _standbyPrefix) }
+
+// warmUp makes spares that hold a model on their hosts take it from there.
+func (d *decision) warmUp() {
+	for _, domain := range d.domains() {
+		for _, u := range d.candidates(domain) {
+			m, ok := d.held(u)
+			if !ok || u.Group.Name != "" || u.Unlisted {
+				continue
+			}
+			epoch := d.epoch()
+			d.order(Order{
+				Operation: OperationJoin, Upstream: u.ID, Group: standbyName(u.ID), Epoch: epoch, Model: m.Name,
+				Members: []string{u.ID}, From: u.Group, Reason: "standby",
+			})
+		}
+	}
+}
+
+// held returns the model that an upstream has on its host.
+func (d *decision) held(u cataloguer.Upstream) (cataloguer.Model, bool) {
+	for _, name := range u.Staged {
+		if m, ok := d.world.Engine.Model(name); ok {
+			return m, true
+		}
+	}
+	return cataloguer.Model{}, false
+}
+
+func standbyName(id string) string { return _standbyPrefix + id }
--- a/internal/grouper/world_test.go
+++ b/internal/grouper/world_test.go
@@ -306,11 +306,16 @@
 	return n
 }
 
-// stagedSpares counts the upstreams without a group that hold a model.
+// spare says that an upstream is in no group that could serve.
+func (h *host) spare() bool {
+	return h.Group.Name == "" || strings.HasPrefix(h.Group.Name, "lb-standby-")
+}
+
+// stagedSpares counts the spares that hold a model.
 func (w *world) stagedSpares() int {
 	n := 0
 	for _, h := range w.hosts {
-		if !h.dead && h.Group.Name == "" && len(h.Staged) > 0 {
+		if !h.dead && h.spare() && len(h.Staged) > 0 {
 			n++
 		}
 	}
@@ -327,7 +332,7 @@
 		fits := id == what ||
 			kind == "head" && open && h.Group.Model == model ||
 			kind == "member" && h.Group.Rank > 0 && h.Group.Model == model && w.headOf(h) != nil && w.headOf(h).Group.State == cataloguer.GroupOpen ||
-			kind == "spare" && h.Group.Name == ""
+			kind == "spare" && h.spare()
 		if fits && !h.dead && !h.cut {
 			return h
 		}
--- a/internal/loader/instance.go
+++ b/internal/loader/instance.go
@@ -17,6 +17,10 @@
 			key: "callers-listen", meaning: "`address` of the callers' API", allowed: _allowedAddress,
 			store: storeText(&s.callersListen, isAddress),
 		},
+		{
+			key: "peer-listen", meaning: "UDP `address` where the other instances reach this one; empty to share nothing with them", allowed: _allowedOptionalAddress,
+			store: storeText(&s.peerListen, isOptionalAddress),
+		},
 		{
 			key: "drain-notice", meaning: "how long the process goes on as usual after it reports that it is not ready, so that the balancer can notice",
 			allowed: _allowedDuration, byDefault: "2600ms",
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -25,8 +25,9 @@
 		return cataloguer.Upstream{}, balancer.ReasonNone
 	}
 	candidates, limit := c.candidates()
+	now := time.Now()
 	u, reason := c.Balancer.Take(candidates, balancer.Query{
-		Now: time.Now(), DataCentre: c.DataCentre, Limit: limit, Avoid: c.tried, Draw: rand.Float64(),
+		Now: now, Expected: c.expected(now), DataCentre: c.DataCentre, Limit: limit, Avoid: c.tried, Draw: rand.Float64(),
 	})
 	fields := logger.Fields{
 		"request": c.request.ID, "configuration": c.version, "fleet_revision": fleet.Revision,
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -18,6 +18,7 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
 	"github.com/lycheebarrow/lycheebarrow/internal/forwarder"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/sharer"
 )
 
 const (
@@ -50,8 +51,9 @@
 	// no other processes.
 	Part func() float64
 
-	// admitters are the *admitter.Admitter of each placeKey.
-	admitters sync.Map
+	// gates are the *gate of each sharer.Place.
+	gates sync.Map
+	crowd atomic.Pointer[sharer.Crowd]
 
 	// requests counts the requests that were taken.
 	requests atomic.Int64
@@ -265,32 +267,54 @@
 	return strings.ToLower(host)
 }
 
-// placeKey names what requests share the places of.
-type placeKey struct{ service, model string }
-
 // enter asks for the request to be let in among those that share the places of
 // its model's groups. Where it is not, the request was answered; otherwise the
 // caller calls the function returned at the end.
 func (c *call) enter() (leave func(), ok bool) {
-	a, _ := c.admitters.LoadOrStore(placeKey{c.service.Name, c.request.Model}, &admitter.Admitter{})
-	c.admitter = a.(*admitter.Admitter)
+	now := time.Now()
+	x, ok := c.gates.Load(c.place())
+	if !ok {
+		x, _ = c.gates.LoadOrStore(c.place(), newGate())
+	}
+	g := x.(*gate)
+	g.asked.count(now)
+	c.admitter = &g.admitter
+	ended := func() { g.ended.count(time.Now()) }
 	c.places = c.count()
 	if c.places.Slots == 0 {
 		// Without a group there is nothing to share; the choice says so.
-		return func() {}, true
+		return ended, true
 	}
-	d := c.admitter.Admit(c.places, c.time(), c.route.Timeout)
+	d := c.decide(now)
 	if d.Admitted {
-		return c.admitter.Done, true
+		return func() {
+			c.admitter.Done()
+			ended()
+		}, true
 	}
 	c.Log.Event("admit", logger.Fields{
-		"request": c.request.ID, "model": c.request.Model, "in_flight": d.InFlight, "limit": d.Limit, "slots": c.places.Slots,
+		"request": c.request.ID, "model": c.request.Model, "in_flight": d.InFlight, "limit": d.Limit, "admitted_part": d.Part, "slots": c.places.Slots,
 		"part": c.places.Part, "returning": d.Returning, "outcome": "refused",
 	})
 	c.refuse(http.StatusServiceUnavailable, "crowded")
 	return nil, false
 }
 
+// decide lets the request in or not: by what all processes have under way, or where
+// that is not known, by what this one has.
+func (c *call) decide(now time.Time) admitter.Decision {
+	crowd := c.crowdNow(now)
+	if crowd == nil {
+		return c.admitter.Admit(c.places, c.time(), c.route.Timeout)
+	}
+	candidates, slots := c.candidates()
+	usable, inFlight := c.Balancer.Usable(candidates, now)
+	demand := crowd.Demand[c.place()]
+	return c.admitter.AdmitPart(admitter.Places{Slots: usable * slots}, admitter.Crowd{
+		InFlight: float64(inFlight), Asked: demand.Asked, Ended: demand.Ended,
+	})
+}
+
 // count returns the places of the groups of the request's model.
 func (c *call) count() admitter.Places {
 	p := admitter.Places{Part: 1}
--- /dev/null
+++ b/internal/sharer/codec.go
@@ -0,0 +1,50 @@
+package sharer
+
+import (
+	"github.com/lycheebarrow/lycheebarrow/internal/follower"
+	"github.com/lycheebarrow/lycheebarrow/internal/wire"
+)
+
+// encode returns the round that tells a load.
+func (s *Sharer) encode(l Load) *wire.Round {
+	r := &wire.Round{Sender: s.Name, DataCentre: s.DataCentre, Processes: uint32(l.Processes)}
+	for id, n := range l.InFlight {
+		if n > 0 {
+			r.Loads = append(r.Loads, &wire.UpstreamLoad{Upstream: id, InFlight: uint32(n)})
+		}
+	}
+	for p, d := range l.Demand {
+		r.Demands = append(r.Demands, &wire.ModelDemand{Service: p.Service, Model: p.Model, Asked: d.Asked, Ended: d.Ended})
+	}
+	return r
+}
+
+// decode returns the load that a round tells.
+func decode(r *wire.Round) Load {
+	l := Load{
+		InFlight: make(map[string]int, len(r.GetLoads())), Demand: make(map[Place]Demand, len(r.GetDemands())), Processes: int(r.GetProcesses()),
+	}
+	for _, x := range r.GetLoads() {
+		l.InFlight[x.GetUpstream()] += int(x.GetInFlight())
+	}
+	for _, x := range r.GetDemands() {
+		l.Demand[Place{Service: x.GetService(), Model: x.GetModel()}] = Demand{Asked: x.GetAsked(), Ended: x.GetEnded()}
+	}
+	return l
+}
+
+func encodeChanges(list []follower.Change[[]byte]) []*wire.ObjectChange {
+	out := make([]*wire.ObjectChange, len(list))
+	for i, c := range list {
+		out[i] = &wire.ObjectChange{Name: c.Name, Value: c.Value, Deleted: c.Deleted}
+	}
+	return out
+}
+
+func decodeChanges(list []*wire.ObjectChange) []follower.Change[[]byte] {
+	out := make([]follower.Change[[]byte], len(list))
+	for i, c := range list {
+		out[i] = follower.Change[[]byte]{Name: c.GetName(), Value: c.GetValue(), Deleted: c.GetDeleted()}
+	}
+	return out
+}
--- a/internal/transporter/transporter.go
+++ b/internal/transporter/transporter.go
@@ -11,8 +11,6 @@
 
 	"github.com/quic-go/quic-go"
 	"google.golang.org/protobuf/proto"
-
-	"github.com/lycheebarrow/lycheebarrow/internal/wire"
 )
 
 const (
@@ -33,14 +31,20 @@
 	_codeFailed quic.StreamErrorCode      = 1
 )
 
-// Answerer answers a peer's digest.
-type Answerer interface {
-	Answer(ctx context.Context, d *wire.Digest) (*wire.Digest, error)
+// Message is a pointer to a wire message of type T.
+type Message[T any] interface {
+	*T
+	proto.Message
+}
+
+// Answerer answers a peer's message.
+type Answerer[T any] interface {
+	Answer(ctx context.Context, d *T) (*T, error)
 }
 
-// Transporter sends and answers digests at one UDP address. Make it with
-// Listen; Close it. It is safe for concurrent use.
-type Transporter struct {
+// Transporter sends and answers messages of one type at one UDP address. Make it
+// with Listen; Close it. It is safe for concurrent use.
+type Transporter[T any, M Message[T]] struct {
 	transport   *quic.Transport
 	credentials *tls.Config
 	listener    *quic.Listener
@@ -54,12 +58,12 @@
 
 // Listen speaks the peer protocol over the packet connection, which it closes
 // at the end, with the secret that all processes share.
-func Listen(packets net.PacketConn, secret string) (*Transporter, error) {
+func Listen[T any, M Message[T]](packets net.PacketConn, secret string) (*Transporter[T, M], error) {
 	credentials, err := credentials(secret)
 	if err != nil {
 		return nil, err
 	}
-	t := &Transporter{transport: &quic.Transport{Conn: packets}, credentials: credentials, peers: make(map[string]*quic.Conn)}
+	t := &Transporter[T, M]{transport: &quic.Transport{Conn: packets}, credentials: credentials, peers: make(map[string]*quic.Conn)}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	if t.listener, err = t.transport.Listen(credentials, settings()); err != nil {
 		t.cancel()
@@ -76,10 +80,10 @@
 }
 
 // Address returns the UDP address that it listens on.
-func (t *Transporter) Address() string { return t.transport.Conn.LocalAddr().String() }
+func (t *Transporter[T, M]) Address() string { return t.transport.Conn.LocalAddr().String() }
 
 // Serve answers digests until Close.
-func (t *Transporter) Serve(a Answerer) {
+func (t *Transporter[T, M]) Serve(a Answerer[T]) {
 	t.group.Go(func() {
 		for {
 			c, err := t.listener.Accept(t.ctx)
@@ -91,7 +95,7 @@
 	})
 }
 
-func (t *Transporter) serve(c *quic.Conn, a Answerer) {
+func (t *Transporter[T, M]) serve(c *quic.Conn, a Answerer[T]) {
 	for {
 		s, err := c.AcceptStream(t.ctx)
 		if err != nil {
@@ -106,11 +110,11 @@
 	}
 }
 
-func (t *Transporter) answer(s *quic.Stream, a Answerer) error {
+func (t *Transporter[T, M]) answer(s *quic.Stream, a Answerer[T]) error {
 	ctx, cancel := context.WithTimeout(s.Context(), _answerTimeout)
 	defer cancel()
 	_ = s.SetDeadline(time.Now().Add(_answerTimeout))
-	d, err := receive(s)
+	d, err := receive[T, M](s)
 	if err != nil {
 		return err
 	}
@@ -118,16 +122,16 @@
 	if err != nil {
 		return err
 	}
-	return send(s, answer)
+	return send(s, M(answer))
 }
 
 // Exchange sends a digest to the peer at the address and returns its answer.
-func (t *Transporter) Exchange(ctx context.Context, address string, d *wire.Digest) (*wire.Digest, error) {
+func (t *Transporter[T, M]) Exchange(ctx context.Context, address string, d *T) (*T, error) {
 	c, err := t.connect(ctx, address)
 	if err != nil {
 		return nil, fmt.Errorf("transporter: connect to %s: %w", address, err)
 	}
-	answer, err := exchange(ctx, c, d)
+	answer, err := exchange[T, M](ctx, c, d)
 	if err != nil {
 		t.drop(address, c)
 		return nil, fmt.Errorf("transporter: exchange with %s: %w", address, err)
@@ -135,7 +139,7 @@
 	return answer, nil
 }
 
-func exchange(ctx context.Context, c *quic.Conn, d *wire.Digest) (*wire.Digest, error) {
+func exchange[T any, M Message[T]](ctx context.Context, c *quic.Conn, d *T) (*T, error) {
 	s, err := c.OpenStreamSync(ctx)
 	if err != nil {
 		return nil, err
@@ -145,14 +149,14 @@
 		s.CancelWrite(_codeFailed)
 	})
 	defer stop()
-	if err := send(s, d); err != nil {
+	if err := send(s, M(d)); err != nil {
 		return nil, err
 	}
-	return receive(s)
+	return receive[T, M](s)
 }
 
 // connect returns the connection to an address, a new one where there is none.
-func (t *Transporter) connect(ctx context.Context, address string) (*quic.Conn, error) {
+func (t *Transporter[T, M]) connect(ctx context.Context, address string) (*quic.Conn, error) {
 	t.mu.Lock()
 	c := t.peers[address]
 	t.mu.Unlock()
@@ -174,7 +178,7 @@
 }
 
 // drop closes a connection that failed.
-func (t *Transporter) drop(address string, c *quic.Conn) {
+func (t *Transporter[T, M]) drop(address string, c *quic.Conn) {
 	_ = c.CloseWithError(_codeClosed, "")
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -183,7 +187,7 @@
 	}
 }
 
-func send(s *quic.Stream, d *wire.Digest) error {
+func send(s *quic.Stream, d proto.Message) error {
 	text, err := proto.Marshal(d)
 	if err != nil {
 		return fmt.Errorf("encode: %w", err)
@@ -194,23 +198,23 @@
 	return s.Close()
 }
 
-func receive(s *quic.Stream) (*wire.Digest, error) {
+func receive[T any, M Message[T]](s *quic.Stream) (*T, error) {
 	text, err := io.ReadAll(io.LimitReader(s, _maxDigestBytes+1))
 	if err != nil {
 		return nil, err
 	}
 	if len(text) > _maxDigestBytes {
-		return nil, fmt.Errorf("digest of more than %d bytes", _maxDigestBytes)
+		return nil, fmt.Errorf("message of more than %d bytes", _maxDigestBytes)
 	}
-	var d wire.Digest
-	if err := proto.Unmarshal(text, &d); err != nil {
+	var d T
+	if err := proto.Unmarshal(text, M(&d)); err != nil {
 		return nil, fmt.Errorf("decode: %w", err)
 	}
 	return &d, nil
 }
 
 // Close ends all connections and waits for the exchanges under way.
-func (t *Transporter) Close() error {
+func (t *Transporter[T, M]) Close() error {
 	t.cancel()
 	err := t.listener.Close()
 	t.mu.Lock()
--- a/internal/transporter/transporter_test.go
+++ b/internal/transporter/transporter_test.go
@@ -25,11 +25,11 @@
 	return &wire.Digest{ConfigurationNumber: d.GetConfigurationNumber() + 1, Configuration: d.GetConfiguration()}, nil
 }
 
-func listen(t *testing.T, secret string, a transporter.Answerer) *transporter.Transporter {
+func listen(t *testing.T, secret string, a transporter.Answerer[wire.Digest]) *transporter.Transporter[wire.Digest, *wire.Digest] {
 	t.Helper()
 	c, err := net.ListenPacket("udp", "127.0.0.1:0")
 	require.NoError(t, err)
-	x, err := transporter.Listen(c, secret)
+	x, err := transporter.Listen[wire.Digest](c, secret)
 	require.NoError(t, err)
 	x.Serve(a)
 	t.Cleanup(func() { _ = x.Close() })
@@ -88,7 +88,7 @@
 	var server, client echo
 	c, err := net.ListenPacket("udp", "127.0.0.1:0")
 	require.NoError(t, err)
-	to, err := transporter.Listen(c, secret)
+	to, err := transporter.Listen[wire.Digest](c, secret)
 	require.NoError(t, err)
 	to.Serve(&server)
 	from := listen(t, secret, &client)
@@ -99,7 +99,7 @@
 
 	c, err = net.ListenPacket("udp", address)
 	require.NoError(t, err)
-	to, err = transporter.Listen(c, secret)
+	to, err = transporter.Listen[wire.Digest](c, secret)
 	require.NoError(t, err)
 	to.Serve(&server)
 	defer to.Close()
