internal/grouper: members of a lost head leave and are used at once

Cause: a head that doesn't answer may be alive and cut off. Ruled out: taking members without a leave (breaks the rule on two groups), the head's entry as a sign (it lapses where only the store is cut off). A leave takes effect at once, so a member that has left is in no group.

--- a/internal/grouper/decision.go
+++ b/internal/grouper/decision.go
@@ -218,37 +218,20 @@
 	}
 }
 
-// orphan frees the members of a group whose head does not answer. The head may
-// be alive and cut off: it stops by itself some time after a member has left, so
-// one is told to leave, and the others wait.
+// orphan frees the members of a group whose head does not answer: each is told to
+// leave, which takes effect at once. A head that is alive and cut off stands still
+// without them until it fails.
 func (d *decision) orphan(x *group) {
 	d.hold(x)
-	others := make([]cataloguer.Upstream, 0, len(x.members))
 	for _, m := range x.members {
-		if (x.head == nil || m.ID != x.head.ID) && !d.world.Lost[m.ID] {
-			others = append(others, m)
-		}
-	}
-	if len(others) == 0 || len(others) < x.model.Size-1 {
-		if d.since(d.now, x.key, "orphan") < d.StallTime+_stallMargin {
-			return
-		}
-		d.released[x.key] = true
-		for _, m := range others {
-			delete(d.taken, m.ID)
+		if x.head != nil && m.ID == x.head.ID || d.world.Lost[m.ID] || d.waits(m.ID) {
+			continue
 		}
-		return
-	}
-	last := others[len(others)-1]
-	if d.waits(last.ID) {
-		return
-	}
-	o := Order{
-		Operation: OperationLeave, Upstream: last.ID, Group: x.key.name, Epoch: x.key.epoch, Model: x.model.Name,
-		From: last.Group, Reason: "head lost",
+		d.order(Order{
+			Operation: OperationLeave, Upstream: m.ID, Group: x.key.name, Epoch: x.key.epoch, Model: x.model.Name,
+			From: m.Group, Reason: "head lost",
+		})
 	}
-	d.quarantine[last.ID] = d.now.Add(d.StallTime + 2*_stallMargin)
-	d.order(o)
 }
 
 // hold keeps a group's members from being used for others.
