internal/sharer, internal/grouper: tests of rounds; the wait for lost heads is taken out

Cause: nothing waits for a head that stalls any more, so the quarantine, the released groups and the setting engine-stall had no use; loads in instances' objects had none where peers tell them, and cost a write each time that a load moved by a third. internal/leaser: a process takes over from an earlier life of itself at once, and those that don't gather look for a lapse a quarter as often.

--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -54,6 +54,8 @@
 	// _gatherLeading is the pause in which changes of the list of upstreams gather
 	// where groups are decided on.
 	_gatherLeading = 60 * time.Millisecond
+	// _gatherShared is that pause where the list is read for a data centre.
+	_gatherShared = 200 * time.Millisecond
 	// _gatherEach is that pause elsewhere, for each process of the system, so that
 	// all of them together watch the list at most 25 times a second.
 	_gatherEach = 40 * time.Millisecond
@@ -153,12 +155,14 @@
 		Source: follower.Decoded[cataloguer.Upstream]{Source: x.Source("upstreams", a.Upstreams), Decode: a.DecodeUpstream},
 		Keep:   _keepLapsed, Away: c.SetAway, Seen: c.SetSeen,
 		Gather: func() time.Duration {
-			if c.Leading() || x.Shares() && x.Gathers() {
+			switch {
+			case c.Leading():
 				return _gatherLeading
-			}
-			if x.Asks() {
-				// What the gatherer told has gathered there.
+			case x.Asks():
+				// What the gatherer tells has gathered there.
 				return 0
+			case x.Shares():
+				return _gatherShared
 			}
 			return min(time.Duration(e.Count())*_gatherEach, k.settings.UpstreamDrain()/2)
 		},
@@ -216,8 +220,10 @@
 	if err != nil {
 		return err
 	}
-	e.Load = s.Load
 	s.Part = func() float64 { return part(e) }
+	if k.settings.PeerListen() == "" {
+		e.Load = s.Load
+	}
 	settings := &atomic.Pointer[loader.Settings]{}
 	settings.Store(&k.settings)
 	r.onReload(func(next loader.Settings) { settings.Store(&next) })
@@ -272,10 +278,14 @@
 	if err != nil {
 		return err
 	}
+	shared, err := registrar.Find[*sharer.Sharer](&k.services, NameSharer)
+	if err != nil {
+		return err
+	}
 	lease := leaser.New(a.Store, _leaseName, k.settings.Name()+"/"+uuid.NewString(), k.log)
-	lease.Duration, lease.Spread = _leaseDuration, true
+	lease.Duration, lease.Spread, lease.Name, lease.Patient = _leaseDuration, true, k.settings.Name(), shared.Asks
 	x := &conductor.Conductor{
-		Leading: c.SetLeading, Lease: lease, Knowledge: c, Upstreams: a.Orders, Log: k.log, StallTime: k.settings.StallTime(), Busy: s.Busy,
+		Leading: c.SetLeading, Lease: lease, Knowledge: c, Upstreams: a.Orders, Log: k.log, Busy: s.Busy,
 	}
 	s.Watchdog.Suspect = x.Suspect
 	k.run(func(ctx context.Context) {
--- a/internal/composer/sharer.go
+++ b/internal/composer/sharer.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"net"
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
@@ -86,7 +87,9 @@
 			_ = packets.Close() // the process ends
 			return
 		}
-		t, err := transporter.Listen[wire.Round](packets, secret)
+		// Without the socket's own methods, the transport asks for no buffers that
+		// the machine refuses; rounds are small.
+		t, err := transporter.Listen[wire.Round](struct{ net.PacketConn }{packets}, secret)
 		if err != nil {
 			k.log.Failure("peers", err, logger.Fields{"outcome": "nothing is shared"})
 			return
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -81,8 +81,6 @@
 	Knowledge Knowledge
 	Upstreams Upstreams
 	Log       logger.Logger
-	// StallTime is how long a head goes on after it lost a member.
-	StallTime time.Duration
 	// Busy says that callers' requests have begun.
 	Busy func() bool
 	// Leading is told when this process begins or ends to give orders; it may be
@@ -227,7 +225,7 @@
 		fleet := c.checked(ctx, now, fleet, name)
 		g := c.groupers[name]
 		if g == nil {
-			g = &grouper.Grouper{StallTime: c.StallTime}
+			g = &grouper.Grouper{}
 			c.groupers[name] = g
 		}
 		lost, doubted := c.lost()
--- a/internal/grouper/decision.go
+++ b/internal/grouper/decision.go
@@ -19,9 +19,6 @@
 	byKey  map[key]*group
 	// taken are upstreams that this decision has already used.
 	taken map[string]bool
-	// released are groups whose members may be used although their head was not
-	// seen to leave.
-	released map[key]bool
 }
 
 // survey sorts the fleet into groups.
@@ -110,10 +107,10 @@
 	}
 }
 
-// headLeft says that the head of a member's older group has joined the plan, is
-// known to be in another group, or was given up.
+// headLeft says that the head of a member's older group has joined the plan, or
+// is known to be in another group.
 func (d *decision) headLeft(p *plan, id string, from cataloguer.Membership) bool {
-	if from.Name == "" || from.Rank == 0 || p.freed[id] {
+	if from.Name == "" || from.Rank == 0 {
 		return true
 	}
 	x := d.byKey[key{from.Name, from.Epoch}]
--- a/internal/grouper/form.go
+++ b/internal/grouper/form.go
@@ -70,8 +70,7 @@
 
 // free says that an upstream may join a new group.
 func (d *decision) free(u cataloguer.Upstream) bool {
-	_, quarantined := d.quarantine[u.ID]
-	return !d.taken[u.ID] && !u.Draining && !d.world.Lost[u.ID] && !quarantined && !d.waits(u.ID)
+	return !d.taken[u.ID] && !u.Draining && !d.world.Lost[u.ID] && !d.waits(u.ID)
 }
 
 // formOne plans one group in a domain, and says whether it did.
@@ -160,8 +159,7 @@
 // a moment; with it a group may need fewer loads.
 func (d *decision) soonFree(domain string) bool {
 	for _, u := range d.world.Fleet.OfService(d.world.Service) {
-		_, quarantined := d.quarantine[u.ID]
-		soon := quarantined || d.waits(u.ID) && !d.taken[u.ID]
+		soon := d.waits(u.ID) && !d.taken[u.ID]
 		if u.Domain == domain && soon && !u.Draining && !d.world.Lost[u.ID] && len(u.Staged) > 0 {
 			return true
 		}
@@ -200,7 +198,7 @@
 func (d *decision) headFree(u cataloguer.Upstream) bool {
 	k := key{u.Group.Name, u.Group.Epoch}
 	x := d.byKey[k]
-	return u.Group.Rank == 0 || x == nil || x.head == nil || d.released[k] || d.free(*x.head)
+	return u.Group.Rank == 0 || x == nil || x.head == nil || d.free(*x.head)
 }
 
 // pick chooses the members of a group: those that need no load first, and a
@@ -242,12 +240,11 @@
 func (d *decision) plan(domain string, m cataloguer.Model, members []cataloguer.Upstream) *plan {
 	p := &plan{
 		domain: domain, model: m, begun: d.now, accepted: make(map[string]bool),
-		from: make(map[string]cataloguer.Membership), freed: make(map[string]bool),
+		from: make(map[string]cataloguer.Membership),
 	}
 	for _, u := range members {
 		p.members = append(p.members, u.ID)
 		p.from[u.ID] = u.Group
-		p.freed[u.ID] = d.released[key{u.Group.Name, u.Group.Epoch}]
 	}
 	return p
 }
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -87,8 +87,6 @@
 	_refusalsBorne = 8
 	// _refusedAfter is the wait before an order that was refused is given again.
 	_refusedAfter = 150 * time.Millisecond
-	// _stallMargin is the extra wait for a head that is cut off to stop.
-	_stallMargin = 500 * time.Millisecond
 	// _settled is how long the number of upstreams must stand still before spares
 	// are staged ahead of the first request.
 	_settled = 1500 * time.Millisecond
@@ -107,9 +105,6 @@
 // Grouper decides on the groups of one service. The zero value knows nothing
 // and is ready for use. It belongs to one goroutine.
 type Grouper struct {
-	// StallTime is how long a head goes on after it lost a member.
-	StallTime time.Duration
-
 	term  uint64
 	count uint64
 	plans map[uint64]*plan
@@ -122,9 +117,6 @@
 	loads []time.Time
 	// loading is until when an upstream loads from the weight store.
 	loading map[string]time.Time
-	// quarantine is until when an upstream may not join, since a head that it
-	// left may not have noticed.
-	quarantine map[string]time.Time
 	// staging is what hosts load as spares.
 	staging map[string]staging
 	// grown tells when the number of upstreams of a domain last changed; the key
@@ -188,8 +180,6 @@
 	refused int
 	// from are the members' memberships when the plan was made.
 	from map[string]cataloguer.Membership
-	// freed are the members that need not wait for their older head.
-	freed map[string]bool
 }
 
 // group is what the fleet shows of one group.
@@ -233,7 +223,7 @@
 func (g *Grouper) Decide(now time.Time, w World) []Order {
 	g.begin(w)
 	g.grow(now, w)
-	d := &decision{Grouper: g, now: now, world: w, taken: make(map[string]bool), released: make(map[key]bool)}
+	d := &decision{Grouper: g, now: now, world: w, taken: make(map[string]bool)}
 	d.survey()
 	d.progress()
 	for _, x := range d.groups {
@@ -270,7 +260,7 @@
 	g.seen, g.loading = make(map[seenIn]sighting), make(map[string]time.Time)
 	g.staging, g.grown = make(map[string]staging), make(map[string]growth)
 	g.opened, g.closed = make(map[key]bool), make(map[key]bool)
-	g.quarantine, g.dropped = make(map[string]time.Time), make(map[key]bool)
+	g.dropped = make(map[key]bool)
 	g.loads = nil
 }
 
@@ -334,7 +324,6 @@
 	if len(g.dropped) > _droppedKept {
 		maps.DeleteFunc(g.dropped, func(k key, _ bool) bool { return d.byKey[k] == nil })
 	}
-	maps.DeleteFunc(g.quarantine, func(_ string, until time.Time) bool { return !now.Before(until) })
 	maps.DeleteFunc(g.staging, func(id string, s staging) bool {
 		u, ok := d.world.Fleet.Upstreams[id]
 		return !ok || !now.Before(s.until) || slices.Contains(u.Staged, s.model)
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -34,6 +35,8 @@
 	// _spreadParts is the part of the duration over which the looks of processes
 	// that seek a lease are spread, where they are.
 	_spreadParts = 3
+	// _patientTimes is how much less often a patient process looks.
+	_patientTimes = 4
 )
 
 // Store is what the leaser needs of the platform.
@@ -57,6 +60,13 @@
 	// Spread spreads the looks of processes that seek the lease, so that one of
 	// them sees a lapse soon. Set it before Run.
 	Spread bool
+	// Name is the process's name, with which holder begins, where only one process of
+	// that name runs at a time: a lease held by an earlier life of it is taken over at
+	// once. Empty otherwise. Set it before Run.
+	Name string
+	// Patient says that this process need not be among the first to see a lapse; nil
+	// means that it should be. Set it before Run.
+	Patient func() bool
 
 	store  Store
 	log    logger.Logger
@@ -171,6 +181,8 @@
 		return _retryWait
 	case holds:
 		return l.duration() / _renewParts
+	case l.Patient != nil && l.Patient():
+		return _patientTimes*l.duration() + rand.N(l.duration())
 	case l.Spread:
 		return l.duration() + rand.N(l.duration()/_spreadParts)
 	default:
@@ -219,6 +231,10 @@
 		return l.write(ctx, sent, o.Version, found.GetTerm())
 	}
 	l.lose()
+	if l.Name != "" && strings.HasPrefix(found.GetHolder(), l.Name+"/") {
+		// It is an earlier life of this process.
+		return l.write(ctx, sent, o.Version, found.GetTerm()+1)
+	}
 	if sent.Sub(l.seenAt) < time.Duration(found.GetDurationMs())*time.Millisecond {
 		return nil
 	}
--- a/internal/loader/instance.go
+++ b/internal/loader/instance.go
@@ -30,10 +30,6 @@
 			key: "drain-limit", meaning: "longest graceful shutdown, the notice included", allowed: _allowedDuration, byDefault: "8s",
 			store: storeDuration(&s.drainLimit),
 		},
-		{
-			key: "engine-stall", meaning: "how long the head of a group that lost a member goes on before it fails", allowed: _allowedDuration, byDefault: "6s",
-			store: storeDuration(&s.stallTime),
-		},
 		{
 			key: "engine-drain", meaning: "how long an upstream that has said that it leaves may still be sent requests", allowed: _allowedDuration, byDefault: "2s",
 			store: storeDuration(&s.upstreamDrain),
@@ -78,9 +74,6 @@
 	}
 }
 
-// StallTime returns how long the head of a group that lost a member goes on.
-func (s Settings) StallTime() time.Duration { return s.stallTime }
-
 // UpstreamDrain returns how long an upstream that has said that it leaves may
 // still be sent requests.
 func (s Settings) UpstreamDrain() time.Duration { return s.upstreamDrain }
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -41,7 +41,6 @@
 	drainNotice       time.Duration
 	drainLimit        time.Duration
 	maxBodyBytes      int64
-	stallTime         time.Duration
 	upstreamDrain     time.Duration
 	retryRatio        float64
 	retryWindow       time.Duration
--- /dev/null
+++ b/internal/sharer/sharer_test.go
@@ -0,0 +1,254 @@
+package sharer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/follower"
+	"github.com/lycheebarrow/lycheebarrow/internal/sharer"
+	"github.com/lycheebarrow/lycheebarrow/internal/wire"
+)
+
+// platform is a kind of objects that changes.
+type platform struct {
+	mu       sync.Mutex
+	revision uint64
+	log      []follower.Change[[]byte]
+	changed  chan struct{}
+	watches  map[string]int
+	away     map[string]bool
+}
+
+func (p *platform) put(name, value string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision++
+	p.log = append(p.log, follower.Change[[]byte]{Name: name, Value: []byte(value), Deleted: value == ""})
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// view is the platform as one process reaches it.
+type view struct {
+	*platform
+	name string
+}
+
+func (v view) List(context.Context) (follower.Listing[[]byte], error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.away[v.name] {
+		return follower.Listing[[]byte]{}, errors.New("away")
+	}
+	out := follower.Listing[[]byte]{Values: make(map[string][]byte), Revision: v.revision}
+	for _, c := range v.log {
+		out.Values[c.Name] = c.Value
+		if c.Deleted {
+			delete(out.Values, c.Name)
+		}
+	}
+	return out, nil
+}
+
+func (v view) Watch(ctx context.Context, after uint64, wait time.Duration) (follower.Changes[[]byte], error) {
+	end := time.After(wait)
+	v.mu.Lock()
+	v.watches[v.name]++
+	v.mu.Unlock()
+	for {
+		v.mu.Lock()
+		now, log, changed, away := v.revision, v.log, v.changed, v.away[v.name]
+		v.mu.Unlock()
+		if away {
+			return follower.Changes[[]byte]{}, errors.New("away")
+		}
+		if now > after {
+			return follower.Changes[[]byte]{Revision: now, Changes: log[after:]}, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return follower.Changes[[]byte]{Revision: after}, nil
+		case <-ctx.Done():
+			return follower.Changes[[]byte]{}, ctx.Err()
+		}
+	}
+}
+
+// process is one process of a system.
+type process struct {
+	*sharer.Sharer
+	mu     sync.Mutex
+	values map[string]string
+	crowd  sharer.Crowd
+	dead   bool
+}
+
+func (p *process) seen() map[string]string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.values)
+}
+
+func (p *process) inFlight() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.crowd.InFlight["u"]
+}
+
+// system is processes in two data centres, "a" and "b", before one platform.
+type system struct {
+	platform  *platform
+	mu        sync.Mutex
+	processes map[string]*process
+}
+
+// Exchange hands a round to the process that its address names.
+func (s *system) Exchange(ctx context.Context, address string, r *wire.Round) (*wire.Round, error) {
+	s.mu.Lock()
+	to, from := s.processes[address], s.processes[r.GetSender()]
+	cut := to.dead || from.dead
+	s.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	time.Sleep(2 * time.Millisecond)
+	return to.Answer(ctx, r)
+}
+
+func (s *system) kill(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.processes[name].dead = true
+}
+
+// play runs n processes in each data centre while script goes on.
+func play(t *testing.T, n int, script func(s *system)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &system{
+			platform:  &platform{changed: make(chan struct{}), watches: make(map[string]int), away: make(map[string]bool)},
+			processes: make(map[string]*process),
+		}
+		var peers []sharer.Peer
+		for i := range 2 * n {
+			name := fmt.Sprintf("%s%d", []string{"a", "b"}[i%2], i/2)
+			peers = append(peers, sharer.Peer{Name: name, DataCentre: name[:1], Address: name})
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		for _, p := range peers {
+			x := &process{Sharer: &sharer.Sharer{
+				Name: p.Name, DataCentre: p.DataCentre, Exchanger: s, Peers: func() []sharer.Peer { return peers }, Direct: func() bool { return false },
+				Own: func() sharer.Load { return sharer.Load{InFlight: map[string]int{"u": 2}} },
+			}}
+			x.Publish = func(c sharer.Crowd) {
+				x.mu.Lock()
+				defer x.mu.Unlock()
+				x.crowd = c
+			}
+			s.processes[p.Name] = x
+			f := &follower.Follower[[]byte]{
+				Kind: "kind", Source: x.Source("kind", view{s.platform, p.Name}),
+				Publish: func(_ uint64, values map[string][]byte) {
+					x.mu.Lock()
+					defer x.mu.Unlock()
+					x.values = make(map[string]string)
+					for k, v := range values {
+						x.values[k] = string(v)
+					}
+				},
+			}
+			group.Go(func() { x.Run(ctx) })
+			group.Go(func() { f.Run(ctx) })
+		}
+		script(s)
+		cancel()
+		group.Wait()
+	})
+}
+
+// Changes reach every process soon, and only those that gather watch the platform.
+func TestOneReaderADataCentre(t *testing.T) {
+	play(t, 5, func(s *system) {
+		time.Sleep(3 * time.Second)
+		s.platform.mu.Lock()
+		clear(s.platform.watches)
+		s.platform.mu.Unlock()
+		for i := range 20 {
+			s.platform.put(strconv.Itoa(i%7), strconv.Itoa(i))
+			time.Sleep(450 * time.Millisecond)
+			for name, p := range s.processes {
+				assert.Equal(t, strconv.Itoa(i), p.seen()[strconv.Itoa(i%7)], name)
+			}
+		}
+		s.platform.put("3", "")
+		time.Sleep(450 * time.Millisecond)
+		for name, p := range s.processes {
+			assert.NotContains(t, p.seen(), "3", name)
+		}
+		s.platform.mu.Lock()
+		defer s.platform.mu.Unlock()
+		assert.ElementsMatch(t, []string{"a0", "b0"}, keys(s.platform.watches))
+	})
+}
+
+// A process whose gatherer is gone, or can't reach the platform, knows of a change
+// within two seconds all the same.
+func TestGathererLost(t *testing.T) {
+	for _, how := range []string{"dead", "cut from the platform"} {
+		play(t, 4, func(s *system) {
+			time.Sleep(3 * time.Second)
+			if how == "dead" {
+				s.kill("a0")
+			} else {
+				s.platform.mu.Lock()
+				s.platform.away["a0"] = true
+				s.platform.mu.Unlock()
+			}
+			s.platform.put("x", "1")
+			time.Sleep(2 * time.Second)
+			for name, p := range s.processes {
+				if name != "a0" {
+					assert.Equal(t, "1", p.seen()["x"], "%s: %s", how, name)
+				}
+			}
+		})
+	}
+}
+
+// Every process knows what all of them have in flight; one that is gone counts no
+// more.
+func TestLoads(t *testing.T) {
+	play(t, 3, func(s *system) {
+		time.Sleep(3 * time.Second)
+		for name, p := range s.processes {
+			assert.Equal(t, 12, p.inFlight(), name)
+			assert.Equal(t, 6, p.crowd.Processes, name)
+		}
+		s.kill("b1")
+		time.Sleep(3 * time.Second)
+		for name, p := range s.processes {
+			if name != "b1" {
+				assert.Equal(t, 10, p.inFlight(), name)
+			}
+		}
+	})
+}
+
+func keys(m map[string]int) []string {
+	var out []string
+	for k := range m {
+		out = append(out, k)
+	}
+	return out
+}
