internal/admitter, internal/relayer: callers that come back wait behind the others

Cause: a caller who was refused is late in any case when it comes back. They are now sent with a lower rank, so that the engine takes them when others leave a place, up to 0.3 waiting for each place; below half of the places everybody is let in. A stream that goes on at another group is sent with a higher rank.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -31,6 +31,12 @@
 	// _filled is the part of all places that is filled before requests are refused;
 	// groups are never filled quite evenly.
 	_filled = 0.95
+	// _light is the part of all places below which every request is let in: they do
+	// not fill up before loads are told anew.
+	_light = 0.5
+	// _lateQueue is how many requests that came back may wait, for each place. They
+	// get what others leave; callers give up after two seconds.
+	_lateQueue = 0.3
 	// _settling is the time in which the places are filled or emptied to that.
 	_settling = 500 * time.Millisecond
 	// _newest is the weight of the newest wait in the usual one.
@@ -58,8 +64,12 @@
 
 // Crowd is what all processes have under way for a model, as last told.
 type Crowd struct {
-	// InFlight is the number of requests at the groups that answer.
+	// InFlight is the number of requests at the groups that answer, without those
+	// that are late.
 	InFlight float64
+	// Late is the number of requests that came back after a refusal and wait for
+	// their first event. They wait behind the others.
+	Late float64
 	// Asked and Ended are the requests that come and end, a second; those that are
 	// refused come, and do not end.
 	Asked, Ended float64
@@ -69,7 +79,7 @@
 // nobody waits for one.
 func (c Crowd) part(slots int) float64 {
 	room := _filled*float64(slots) - c.InFlight
-	if c.Asked <= 0 {
+	if c.Asked <= 0 || c.InFlight < _light*float64(slots) {
 		return 1
 	}
 	return min(max((c.Ended+room/_settling.Seconds())/c.Asked, 0), 1)
@@ -126,11 +136,21 @@
 }
 
 // AdmitPart decides on a request where it is known what all processes have under
-// way. An admitted request counts as in flight until Done.
-func (a *Admitter) AdmitPart(p Places, c Crowd) Decision {
+// way. One that comes back after a refusal is late in any case: it waits behind
+// the others for a place that they leave, unless too many wait there already. An
+// admitted request counts as in flight until Done.
+func (a *Admitter) AdmitPart(p Places, c Crowd, returning bool) Decision {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	d := Decision{InFlight: a.inFlight, Part: c.part(p.Slots)}
+	d := Decision{InFlight: a.inFlight, Part: c.part(p.Slots), Returning: returning}
+	if returning {
+		d.Limit = _lateQueue * float64(p.Slots)
+		d.Admitted = c.Late < d.Limit
+		if d.Admitted {
+			a.inFlight++
+		}
+		return d
+	}
 	a.credit += d.Part
 	// The sum of many parts that should be one may fall short of it by a rounding.
 	const rounding = 1e-9
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -12,18 +12,33 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/admitter"
 )
 
+// mode is who decides on a request.
+type mode int
+
+const (
+	firstCome mode = iota
+	byLimit
+	byAll // what all processes have under way is known, as of a moment ago
+)
+
 // play runs a wave of load on places that processes share, and returns the parts
 // of the requests that began in time and that were served at all. Without
 // admitters, whoever comes waits in line.
-func play(withAdmitters bool) (inTime, served float64) {
+func play(how mode, processes int) (inTime, served float64) {
+	withAdmitters := how != firstCome
 	const (
-		slots, processes = 130, 7
-		work             = 1200 * time.Millisecond
-		base             = 150 * time.Millisecond
-		target           = 250 * time.Millisecond
-		timeout          = 6 * time.Second
-		length           = 60 * time.Second
-		tick             = 5 * time.Millisecond
+		slots = 130
+		// Callers wait so long for a first event before they give up.
+		patience = 2 * time.Second
+		// Loads are told so often, and are so old then.
+		round   = 200 * time.Millisecond
+		lag     = 150 * time.Millisecond
+		work    = 1200 * time.Millisecond
+		base    = 150 * time.Millisecond
+		target  = 250 * time.Millisecond
+		timeout = 6 * time.Second
+		length  = 60 * time.Second
+		tick    = 5 * time.Millisecond
 	)
 	type job struct {
 		came, back time.Duration
@@ -33,12 +48,21 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	list := make([]admitter.Admitter, processes)
 	// Two processes get more callers than the others.
-	parts := []float64{2.0 / 9, 2.0 / 9, 1.0 / 9, 1.0 / 9, 1.0 / 9, 1.0 / 9, 1.0 / 9}
+	parts := make([]float64, processes)
+	for i := range parts {
+		parts[i] = 1 / float64(processes+2)
+		if i < 2 {
+			parts[i] *= 2
+		}
+	}
 	places := func(i int) admitter.Places { return admitter.Places{Slots: slots, Part: parts[i]} }
 	var line, away []job
 	var ends []time.Duration
 	ending := make(map[time.Duration][]int)
 	asked, good, done := 0, 0, 0
+	var crowd admitter.Crowd
+	told := make(map[time.Duration]admitter.Crowd)
+	came, over := 0, 0
 	epoch := time.Unix(1_800_000_000, 0)
 	for now := time.Duration(0); now < length; now += tick {
 		// The crest asks for a third more than the places can carry.
@@ -46,7 +70,10 @@
 		var arriving []job
 		if random.Float64() < rate*tick.Seconds() {
 			asked++
-			arriving = append(arriving, job{came: now, process: []int{0, 0, 1, 1, 2, 3, 4, 5, 6}[random.IntN(9)]})
+			arriving = append(arriving, job{came: now, process: max(0, random.IntN(processes+2)-2)})
+			if random.Float64() < 0.5 && arriving[0].process == 0 {
+				arriving[0].process = 1
+			}
 		}
 		sort.SliceStable(away, func(i, j int) bool { return away[i].back < away[j].back })
 		for len(away) > 0 && away[0].back <= now {
@@ -55,7 +82,16 @@
 		}
 		for _, j := range arriving {
 			left := timeout - (now - j.came)
-			if withAdmitters && !list[j.process].Admit(places(j.process), left, timeout).Admitted {
+			came++
+			admitted := true
+			switch how {
+			case firstCome:
+			case byLimit:
+				admitted = list[j.process].Admit(places(j.process), left, timeout).Admitted
+			case byAll:
+				admitted = list[j.process].AdmitPart(admitter.Places{Slots: slots}, crowd, j.tries > 0).Admitted
+			}
+			if !admitted {
 				if j.tries++; j.tries <= 1 {
 					j.back = now + admitter.ComeBack(left, random.Float64())
 					away = append(away, j)
@@ -65,6 +101,18 @@
 			j.back = now
 			line = append(line, j)
 		}
+		over += len(ending[now])
+		if now%round == 0 {
+			late := 0
+			for _, j := range line {
+				late += j.tries
+			}
+			told[now+lag] = admitter.Crowd{InFlight: float64(len(line) + len(ends) - late), Late: float64(late), Asked: float64(came) / round.Seconds(), Ended: float64(over) / round.Seconds()}
+			came, over = 0, 0
+		}
+		if c, ok := told[now]; ok {
+			crowd = c
+		}
 		for _, p := range ending[now] {
 			if withAdmitters {
 				list[p].Done()
@@ -78,9 +126,19 @@
 			}
 		}
 		ends = ends[:n]
+		if how == byAll {
+			// Those that came back wait behind the others.
+			sort.SliceStable(line, func(i, j int) bool { return line[i].tries < line[j].tries })
+		}
 		for len(line) > 0 && len(ends) < slots {
 			j := line[0]
 			line = line[1:]
+			if now+base-j.back > patience {
+				if withAdmitters {
+					list[j.process].Done()
+				}
+				continue
+			}
 			over := now + work
 			ends = append(ends, over)
 			ending[over] = append(ending[over], j.process)
@@ -99,13 +157,20 @@
 }
 
 // At the crest most callers are served in time, and those that are refused
-// nearly all get a place when they come back.
+// nearly all get a place when they come back. It helps to know what all processes
+// have under way, the more so the more of them share the places.
 func TestCrest(t *testing.T) {
-	inTime, served := play(true)
-	firstComeInTime, firstComeServed := play(false)
-	t.Logf("in time %.3f, served %.3f; first come, first served: %.3f, %.3f", inTime, served, firstComeInTime, firstComeServed)
-	assert.Greater(t, inTime, firstComeInTime)
-	assert.Greater(t, served, 0.9)
+	firstComeInTime, firstComeServed := play(firstCome, 7)
+	t.Logf("first come, first served: in time %.3f, served %.3f", firstComeInTime, firstComeServed)
+	for _, processes := range []int{7, 77} {
+		limitInTime, limitServed := play(byLimit, processes)
+		inTime, served := play(byAll, processes)
+		t.Logf("%d processes: in time %.3f, served %.3f by their own limits, %.3f, %.3f by all loads", processes, limitInTime, limitServed, inTime, served)
+		assert.Greater(t, limitInTime, firstComeInTime)
+		assert.Greater(t, inTime, limitInTime)
+		assert.Greater(t, served, 0.9)
+		assert.Greater(t, limitServed, 0.9)
+	}
 }
 
 func TestAdmit(t *testing.T) {
--- a/internal/leaser/leaser_test.go
+++ b/internal/leaser/leaser_test.go
@@ -123,8 +123,12 @@
 	}
 }
 
-func start(s *store, name string) (*leaser.Leaser, func()) {
-	l := leaser.New(s, "dc", name, logger.Logger{})
+func start(s *store, holder string) (*leaser.Leaser, func()) { return startNamed(s, holder, "") }
+
+// startNamed starts a process that is the only one of its name.
+func startNamed(s *store, holder, name string) (*leaser.Leaser, func()) {
+	l := leaser.New(s, "dc", holder, logger.Logger{})
+	l.Name = name
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/internal/relayer/crowd.go
+++ b/internal/relayer/crowd.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/admitter"
@@ -15,6 +16,16 @@
 	// _toldEvery is the time in which loads are told anew, that of a round and of
 	// its way over a gatherer.
 	_toldEvery = 300 * time.Millisecond
+	// _wholePart is the part of the longest time that callers wait from which one is
+	// taken to come for the first time.
+	_wholePart = 0.97
+)
+
+// Ranks of sends at an upstream; 0 is served first.
+const (
+	_rankResumed = 2
+	_rankUsual   = 5
+	_rankLate    = 7
 )
 
 // gate is what requests for one model of a service share.
@@ -22,6 +33,20 @@
 	admitter admitter.Admitter
 	asked    load
 	ended    load
+	// late counts the requests that came back and wait for their first event.
+	late atomic.Int64
+	// longest is the longest time that a caller was willing to wait, in ns.
+	longest atomic.Int64
+}
+
+// returning says that a caller who waits for left has waited before: its client
+// was refused and has come back with what is left of its time.
+func (g *gate) returning(left time.Duration) bool {
+	longest := g.longest.Load()
+	for int64(left) > longest && !g.longest.CompareAndSwap(longest, int64(left)) {
+		longest = g.longest.Load()
+	}
+	return float64(left) < _wholePart*float64(longest)
 }
 
 func newGate() *gate {
@@ -34,7 +59,7 @@
 	out := sharer.Load{InFlight: s.Balancer.All(), Demand: make(map[sharer.Place]sharer.Demand)}
 	s.gates.Range(func(key, value any) bool {
 		g := value.(*gate)
-		d := sharer.Demand{Asked: g.asked.rate(now), Ended: g.ended.rate(now)}
+		d := sharer.Demand{Asked: g.asked.rate(now), Ended: g.ended.rate(now), Late: int(g.late.Load())}
 		out.Demand[key.(sharer.Place)] = d
 		return true
 	})
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -139,8 +139,13 @@
 	outcome string
 	last    error
 
+	gate     *gate
 	admitter *admitter.Admitter
 	places   admitter.Places
+	// returning says that the caller came back after a refusal, and waits that it
+	// counts as one that waits for its first event.
+	returning bool
+	waits     atomic.Bool
 }
 
 func (s *Relayer) begin(w http.ResponseWriter, r *http.Request) *call {
@@ -278,7 +283,8 @@
 	}
 	g := x.(*gate)
 	g.asked.count(now)
-	c.admitter = &g.admitter
+	c.gate, c.admitter = g, &g.admitter
+	c.returning = g.returning(c.time())
 	ended := func() { g.ended.count(time.Now()) }
 	c.places = c.count()
 	if c.places.Slots == 0 {
@@ -287,7 +293,12 @@
 	}
 	d := c.decide(now)
 	if d.Admitted {
+		if c.returning {
+			c.waits.Store(true)
+			g.late.Add(1)
+		}
 		return func() {
+			c.waitOver()
 			c.admitter.Done()
 			ended()
 		}, true
@@ -310,9 +321,29 @@
 	candidates, slots := c.candidates()
 	usable, inFlight := c.Balancer.Usable(candidates, now)
 	demand := crowd.Demand[c.place()]
+	late := max(demand.Late-crowd.Own.Demand[c.place()].Late, 0) + int(c.gate.late.Load())
 	return c.admitter.AdmitPart(admitter.Places{Slots: usable * slots}, admitter.Crowd{
-		InFlight: float64(inFlight), Asked: demand.Asked, Ended: demand.Ended,
-	})
+		InFlight: float64(inFlight - late), Late: float64(late), Asked: demand.Asked, Ended: demand.Ended,
+	}, c.returning)
+}
+
+// waitOver notes that a request that came back waits no longer.
+func (c *call) waitOver() {
+	if c.waits.Swap(false) {
+		c.gate.late.Add(-1)
+	}
+}
+
+// rank returns the rank of the next send among others at its upstream.
+func (c *call) rank(resumed bool) int {
+	switch {
+	case resumed:
+		return _rankResumed
+	case c.returning:
+		return _rankLate
+	default:
+		return _rankUsual
+	}
 }
 
 // count returns the places of the groups of the request's model.
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -22,6 +22,7 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 	"github.com/lycheebarrow/lycheebarrow/internal/networker"
 	"github.com/lycheebarrow/lycheebarrow/internal/relayer"
+	"github.com/lycheebarrow/lycheebarrow/internal/sharer"
 )
 
 // protocol has one-word headers.
@@ -29,11 +30,12 @@
 
 func (protocol) Request(h http.Header) relayer.Request {
 	last, _ := strconv.ParseUint(h.Get("Last"), 10, 64)
-	return relayer.Request{ID: h.Get("Id"), Key: h.Get("Key"), Model: h.Get("Model"), LastEvent: last}
+	wait, _ := time.ParseDuration(h.Get("Wait"))
+	return relayer.Request{ID: h.Get("Id"), Key: h.Get("Key"), Model: h.Get("Model"), LastEvent: last, Deadline: wait}
 }
 
 func (protocol) Forward(h http.Header, f relayer.Forward) http.Header {
-	out := http.Header{"Id": h["Id"]}
+	out := http.Header{"Id": h["Id"], "Rank": {strconv.Itoa(f.Rank)}}
 	if f.LastEvent > 0 {
 		out.Set("Last", strconv.FormatUint(f.LastEvent, 10))
 	}
@@ -144,6 +146,50 @@
 	assert.Equal(t, "200 done", ask(t, s, "/a/x", "k"))
 }
 
+// While all places are taken, as all processes together tell, a caller that comes
+// for the first time is refused at once. One that comes back is sent on, behind
+// the others, unless many wait there already.
+func TestCrowd(t *testing.T) {
+	var ranks []string
+	u := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ranks = append(ranks, r.Header.Get("Rank"))
+		w.Header().Set("Seal", "s")
+		_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+	}))
+	defer u.Close()
+	k, b := &cataloguer.Catalogue{}, &balancer.Balancer{}
+	c := &cataloguer.Configuration{
+		Version: 1, Services: map[string]cataloguer.Service{"s": {Name: "s", Engine: &cataloguer.Engine{Slots: 10}}},
+		Routes: []cataloguer.Route{{
+			Name: "r", Host: "127.0.0.1", Prefix: "/", Kind: cataloguer.KindStream, Resumable: true, Timeout: 8 * time.Second,
+			Split: []cataloguer.Share{{Service: "s", Weight: 1}}, Attempts: 2,
+		}},
+	}
+	c.Index()
+	k.SetConfiguration(c)
+	k.SetFleet(cataloguer.NewFleet(1, map[string]cataloguer.Upstream{"u": {
+		ID: "u", Service: "s", Address: u.Listener.Addr().String(), Slots: 10, Group: cataloguer.Membership{Name: "g", State: cataloguer.GroupOpen},
+	}}))
+	relay := newRelayer(k, b)
+	s := httptest.NewServer(relay)
+	defer s.Close()
+	tell := func(inFlight, late int) {
+		relay.SetCrowd(sharer.Crowd{At: time.Now(), Load: sharer.Load{
+			InFlight: map[string]int{"u": inFlight},
+			Demand:   map[sharer.Place]sharer.Demand{{Service: "s"}: {Asked: 100, Ended: 1, Late: late}},
+		}})
+	}
+	wait := func(d string) string { return askWith(t, s, "/x", http.Header{"Id": {"1"}, "Wait": {d}}) }
+	tell(2, 0)
+	assert.Equal(t, "200 1", wait("6s"))
+	tell(12, 0)
+	assert.Equal(t, "503 come back", wait("6s"))
+	assert.Equal(t, "200 1", wait("5s"))
+	tell(15, 5)
+	assert.Equal(t, "503 come back", wait("5s"))
+	assert.Equal(t, []string{"5", "7"}, ranks)
+}
+
 // setUp serves a relayer with one route to upstreams that are tried in order.
 func setUp(t *testing.T, kind cataloguer.Kind, resumable bool, scripts []string, runs *atomic.Int32) *httptest.Server {
 	k := &cataloguer.Catalogue{}
@@ -176,24 +222,31 @@
 		}
 	}
 	k.SetFleet(cataloguer.NewFleet(1, fleet))
-	s := httptest.NewServer(&relayer.Relayer{
+	s := httptest.NewServer(newRelayer(k, b))
+	t.Cleanup(s.Close)
+	return s
+}
+
+func newRelayer(k *cataloguer.Catalogue, b *balancer.Balancer) *relayer.Relayer {
+	return &relayer.Relayer{
 		Knowledge: k, Protocol: protocol{}, Pool: &forwarder.Pool{Network: networker.System{}}, Balancer: b,
 		Budget:   &budgeter.Budget{Window: time.Minute, Slack: 100},
 		Watchdog: &relayer.Watchdog{Balancer: b, Log: logger.Logger{}},
-	})
-	t.Cleanup(s.Close)
-	return s
+	}
 }
 
 // ask sends a request and tells what came.
 func ask(t *testing.T, s *httptest.Server, path, key string) string {
+	return askWith(t, s, path, http.Header{"Id": {"1"}, "Key": {key}})
+}
+
+func askWith(t *testing.T, s *httptest.Server, path string, h http.Header) string {
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.URL+path, strings.NewReader("body"))
 	require.NoError(t, err)
 	host, _, err := net.SplitHostPort(req.URL.Host)
 	require.NoError(t, err)
 	req.Host = host
-	req.Header.Set("Id", "1")
-	req.Header.Set("Key", key)
+	req.Header = h
 	res, err := s.Client().Do(req)
 	require.NoError(t, err)
 	defer res.Body.Close()
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -219,8 +219,9 @@
 func (c *call) head(x *forwarder.Exchange) {
 	copyHeader(c.w.Header(), x.Response.Header)
 	c.status, c.started, c.first = x.Response.StatusCode, true, time.Now()
+	c.waitOver()
 	c.w.WriteHeader(c.status)
-	if c.sends == 1 {
+	if c.sends == 1 && !c.returning {
 		c.admitter.First(c.first, c.places, c.first.Sub(c.sent), c.route.Target)
 	}
 	if c.Meter != nil {
--- a/internal/sharer/codec.go
+++ b/internal/sharer/codec.go
@@ -14,7 +14,7 @@
 		}
 	}
 	for p, d := range l.Demand {
-		r.Demands = append(r.Demands, &wire.ModelDemand{Service: p.Service, Model: p.Model, Asked: d.Asked, Ended: d.Ended})
+		r.Demands = append(r.Demands, &wire.ModelDemand{Service: p.Service, Model: p.Model, Asked: d.Asked, Ended: d.Ended, Late: uint32(max(d.Late, 0))})
 	}
 	return r
 }
@@ -28,7 +28,7 @@
 		l.InFlight[x.GetUpstream()] += int(x.GetInFlight())
 	}
 	for _, x := range r.GetDemands() {
-		l.Demand[Place{Service: x.GetService(), Model: x.GetModel()}] = Demand{Asked: x.GetAsked(), Ended: x.GetEnded()}
+		l.Demand[Place{Service: x.GetService(), Model: x.GetModel()}] = Demand{Asked: x.GetAsked(), Ended: x.GetEnded(), Late: int(x.GetLate())}
 	}
 	return l
 }
--- a/internal/sharer/ledger.go
+++ b/internal/sharer/ledger.go
@@ -14,7 +14,12 @@
 
 // Demand is how many requests come and end, a second. Those that are refused come,
 // and do not end.
-type Demand struct{ Asked, Ended float64 }
+type Demand struct {
+	Asked, Ended float64
+	// Late is the number of requests that came back after a refusal and wait for
+	// their first event.
+	Late int
+}
 
 // Load is what some processes have under way. Its maps are not changed once it is
 // told.
@@ -62,7 +67,7 @@
 	}
 	for p, d := range o.Demand {
 		sum := l.Demand[p]
-		l.Demand[p] = Demand{Asked: sum.Asked + d.Asked, Ended: sum.Ended + d.Ended}
+		l.Demand[p] = Demand{Asked: sum.Asked + d.Asked, Ended: sum.Ended + d.Ended, Late: sum.Late + d.Late}
 	}
 	l.Processes += o.Processes
 }
