internal/sharer, internal/balancer: silences are shared, and one failed check suffices for a suspected group

Cause: a head whose group stands still is noticed by a process only through its own streams there; of 77 processes most have none, and go on sending to it for 1.5 s until the list shows it closed. Ruled out: more checks (priced, and 0.4 s at most), shorter time-outs (lossy links). Now rounds carry the heads that a process is sure are silent, with the epoch of the group; others pass them over for 0.7 s unless they heard of them within 0.4 s, and the holder of the lease asks the group's members at once, where one failed check is then enough. A mark ends with the group's epoch, so that a group formed again is used at once.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -17,6 +17,11 @@
 	// _silentFor is how long an upstream that fell silent is passed over, unless
 	// it is heard of before.
 	_silentFor = 3 * time.Second
+	// _toldFor is that time for a silence that others see; they tell it again while
+	// it lasts.
+	_toldFor = 700 * time.Millisecond
+	// _lately is how long what was heard of an upstream goes before what others tell.
+	_lately = 400 * time.Millisecond
 )
 
 // Query is what a choice depends on besides the candidates.
@@ -68,7 +73,7 @@
 	defer b.mu.Unlock()
 	for i := range candidates {
 		l := b.load(candidates[i].ID)
-		if candidates[i].Draining || now.Before(l.silent) {
+		if candidates[i].Draining || l.silentNow(&candidates[i], now) {
 			continue
 		}
 		count++
@@ -94,9 +99,28 @@
 	inFlight int
 	// heard is when the upstream last sent anything.
 	heard time.Time
-	// silent and full are until when the upstream is passed over.
-	silent time.Time
-	full   time.Time
+	// full is until when the upstream is passed over for want of room.
+	full time.Time
+	// silent is a silence that this process saw itself, and told one that others saw.
+	silent, told silence
+	// sure says that silent is of an answer that had begun.
+	sure bool
+}
+
+// silence is until when an upstream is passed over, as the head of one life of a
+// group.
+type silence struct {
+	until time.Time
+	epoch uint64
+}
+
+func (s silence) holds(u *cataloguer.Upstream, now time.Time) bool {
+	return now.Before(s.until) && s.epoch == u.Group.Epoch
+}
+
+// silentNow says that an upstream is passed over since it fell silent.
+func (l *load) silentNow(u *cataloguer.Upstream, now time.Time) bool {
+	return l.silent.holds(u, now) || l.told.holds(u, now)
 }
 
 // Take chooses the candidate with the least in flight and takes a place there.
@@ -133,7 +157,7 @@
 		}
 		l := b.load(u.ID)
 		switch {
-		case q.Now.Before(l.silent):
+		case l.silentNow(u, q.Now):
 			if reason == ReasonNone {
 				reason = ReasonSilent
 			}
@@ -192,7 +216,7 @@
 	defer b.mu.Unlock()
 	l := b.load(id)
 	l.heard = now
-	l.silent = time.Time{}
+	l.silent, l.told = silence{}, silence{}
 }
 
 // LastHeard returns when an upstream last sent something.
@@ -202,11 +226,41 @@
 	return b.load(id).heard
 }
 
-// Silent notes that an upstream does not answer.
-func (b *Balancer) Silent(id string, now time.Time) {
+// Silent notes that an upstream does not answer, as the head of a group's epoch;
+// sure says that it had begun to, or could not be reached.
+func (b *Balancer) Silent(id string, epoch uint64, sure bool, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.load(id)
+	l.silent, l.sure = silence{now.Add(_silentFor), epoch}, sure
+}
+
+// Silences returns the epochs of the upstreams that this process itself is sure
+// are silent.
+func (b *Balancer) Silences(now time.Time) map[string]uint64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.load(id).silent = now.Add(_silentFor)
+	out := make(map[string]uint64)
+	for id, l := range b.loads {
+		if l.sure && now.Before(l.silent.until) {
+			out[id] = l.silent.epoch
+		}
+	}
+	return out
+}
+
+// Told notes that other processes see an upstream silent. What this process has
+// heard lately goes before it. It says whether that is news.
+func (b *Balancer) Told(id string, epoch uint64, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.load(id)
+	if now.Sub(l.heard) < _lately {
+		return false
+	}
+	news := !now.Before(l.told.until) || l.told.epoch != epoch
+	l.told = silence{now.Add(_toldFor), epoch}
+	return news
 }
 
 // Full notes that an upstream refused a request for want of room.
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -45,11 +45,11 @@
 		},
 		{
 			name: "silent", candidates: near("x"), reason: balancer.ReasonSilent,
-			prepare: func(b *balancer.Balancer) { b.Silent("x", now) },
+			prepare: func(b *balancer.Balancer) { b.Silent("x", 0, true, now) },
 		},
 		{
 			name: "heard of again", candidates: near("x"), want: "x",
-			prepare: func(b *balancer.Balancer) { b.Silent("x", now); b.Heard("x", now) },
+			prepare: func(b *balancer.Balancer) { b.Silent("x", 0, true, now); b.Heard("x", now) },
 		},
 		{name: "leaving", candidates: []cataloguer.Upstream{{ID: "x", Draining: true}}, reason: balancer.ReasonNone},
 	}
@@ -66,3 +66,25 @@
 		})
 	}
 }
+
+// A silence that others see counts while they tell it, for the life of the group
+// that they name, and never against what this process has heard lately.
+func TestTold(t *testing.T) {
+	now := time.Unix(1000, 0)
+	list := []cataloguer.Upstream{{ID: "x", Group: cataloguer.Membership{Name: "g", Epoch: 4}}}
+	var b balancer.Balancer
+	room := func(after time.Duration) bool { return b.Room(list, balancer.Query{Now: now.Add(after)}) }
+	assert.True(t, b.Told("x", 4, now))
+	assert.False(t, b.Told("x", 4, now), "no news")
+	assert.False(t, room(0))
+	assert.True(t, room(time.Second))
+	b.Told("x", 3, now)
+	assert.True(t, room(0), "an earlier life of the group")
+	b.Heard("x", now)
+	assert.False(t, b.Told("x", 4, now.Add(100*time.Millisecond)))
+	assert.True(t, room(100*time.Millisecond))
+	b.Silent("x", 4, true, now)
+	assert.Equal(t, map[string]uint64{"x": 4}, b.Silences(now))
+	list[0].Group.Epoch = 5
+	assert.True(t, room(0), "the group was formed again")
+}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -113,6 +113,8 @@
 	next   time.Time
 	failed int
 	open   bool
+	// suspected is when callers' traffic last showed that the group stands still.
+	suspected time.Time
 	// since is when the member fell silent, and answered when it last answered.
 	since, answered time.Time
 	// group and epoch are the member's group when it was last asked.
@@ -173,10 +175,13 @@
 		return
 	}
 	suspect := fleet.Upstreams[id]
+	if suspect.Group.Name == "" {
+		return
+	}
 	for other, k := range c.checks {
 		u := fleet.Upstreams[other]
-		if u.Group.Name == suspect.Group.Name && u.Group.Epoch == suspect.Group.Epoch {
-			k.next = now
+		if u.Group.Name == suspect.Group.Name && u.Group.Epoch == suspect.Group.Epoch && now.Sub(k.suspected) >= _checkEvery {
+			k.next, k.suspected = now, now
 		}
 	}
 }
@@ -326,6 +331,10 @@
 		k.since = began
 	}
 	k.failed++
+	if k.failed < _lostAfter && now.Sub(k.suspected) < _checkEvery {
+		// Its group stands still, which is a sign of its own.
+		k.failed = _lostAfter
+	}
 	k.next = now.Add(_recheck)
 	if k.failed == _lostAfter {
 		c.Log.Failure("member-lost", err, logger.Fields{"upstream": u.ID, "group": u.Group.Name, "epoch": u.Group.Epoch, "checks": k.failed})
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -120,6 +120,11 @@
 }
 
 func playOn(k *cataloguer.Catalogue, d time.Duration, u *upstreams, l lease, leading func(bool), list ...cataloguer.Upstream) {
+	playWith(k, d, u, l, leading, func(*conductor.Conductor) {}, list...)
+}
+
+// playWith plays a conductor that it shows to begin.
+func playWith(k *cataloguer.Catalogue, d time.Duration, u *upstreams, l lease, leading func(bool), begin func(*conductor.Conductor), list ...cataloguer.Upstream) {
 	c := &cataloguer.Configuration{Version: 1, Services: map[string]cataloguer.Service{"s": {Name: "s", Engine: &cataloguer.Engine{
 		Slots: 26, Models: []cataloguer.Model{{Name: "m", Size: 3, Share: 1, Pace: 1, Load: time.Second, Warm: time.Second}},
 	}}}}
@@ -129,6 +134,7 @@
 	x := &conductor.Conductor{Lease: l, Leading: leading, Knowledge: k, Upstreams: u, Busy: func() bool { return true }}
 	ctx, cancel := context.WithTimeout(context.Background(), d)
 	defer cancel()
+	begin(x)
 	x.Run(ctx)
 }
 
@@ -212,6 +218,36 @@
 	}
 }
 
+// A group whose traffic shows that it stands still is closed after one check of a
+// lost member, and one whose members answer is not.
+func TestSuspectedGroup(t *testing.T) {
+	for _, gone := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			a, b, c := threeMembers()
+			begun := time.Now()
+			u := &upstreams{
+				reports: map[string]cataloguer.Report{"a": {Group: a.Group}, "b": {Group: b.Group}, "c": {Group: c.Group}},
+				waits:   map[string]time.Duration{"c": 290 * time.Millisecond},
+			}
+			var k cataloguer.Catalogue
+			hint := func(x *conductor.Conductor) {
+				time.AfterFunc(4200*time.Millisecond, func() {
+					if gone {
+						u.lose("c")
+					}
+					x.Suspect("a")
+				})
+			}
+			playWith(&k, 6*time.Second, u, lease{}, func(bool) {}, hint, a, b, c)
+			closes := u.given(grouper.OperationClose, "a")
+			if !assert.Equal(t, gone, len(closes) > 0) || !gone {
+				return
+			}
+			assert.LessOrEqual(t, u.times[0].Sub(begun), 4800*time.Millisecond)
+		})
+	}
+}
+
 // A holder that goes on without the store ends once for all when an upstream
 // shows an order of a later term.
 func TestLingeringEnds(t *testing.T) {
--- a/internal/relayer/crowd.go
+++ b/internal/relayer/crowd.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/admitter"
+	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 	"github.com/lycheebarrow/lycheebarrow/internal/sharer"
 )
 
@@ -56,7 +57,10 @@
 // Own returns what this process has under way.
 func (s *Relayer) Own() sharer.Load {
 	now := time.Now()
-	out := sharer.Load{InFlight: s.Balancer.All(), Demand: make(map[sharer.Place]sharer.Demand)}
+	out := sharer.Load{InFlight: s.Balancer.All(), Demand: make(map[sharer.Place]sharer.Demand), Silent: make(map[sharer.Silence]int)}
+	for id, epoch := range s.Balancer.Silences(now) {
+		out.Silent[sharer.Silence{Upstream: id, Epoch: epoch}] = 1
+	}
 	s.gates.Range(func(key, value any) bool {
 		g := value.(*gate)
 		d := sharer.Demand{Asked: g.asked.rate(now), Ended: g.ended.rate(now), Late: int(g.late.Load())}
@@ -74,6 +78,16 @@
 		others[id] = max(n-c.Own.InFlight[id], 0)
 	}
 	s.Balancer.SetOthers(others)
+	now := time.Now()
+	for x, n := range c.Silent {
+		if n <= c.Own.Silent[x] || !s.Balancer.Told(x.Upstream, x.Epoch, now) {
+			continue
+		}
+		s.Log.Event("upstream-silent", logger.Fields{"upstream": x.Upstream, "epoch": x.Epoch, "processes": n, "crowd_age_ms": now.Sub(c.At).Milliseconds()})
+		if s.Watchdog.Suspect != nil {
+			s.Watchdog.Suspect(x.Upstream)
+		}
+	}
 }
 
 // crowdNow returns what all processes have under way, or nil where that is not
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -39,6 +39,8 @@
 // Send is what the watchdog needs to know of a send.
 type Send struct {
 	Upstream string
+	// Epoch is that of the group whose head the upstream is; 0 where it is none.
+	Epoch uint64
 	// Wait is the usual wait for a first event; 0 where none was seen.
 	Wait time.Duration
 	// End is called once where the upstream falls silent and the request can go on
@@ -129,7 +131,7 @@
 		heard := now.Sub(d.Balancer.LastHeard(w.send.Upstream))
 		if heard >= limit && !w.noted {
 			w.noted = true
-			d.Balancer.Silent(w.send.Upstream, now)
+			d.Balancer.Silent(w.send.Upstream, w.send.Epoch, w.begun, now)
 			if d.Suspect != nil {
 				d.Suspect(w.send.Upstream)
 			}
--- a/internal/sharer/codec.go
+++ b/internal/sharer/codec.go
@@ -16,13 +16,17 @@
 	for p, d := range l.Demand {
 		r.Demands = append(r.Demands, &wire.ModelDemand{Service: p.Service, Model: p.Model, Asked: d.Asked, Ended: d.Ended, Late: uint32(max(d.Late, 0))})
 	}
+	for x, n := range l.Silent {
+		r.Silences = append(r.Silences, &wire.Silence{Upstream: x.Upstream, Epoch: x.Epoch, Processes: uint32(n)})
+	}
 	return r
 }
 
 // decode returns the load that a round tells.
 func decode(r *wire.Round) Load {
 	l := Load{
-		InFlight: make(map[string]int, len(r.GetLoads())), Demand: make(map[Place]Demand, len(r.GetDemands())), Processes: int(r.GetProcesses()),
+		InFlight: make(map[string]int, len(r.GetLoads())), Demand: make(map[Place]Demand, len(r.GetDemands())),
+		Silent: make(map[Silence]int, len(r.GetSilences())), Processes: int(r.GetProcesses()),
 	}
 	for _, x := range r.GetLoads() {
 		l.InFlight[x.GetUpstream()] += int(x.GetInFlight())
@@ -30,6 +34,9 @@
 	for _, x := range r.GetDemands() {
 		l.Demand[Place{Service: x.GetService(), Model: x.GetModel()}] = Demand{Asked: x.GetAsked(), Ended: x.GetEnded(), Late: int(x.GetLate())}
 	}
+	for _, x := range r.GetSilences() {
+		l.Silent[Silence{Upstream: x.GetUpstream(), Epoch: x.GetEpoch()}] += int(x.GetProcesses())
+	}
 	return l
 }
 
--- a/internal/sharer/sharer_test.go
+++ b/internal/sharer/sharer_test.go
@@ -99,10 +99,10 @@
 	return maps.Clone(p.values)
 }
 
-func (p *process) inFlight() int {
+func (p *process) knows() sharer.Crowd {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.crowd.InFlight["u"]
+	return p.crowd
 }
 
 // system is processes in two data centres, "a" and "b", before one platform.
@@ -146,10 +146,13 @@
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		var group sync.WaitGroup
+		var runs []func(context.Context)
 		for _, p := range peers {
 			x := &process{Sharer: &sharer.Sharer{
 				Name: p.Name, DataCentre: p.DataCentre, Exchanger: s, Peers: func() []sharer.Peer { return peers }, Direct: func() bool { return false },
-				Own: func() sharer.Load { return sharer.Load{InFlight: map[string]int{"u": 2}} },
+				Own: func() sharer.Load {
+					return sharer.Load{InFlight: map[string]int{"u": 2}, Silent: map[sharer.Silence]int{{Upstream: "h", Epoch: 3}: 1}}
+				},
 			}}
 			x.Publish = func(c sharer.Crowd) {
 				x.mu.Lock()
@@ -168,8 +171,10 @@
 					}
 				},
 			}
-			group.Go(func() { x.Run(ctx) })
-			group.Go(func() { f.Run(ctx) })
+			runs = append(runs, x.Run, f.Run)
+		}
+		for _, run := range runs {
+			group.Go(func() { run(ctx) })
 		}
 		script(s)
 		cancel()
@@ -232,14 +237,15 @@
 	play(t, 3, func(s *system) {
 		time.Sleep(3 * time.Second)
 		for name, p := range s.processes {
-			assert.Equal(t, 12, p.inFlight(), name)
-			assert.Equal(t, 6, p.crowd.Processes, name)
+			assert.Equal(t, 12, p.knows().InFlight["u"], name)
+			assert.Equal(t, 6, p.knows().Processes, name)
+			assert.Equal(t, 6, p.knows().Silent[sharer.Silence{Upstream: "h", Epoch: 3}], name)
 		}
 		s.kill("b1")
 		time.Sleep(3 * time.Second)
 		for name, p := range s.processes {
 			if name != "b1" {
-				assert.Equal(t, 10, p.inFlight(), name)
+				assert.Equal(t, 10, p.knows().InFlight["u"], name)
 			}
 		}
 	})
