internal/sharer: large changes are read by each process itself; conductor, relayer, grouper, composer: split

Cause: a configuration of 1,400 routes is some 300 KB; a gatherer with a link of 20 Mbit/s would send it to 18 peers in over two seconds, while the platform's own link carries it at once. From 32 KB on peers are told to read it themselves. Test: TestLargeChange. peer-listen must name an address that peers can use.

--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -130,17 +130,12 @@
 
 // buildCatalogue follows the configuration and the list of upstreams.
 func buildCatalogue(k *kernel) error {
-	a, err := registrar.Find[Adapter](&k.services, NameAdapter)
-	if err != nil {
-		return err
-	}
-	x, err := registrar.Find[*sharer.Sharer](&k.services, NameSharer)
-	if err != nil {
-		return err
-	}
-	e, err := registrar.Find[*enumerator.Enumerator](&k.services, NameEnumerator)
-	if err != nil {
-		return err
+	f := &finder{kernel: k}
+	a := find[Adapter](f, NameAdapter)
+	x := find[*sharer.Sharer](f, NameSharer)
+	e := find[*enumerator.Enumerator](f, NameEnumerator)
+	if f.err != nil {
+		return f.err
 	}
 	c := &cataloguer.Catalogue{}
 	configurations := &follower.Follower[*cataloguer.Configuration]{
@@ -191,17 +186,14 @@
 }
 
 func buildRelayer(k *kernel) error {
-	a, err := registrar.Find[Adapter](&k.services, NameAdapter)
-	if err != nil {
-		return err
-	}
-	c, err := registrar.Find[*cataloguer.Catalogue](&k.services, NameCatalogue)
-	if err != nil {
-		return err
-	}
-	m, err := registrar.Find[*meter.Meter](&k.services, NameMeter)
-	if err != nil {
-		return err
+	f := &finder{kernel: k}
+	a := find[Adapter](f, NameAdapter)
+	c := find[*cataloguer.Catalogue](f, NameCatalogue)
+	m := find[*meter.Meter](f, NameMeter)
+	r := find[*Reloader](f, NameReloader)
+	e := find[*enumerator.Enumerator](f, NameEnumerator)
+	if f.err != nil {
+		return f.err
 	}
 	b := &balancer.Balancer{}
 	if err := m.Gauge("in_flight", "Requests that hold a place at an upstream.", b.InFlight); err != nil {
@@ -212,14 +204,6 @@
 		Budget: &budgeter.Budget{},
 		Log:    k.log, Meter: m, DataCentre: k.settings.DataCentre(), Watchdog: &relayer.Watchdog{Balancer: b, Log: k.log},
 	}
-	r, err := registrar.Find[*Reloader](&k.services, NameReloader)
-	if err != nil {
-		return err
-	}
-	e, err := registrar.Find[*enumerator.Enumerator](&k.services, NameEnumerator)
-	if err != nil {
-		return err
-	}
 	s.Part = func() float64 { return part(e) }
 	if k.settings.PeerListen() == "" {
 		e.Load = s.Load
@@ -266,21 +250,13 @@
 }
 
 func buildConductor(k *kernel) error {
-	a, err := registrar.Find[Adapter](&k.services, NameAdapter)
-	if err != nil {
-		return err
-	}
-	c, err := registrar.Find[*cataloguer.Catalogue](&k.services, NameCatalogue)
-	if err != nil {
-		return err
-	}
-	s, err := registrar.Find[*relayer.Relayer](&k.services, NameRelayer)
-	if err != nil {
-		return err
-	}
-	shared, err := registrar.Find[*sharer.Sharer](&k.services, NameSharer)
-	if err != nil {
-		return err
+	f := &finder{kernel: k}
+	a := find[Adapter](f, NameAdapter)
+	c := find[*cataloguer.Catalogue](f, NameCatalogue)
+	s := find[*relayer.Relayer](f, NameRelayer)
+	shared := find[*sharer.Sharer](f, NameSharer)
+	if f.err != nil {
+		return f.err
 	}
 	lease := leaser.New(a.Store, _leaseName, k.settings.Name()+"/"+uuid.NewString(), k.log)
 	lease.Duration, lease.Spread, lease.Name, lease.Patient = _leaseDuration, true, k.settings.Name(), shared.Asks
--- a/internal/composer/sharer.go
+++ b/internal/composer/sharer.go
@@ -56,21 +56,13 @@
 
 // buildSharing starts to share, once the services that it joins are built.
 func buildSharing(k *kernel) error {
-	a, err := registrar.Find[Adapter](&k.services, NameAdapter)
-	if err != nil {
-		return err
-	}
-	x, err := registrar.Find[*sharer.Sharer](&k.services, NameSharer)
-	if err != nil {
-		return err
-	}
-	c, err := registrar.Find[*cataloguer.Catalogue](&k.services, NameCatalogue)
-	if err != nil {
-		return err
-	}
-	s, err := registrar.Find[*relayer.Relayer](&k.services, NameRelayer)
-	if err != nil {
-		return err
+	f := &finder{kernel: k}
+	a := find[Adapter](f, NameAdapter)
+	x := find[*sharer.Sharer](f, NameSharer)
+	c := find[*cataloguer.Catalogue](f, NameCatalogue)
+	s := find[*relayer.Relayer](f, NameRelayer)
+	if f.err != nil {
+		return f.err
 	}
 	x.Own, x.Direct, x.Publish = s.Own, c.Leading, s.SetCrowd
 	if k.settings.PeerListen() == "" {
--- a/internal/grouper/decision.go
+++ b/internal/grouper/decision.go
@@ -143,41 +143,61 @@
 
 // tend opens a complete group, and closes or frees one that lost a member.
 func (d *decision) tend(x *group) {
-	if d.plans[x.key.epoch] != nil || x.standby() {
-		return
-	}
+	dropped := d.dropped[x.key] && x.head != nil && x.head.Group.State != cataloguer.GroupOpen
 	switch {
+	case d.plans[x.key.epoch] != nil, x.standby():
+		// It is being formed, or never opens.
 	case x.uncertain():
 		// The answers to the checks decide.
 		d.hold(x)
-	case x.whole() && x.head.Unlisted && d.since(d.now, x.key, "unlisted") < _unlistedBorne:
-		// Its entry may come back.
-		d.hold(x)
 	case x.whole() && x.head.Unlisted:
-		d.close(x, false, "head unlisted")
-	case d.dropped[x.key] && x.head != nil && x.head.Group.State != cataloguer.GroupOpen:
+		d.tendUnlisted(x)
+	case dropped:
 		// Its members are free; nothing was opened.
-	case x.whole() && x.leaving == 0 && x.all(cataloguer.GroupReady, cataloguer.GroupOpen):
-		d.hold(x)
-		if x.head.Group.State == cataloguer.GroupOpen {
-			d.opened[x.key] = true
-		}
-		if x.head.Group.State == cataloguer.GroupReady && !d.waits(x.head.ID) && !d.closedByAnother(x) {
-			d.order(x.command(OperationOpen, "complete"))
-		}
-	case x.whole() && x.leaving == 0 && d.since(d.now, x.key, "forming") < x.model.Load+_joinMargin:
-		d.hold(x)
-	case x.lost == 0 && x.leaving == 0 && x.all(cataloguer.GroupJoining, cataloguer.GroupReady) &&
-		d.since(d.now, x.key, "forming") < x.model.Warm+_joinMargin:
-		// Another process may be forming it.
-		d.hold(x)
 	case x.whole() && x.leaving > 0:
 		d.close(x, false, "member leaves")
+	case x.whole() && x.all(cataloguer.GroupReady, cataloguer.GroupOpen):
+		d.tendComplete(x)
+	case d.forming(x):
+		d.hold(x)
 	default:
 		d.close(x, true, "member lost")
 	}
 }
 
+// tendUnlisted keeps a group whose head's entry has gone for a while, since it may
+// come back; nobody sends it requests meanwhile.
+func (d *decision) tendUnlisted(x *group) {
+	if d.since(d.now, x.key, "unlisted") < _unlistedBorne {
+		d.hold(x)
+		return
+	}
+	d.close(x, false, "head unlisted")
+}
+
+// tendComplete opens a group whose members are all ready.
+func (d *decision) tendComplete(x *group) {
+	d.hold(x)
+	if x.head.Group.State == cataloguer.GroupOpen {
+		d.opened[x.key] = true
+	}
+	if x.head.Group.State == cataloguer.GroupReady && !d.waits(x.head.ID) && !d.closedByAnother(x) {
+		d.order(x.command(OperationOpen, "complete"))
+	}
+}
+
+// forming says that members of a group are still on their way, by this process's
+// orders or by those of another.
+func (d *decision) forming(x *group) bool {
+	if x.lost > 0 || x.leaving > 0 {
+		return false
+	}
+	if x.whole() && d.since(d.now, x.key, "forming") < x.model.Load+_joinMargin {
+		return true
+	}
+	return x.all(cataloguer.GroupJoining, cataloguer.GroupReady) && d.since(d.now, x.key, "forming") < x.model.Warm+_joinMargin
+}
+
 // closedByAnother says that another process has closed a group a moment ago.
 func (d *decision) closedByAnother(x *group) bool {
 	return d.opened[x.key] && !d.closed[x.key] && d.since(d.now, x.key, "closed by another") < _reopenAfter
--- a/internal/loader/instance.go
+++ b/internal/loader/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/netip"
 	"strconv"
 	"time"
 )
@@ -60,6 +61,9 @@
 // instanceContradictions returns the faults of settings that don't fit each
 // other.
 func (s *Settings) instanceContradictions() []error {
+	if s.peerListen != "" && netip.MustParseAddrPort(s.peerListen).Addr().IsUnspecified() {
+		return []error{errors.New("peer-listen: peers can't use it; allowed: an IP number and a port of this instance")}
+	}
 	if s.drainLimit > 0 && s.drainNotice >= s.drainLimit {
 		return []error{errors.New("drain-notice: it is not shorter than drain-limit; allowed: a shorter time")}
 	}
--- a/internal/sharer/history.go
+++ b/internal/sharer/history.go
@@ -62,3 +62,12 @@
 	}
 	return out, true
 }
+
+// size returns the bytes of the values of changes.
+func size(changes []follower.Change[[]byte]) int {
+	n := 0
+	for _, c := range changes {
+		n += len(c.Value)
+	}
+	return n
+}
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -15,6 +15,9 @@
 	_round = 200 * time.Millisecond
 	// _answerTimeout bounds one exchange; peers are milliseconds away.
 	_answerTimeout = 350 * time.Millisecond
+	// _maxShared is the size of changes, in bytes, from which peers read the platform
+	// themselves: its link carries that to all of them sooner than the gatherer's.
+	_maxShared = 32 << 10
 )
 
 // Exchanger sends a round to the peer at an address and returns its answer.
@@ -219,6 +222,9 @@
 			continue
 		}
 		list, ok := x.history.since(f.GetRevision())
+		if size(list) > _maxShared {
+			list, ok = nil, false
+		}
 		return &wire.Following{
 			Kind: x.kind, Revision: x.history.revision, Unknown: !ok || x.history.seen.IsZero(),
 			AgeMs: uint32(min(now.Sub(x.history.seen), time.Hour).Milliseconds()), Changes: encodeChanges(list),
--- a/internal/sharer/sharer_test.go
+++ b/internal/sharer/sharer_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -207,6 +208,25 @@
 	})
 }
 
+// A large change reaches every process soon although it is read by each.
+func TestLargeChange(t *testing.T) {
+	play(t, 4, func(s *system) {
+		time.Sleep(3 * time.Second)
+		s.platform.mu.Lock()
+		clear(s.platform.watches)
+		s.platform.mu.Unlock()
+		large := strings.Repeat("x", 100<<10)
+		s.platform.put("large", large)
+		time.Sleep(time.Second)
+		for name, p := range s.processes {
+			assert.Equal(t, large, p.seen()["large"], name)
+		}
+		s.platform.mu.Lock()
+		defer s.platform.mu.Unlock()
+		assert.Len(t, s.platform.watches, 8)
+	})
+}
+
 // A process whose gatherer is gone, or can't reach the platform, knows of a change
 // within two seconds all the same.
 func TestGathererLost(t *testing.T) {
