internal/leaser: a lease that was given up is taken at once; who loses its gatherer looks at the lease

A cheap read that showed a newer version counted as a renewal, also where the version was the release; and processes that don't gather look at the lease only every 6 to 7.5 s, also when the process that died was their gatherer and the holder. Ruled out: the release itself (it was written in time). Now a cheap read that shows no holder leads to a full one, and a process whose gatherer changes looks at once.

--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -260,6 +260,7 @@
 	}
 	lease := leaser.New(a.Store, _leaseName, k.settings.Name()+"/"+uuid.NewString(), k.log)
 	lease.Duration, lease.Spread, lease.Name, lease.Patient = _leaseDuration, true, k.settings.Name(), shared.Asks
+	shared.Changed = lease.Wake
 	x := &conductor.Conductor{
 		Leading: c.SetLeading, Lease: lease, Knowledge: c, Upstreams: a.Orders, Log: k.log, Busy: s.Busy,
 	}
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -12,7 +12,6 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
-	"github.com/lycheebarrow/lycheebarrow/internal/pauser"
 	"github.com/lycheebarrow/lycheebarrow/internal/storer"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
 )
@@ -72,6 +71,8 @@
 	log    logger.Logger
 	key    string
 	holder string
+	// wake ends a pause early.
+	wake chan struct{}
 
 	// What follows belongs to Run's goroutine.
 	seen *wire.Lease
@@ -96,7 +97,16 @@
 // New returns a Leaser for a data centre; holder is the process's name with a
 // part that no other start of the process has.
 func New(store Store, dataCentre, holder string, log logger.Logger) *Leaser {
-	return &Leaser{store: store, key: Prefix + dataCentre, holder: holder, log: log}
+	return &Leaser{store: store, key: Prefix + dataCentre, holder: holder, log: log, wake: make(chan struct{}, 1)}
+}
+
+// Wake makes the process look at the lease now. It never blocks.
+func (l *Leaser) Wake() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+		// It has been woken already.
+	}
 }
 
 // Held says that the lease is held at the time given.
@@ -144,7 +154,18 @@
 		if failures == 1 && ctx.Err() == nil {
 			l.log.Failure("lease-step", err, logger.Fields{"lease": l.key})
 		}
-		pauser.Pause(ctx, l.wait(err))
+		l.pause(ctx, l.wait(err))
+	}
+}
+
+// pause waits for d, or until it is woken or ctx ends.
+func (l *Leaser) pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-l.wake:
+	case <-ctx.Done():
 	}
 }
 
@@ -252,6 +273,11 @@
 	if err != nil || o.Version <= l.version {
 		return false
 	}
+	var found wire.Lease
+	if err := protojson.Unmarshal(o.Value, &found); err != nil || found.GetHolder() == "" {
+		// It was given up, or the full read tells what is wrong.
+		return false
+	}
 	l.version, l.seenAt = o.Version, sent
 	return true
 }
--- a/internal/leaser/life_test.go
+++ b/internal/leaser/life_test.go
@@ -1,13 +1,25 @@
 package leaser_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/leaser"
+	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/storer"
 )
 
+// peekable is a store that can also be read cheaply.
+type peekable struct{ *store }
+
+func (p peekable) Peek(ctx context.Context, key string) (storer.Object, error) {
+	return p.Get(ctx, key)
+}
+
 // A process takes over at once what an earlier life of it holds, and waits for the
 // lapse of what another process holds.
 func TestEarlierLife(t *testing.T) {
@@ -25,3 +37,34 @@
 		})
 	}
 }
+
+// A lease that was given up is taken at the next look, also by a process that looks
+// cheaply; a process that is woken looks at once.
+func TestReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{}
+		first := leaser.New(peekable{s}, "dc", "a/1", logger.Logger{})
+		second := leaser.New(peekable{s}, "dc", "b/1", logger.Logger{})
+		second.Patient = func() bool { return true }
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		firstCtx, stop := context.WithCancel(ctx)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			first.Run(firstCtx)
+		}()
+		time.Sleep(time.Second)
+		go second.Run(ctx)
+		time.Sleep(4 * time.Second)
+		assert.True(t, first.Held(time.Now()))
+		stop()
+		<-done
+		first.Release(ctx)
+		time.Sleep(100 * time.Millisecond)
+		assert.False(t, second.Held(time.Now()))
+		second.Wake()
+		time.Sleep(100 * time.Millisecond)
+		assert.True(t, second.Held(time.Now()))
+	})
+}
