internal/grouper: spares by what a loss strands; a closed group is used at once; members that leave are waited for

(2) The scripts' command 'within' held in the moment of a loss, before it showed, so three scripts passed without a repair; made to take one step first, they failed: a group that this process had closed itself, whose lost member was gone from the list, was held for 4.6 s as if another process might be forming it. (3) With members of a lost head about to be free, a plan took a spare that needed a load of 12 s. Ruled out: taking a group as closed because it was once open (a script of random troubles broke the rule on two groups at once). Tests: spares_by_model failed first; member_lost, spares_before_traffic, standby and unlisted failed once 'within' was strict. The model of the tests keeps the conductor's guard on heads.

--- a/internal/grouper/decision.go
+++ b/internal/grouper/decision.go
@@ -187,7 +187,7 @@
 }
 
 // forming says that members of a group are still on their way, by this process's
-// orders or by those of another.
+// orders or by those of another. One that this process has closed has lost those that it lacks.
 func (d *decision) forming(x *group) bool {
 	if x.lost > 0 || x.leaving > 0 {
 		return false
@@ -195,7 +195,7 @@
 	if x.whole() && d.since(d.now, x.key, "forming") < x.model.Load+_joinMargin {
 		return true
 	}
-	return x.all(cataloguer.GroupJoining, cataloguer.GroupReady) && d.since(d.now, x.key, "forming") < x.model.Warm+_joinMargin
+	return !d.closed[x.key] && x.all(cataloguer.GroupJoining, cataloguer.GroupReady) && d.since(d.now, x.key, "forming") < x.model.Warm+_joinMargin
 }
 
 // closedByAnother says that another process has closed a group a moment ago.
--- a/internal/grouper/form.go
+++ b/internal/grouper/form.go
@@ -159,7 +159,7 @@
 // a moment; with it a group may need fewer loads.
 func (d *decision) soonFree(domain string) bool {
 	for _, u := range d.world.Fleet.OfService(d.world.Service) {
-		soon := d.waits(u.ID) && !d.taken[u.ID]
+		soon := d.waits(u.ID) && (!d.taken[u.ID] || d.sent[u.ID].operation == OperationLeave)
 		if u.Domain == domain && soon && !u.Draining && !d.world.Lost[u.ID] && len(u.Staged) > 0 {
 			return true
 		}
@@ -344,7 +344,8 @@
 }
 
 // wanted returns the model that a domain's next spare should hold: the one with
-// the most members for each spare.
+// the most members for each spare. Among equals it is the one with fewer spares,
+// and then the one whose groups are larger, since a lost member strands the others.
 func (d *decision) wanted(domain string, spares map[string]int) (cataloguer.Model, bool) {
 	members := make(map[string]int)
 	for _, u := range d.world.Fleet.OfService(d.world.Service) {
@@ -357,15 +358,16 @@
 			members[p.model.Name] += len(p.members)
 		}
 	}
-	var best cataloguer.Model
-	found, most := false, 0.0
-	for _, m := range d.world.Engine.Models {
-		weight := (float64(members[m.Name]) + need(m)) / float64(spares[m.Name]+1)
-		if !found || weight > most {
-			best, most, found = m, weight, true
-		}
+	models := slices.Clone(d.world.Engine.Models)
+	if len(models) == 0 {
+		return cataloguer.Model{}, false
 	}
-	return best, found
+	slices.SortStableFunc(models, func(a, b cataloguer.Model) int {
+		// Members for each spare, compared without a division.
+		left, right := members[a.Name]*(spares[b.Name]+1), members[b.Name]*(spares[a.Name]+1)
+		return cmp.Or(cmp.Compare(right, left), cmp.Compare(spares[a.Name], spares[b.Name]), cmp.Compare(b.Size, a.Size))
+	})
+	return models[0], true
 }
 
 // groupName names a group by its domain and epoch, which no other group has.
