internal/relayer: the line of a refusal holds what decided it

Cause: a refusal by the loads of all processes logged the part alone, not the loads, their rates and their age, so an engineer could not check it.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -104,6 +104,8 @@
 	Limit    float64
 	// Part is the part of all requests that is let in; 0 where a limit decides.
 	Part float64
+	// Crowd is what all processes have under way, where that was known.
+	Crowd Crowd
 	// Returning says that the caller was refused before.
 	Returning bool
 }
@@ -154,7 +156,7 @@
 func (a *Admitter) AdmitPart(p Places, c Crowd, returning bool) Decision {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	d := Decision{InFlight: a.inFlight, Part: c.part(p.Slots), Returning: returning}
+	d := Decision{InFlight: a.inFlight, Part: c.part(p.Slots), Crowd: c, Returning: returning}
 	if returning {
 		d.Limit = _lateQueue * float64(p.Slots)
 		d.Admitted = c.Late < d.Limit
--- a/internal/relayer/admission.go
+++ b/internal/relayer/admission.go
@@ -39,14 +39,25 @@
 			ended()
 		}, true
 	}
-	c.Log.Event("admit", logger.Fields{
-		"request": c.request.ID, "model": c.request.Model, "in_flight": d.InFlight, "limit": d.Limit, "admitted_part": d.Part, "slots": c.places.Slots,
-		"part": c.places.Part, "returning": d.Returning, "outcome": "refused",
-	})
+	c.logRefused(now, d)
 	c.refuse(http.StatusServiceUnavailable, "crowded")
 	return nil, false
 }
 
+// logRefused writes what decided that a request is not let in.
+func (c *call) logRefused(now time.Time, d admitter.Decision) {
+	fields := logger.Fields{
+		"request": c.request.ID, "model": c.request.Model, "in_flight": d.InFlight, "limit": d.Limit, "slots": c.places.Slots,
+		"part": c.places.Part, "returning": d.Returning, "outcome": "refused",
+	}
+	if crowd := c.crowdNow(now); crowd != nil {
+		fields["admitted_part"], fields["all_in_flight"], fields["all_late"] = d.Part, d.Crowd.InFlight, d.Crowd.Late
+		fields["asked"], fields["ended"], fields["spent_ms"] = d.Crowd.Asked, d.Crowd.Ended, d.Crowd.Spent.Milliseconds()
+		fields["processes"], fields["crowd_age_ms"] = crowd.Processes, now.Sub(crowd.At).Milliseconds()
+	}
+	c.Log.Event("admit", fields)
+}
+
 // decide lets the request in or not: by what all processes have under way, or where
 // that is not known, by what this one has.
 func (c *call) decide(now time.Time) admitter.Decision {
