internal/conductor: what upstreams say goes before a list that has just come back

When the store is back its list shows upstreams as they were before, until they have written their entries again. The holder, which had gone on by their own reports, dropped those in the moment of the return, took groups formed meanwhile for broken ones, closed them and told their members to leave. Ruled out: a second holder (one leads throughout), losses (no member-lost of those groups). Reports now go before the list for 2.5 s after its return. Test: TestListIsOldAfterTheStoreReturns failed first.

--- a/internal/conductor/checks.go
+++ b/internal/conductor/checks.go
@@ -60,12 +60,12 @@
 // check asks the members of groups whether they are there.
 func (c *Conductor) check(ctx context.Context, now time.Time, fleet *cataloguer.Fleet, service string) {
 	for id := range c.checks {
-		if u, ok := fleet.Upstreams[id]; !ok || u.Service == service && u.Group.Name == "" && c.checks[id].failed == 0 && !c.Knowledge.Away() {
+		if u, ok := fleet.Upstreams[id]; !ok || u.Service == service && u.Group.Name == "" && c.checks[id].failed == 0 && !c.listOld(now) {
 			delete(c.checks, id)
 		}
 	}
 	for _, u := range fleet.OfService(service) {
-		if u.Group.Name == "" && c.checks[u.ID] == nil && !c.Knowledge.Away() {
+		if u.Group.Name == "" && c.checks[u.ID] == nil && !c.listOld(now) {
 			continue
 		}
 		k := c.checks[u.ID]
@@ -94,7 +94,7 @@
 				return
 			}
 			c.answered(u, k, now)
-			c.reported(u.ID, r)
+			c.reported(now, u.ID, r)
 			c.counts.seen(u.ID, r, now)
 		})
 	})
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -34,6 +34,9 @@
 	// the store gives no orders: another one that can has taken the lease by then,
 	// and upstreams show its orders.
 	_lingerAfter = 3 * time.Second
+	// _listSettles is how long after the store's return its list may show upstreams as
+	// they were before: they write their entries again within two seconds.
+	_listSettles = 2500 * time.Millisecond
 	// _hintsKept bounds the hints that wait.
 	_hintsKept = 64
 )
@@ -94,11 +97,13 @@
 	// members are the members of groups as last listed, and those that are
 	// unlisted and still answer.
 	members map[string]member
-	// reports are what upstreams have said of themselves since the platform's
-	// list could last be read.
+	// reports are what upstreams have said of themselves while the platform's list
+	// is old.
 	reports map[string]cataloguer.Report
 	// latest is the latest term whose orders an upstream has shown.
 	latest uint64
+	// listAway is when the platform's list could last not be read.
+	listAway time.Time
 	// lastHeld is when the lease was last held.
 	lastHeld time.Time
 	results  chan func(now time.Time)
@@ -164,6 +169,9 @@
 
 func (c *Conductor) step(ctx context.Context, now time.Time) {
 	configuration, fleet := c.Knowledge.Configuration(), c.Knowledge.Fleet()
+	if c.Knowledge.Away() {
+		c.listAway = now
+	}
 	held := c.Lease.Held(now)
 	if held {
 		c.lastHeld = now
@@ -210,7 +218,7 @@
 // checked checks the members of a service's groups, and returns the fleet as it
 // is known besides the platform's list.
 func (c *Conductor) checked(ctx context.Context, now time.Time, fleet *cataloguer.Fleet, service string) *cataloguer.Fleet {
-	known := c.withReports(c.withUnlisted(now, fleet, service), service)
+	known := c.withReports(now, c.withUnlisted(now, fleet, service), service)
 	c.check(ctx, now, known, service)
 	return known
 }
@@ -223,7 +231,7 @@
 		outcome, err := c.carryOut(ctx, u, o)
 		c.result(ctx, func(now time.Time) {
 			g.Done(now, o, outcome)
-			if k := c.checks[o.Upstream]; k != nil && c.Knowledge.Away() {
+			if k := c.checks[o.Upstream]; k != nil && c.listOld(now) {
 				k.next = now
 			}
 			fields := logger.Fields{
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -218,6 +218,34 @@
 	}
 }
 
+// When the store is back, its list still shows groups as they were before, until
+// the upstreams have written their entries again. What they have said themselves
+// goes before it: the group that was formed meanwhile is left alone.
+func TestListIsOldAfterTheStoreReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b, c := threeMembers()
+		now := func(u cataloguer.Upstream) cataloguer.Upstream {
+			u.Group.Name, u.Group.Epoch = "later", 7<<20|1
+			return u
+		}
+		u := &upstreams{reports: map[string]cataloguer.Report{"a": {Group: now(a).Group}, "b": {Group: now(b).Group}, "c": {Group: now(c).Group}}}
+		var k cataloguer.Catalogue
+		k.SetAway(true)
+		time.AfterFunc(6*time.Second, func() {
+			k.SetAway(false)
+			// One entry is as new as it should be, and one is missing yet.
+			setFleet(&k, 2, now(a), b)
+		})
+		time.AfterFunc(7500*time.Millisecond, func() { setFleet(&k, 3, now(a), now(b), now(c)) })
+		playOn(&k, 11*time.Second, u, lease{}, func(bool) {}, a, b, c)
+		assert.Empty(t, u.given(grouper.OperationClose, "a"))
+		for _, id := range []string{"a", "b", "c"} {
+			assert.Empty(t, u.given(grouper.OperationLeave, id), id)
+			assert.Empty(t, u.given(grouper.OperationJoin, id), id)
+		}
+	})
+}
+
 // A group whose traffic shows that it stands still is closed after one check of a
 // lost member, and one whose members answer is not.
 func TestSuspectedGroup(t *testing.T) {
--- a/internal/conductor/unlisted.go
+++ b/internal/conductor/unlisted.go
@@ -136,9 +136,9 @@
 }
 
 // reported notes what an unlisted member says of itself.
-func (c *Conductor) reported(id string, r cataloguer.Report) {
+func (c *Conductor) reported(now time.Time, id string, r cataloguer.Report) {
 	c.latest = max(c.latest, grouper.TermOf(r.Group.Epoch))
-	if c.Knowledge.Away() {
+	if c.listOld(now) {
 		c.reports[id] = r
 	}
 	m, ok := c.members[id]
@@ -174,10 +174,16 @@
 	}
 }
 
+// listOld says that the platform's list can't be read, or could not be until a
+// moment ago, so that it may show upstreams as they were before.
+func (c *Conductor) listOld(now time.Time) bool {
+	return !c.listAway.IsZero() && now.Sub(c.listAway) < _listSettles
+}
+
 // withReports returns the fleet with what upstreams have said themselves, while
-// the platform's list can't be read.
-func (c *Conductor) withReports(fleet *cataloguer.Fleet, service string) *cataloguer.Fleet {
-	if !c.Knowledge.Away() {
+// the platform's list is old.
+func (c *Conductor) withReports(now time.Time, fleet *cataloguer.Fleet, service string) *cataloguer.Fleet {
+	if !c.listOld(now) {
 		clear(c.reports)
 		return fleet
 	}
