internal/conductor: await first checks when the list is old

A process that begins to give orders while the list can't be read decided after the first report: the head was then in the group that it reported, its members still in the group of the old list. The group looked incomplete and a live one was ordered to close, "member lost". This is a fault for callers: a new holder that starts during an outage evicts the requests of every group that formed since its list was read.

Ruled out: the test's own clock (synctest; the order of goroutines at the start only chose which report came first) and the list's settle time.

--- a/internal/conductor/checks.go
+++ b/internal/conductor/checks.go
@@ -85,6 +85,22 @@
 	}
 }
 
+// awaitsFirstChecks reports whether the platform's list is stale and the first check of
+// an upstream of the service is still under way. Until then some memberships come from
+// the old list and some from reports, so a complete group may look incomplete.
+func (c *Conductor) awaitsFirstChecks(now time.Time, fleet *cataloguer.Fleet, service string) bool {
+	if !c.isListStale(now) {
+		return false
+	}
+	for _, u := range fleet.OfService(service) {
+		k := c.checks[u.ID]
+		if k == nil || k.answeredAt.IsZero() && k.failures == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // checkMember checks one member on a goroutine of its own.
 func (c *Conductor) checkMember(ctx context.Context, u cataloguer.Upstream, k *check) {
 	k.group, k.epoch = u.Group.Name, u.Group.Epoch
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -212,6 +212,9 @@
 			continue
 		}
 		fleet := c.checkFleet(ctx, now, fleet, name)
+		if c.awaitsFirstChecks(now, fleet, name) {
+			continue
+		}
 		g := c.groupers[name]
 		if g == nil {
 			g = &grouper.Grouper{}
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -35,6 +35,8 @@
 	// fails after the upstream's delay in failureDelays.
 	unreachableFrom, reachableFrom time.Time
 	failureDelays                  map[string]time.Duration
+	// answerDelays holds how long an upstream that can be reached takes to report.
+	answerDelays map[string]time.Duration
 	// lost holds the upstreams that never answer.
 	lost map[string]bool
 }
@@ -52,6 +54,7 @@
 		time.Sleep(u.failureDelays[x.ID])
 		return cataloguer.Report{}, errors.New("no answer")
 	}
+	time.Sleep(u.answerDelays[x.ID])
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	r := u.reports[x.ID]
@@ -253,6 +256,38 @@
 	})
 }
 
+// A process that begins to give orders while the list can't be read gives none until
+// all upstreams have been checked once: the first reports alone would show a group
+// that was formed after the list was read as incomplete.
+func TestLeadingOnOldListAwaitsFirstChecks(t *testing.T) {
+	for _, memberLost := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			a, b, c := threeMembers()
+			reports := make(map[string]cataloguer.Report)
+			for _, x := range []cataloguer.Upstream{a, b, c} {
+				x.Group.Name, x.Group.Epoch = "later", 7<<20|1
+				reports[x.ID] = cataloguer.Report{Group: x.Group}
+			}
+			u := &upstreams{
+				reports:       reports,
+				answerDelays:  map[string]time.Duration{"b": 100 * time.Millisecond, "c": 200 * time.Millisecond},
+				failureDelays: map[string]time.Duration{"c": 290 * time.Millisecond},
+			}
+			if memberLost {
+				u.lose("c")
+			}
+			var k cataloguer.Catalogue
+			k.SetListUnavailable(true)
+			runOnCatalogue(&k, 3*time.Second, u, lease{}, func(bool) {}, a, b, c)
+			assert.Equal(t, memberLost, len(u.ordersTo(grouper.OperationClose, "a")) > 0)
+			if !memberLost {
+				assert.Empty(t, u.ordersTo(grouper.OperationLeave, "b"))
+				assert.Empty(t, u.ordersTo(grouper.OperationLeave, "c"))
+			}
+		})
+	}
+}
+
 // A group that was reported with Suspect is closed after one failed check of a member,
 // and is not closed if all its members answer.
 func TestSuspectedGroupIsClosedAfterOneFailedCheck(t *testing.T) {
