internal/validator: refuse an API key of two organisations

A call record is kept by organisation and idempotency key, so an unrepeatable call could run twice under one idempotency key.

Change: a patch with such a document is refused, with both names. A document that is already in force, and the configuration that others write on the platform, may hold it: there the key belongs to the first organisation by name, on every process, and a line key-shared names both. On the platform the last in the list had won, the same on each process; the rule is one now.

Ruled out: refusing a recorded document, since a process that restarts on the new version would then have no configuration at all (ParseRecorded).

Before: TestParse/shared-key and TestSharedKeyBelongsToFirstOrganisation fail; after: both pass.

--- a/internal/authenticator/authenticator.go
+++ b/internal/authenticator/authenticator.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"net/http"
+	"slices"
 	"strings"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/validator"
@@ -26,18 +27,18 @@
 }
 
 // Organisation returns the name of the organisation whose key the request carries, and false
-// if the key belongs to none.
+// if the key belongs to none. A key that several organisations have belongs to the first of
+// them by name, so that all processes choose the same one.
 func Organisation(r *http.Request, d validator.Document) (string, bool) {
 	digest := BearerDigest(r)
 	if digest == "" {
 		return "", false
 	}
+	owner, found := "", false
 	for n, o := range d.Organisations {
-		for _, k := range o.KeysSHA256 {
-			if k == digest {
-				return n, true
-			}
+		if slices.Contains(o.KeysSHA256, digest) && (!found || n < owner) {
+			owner, found = n, true
 		}
 	}
-	return "", false
+	return owner, found
 }
--- a/internal/cataloguer/configuration.go
+++ b/internal/cataloguer/configuration.go
@@ -1,6 +1,8 @@
 package cataloguer
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 	"time"
 )
@@ -18,6 +20,7 @@
 	// Index sets it.
 	keyRequired bool
 	byKey       map[string]*Organisation
+	sharedKeys  []SharedKey
 	byHost      map[string][]*Route
 }
 
@@ -151,13 +154,7 @@
 // Index builds the indexes that Route and Authenticate use. Call it once, before
 // the configuration is published.
 func (c *Configuration) Index() {
-	c.keyRequired = len(c.Organisations) > 0
-	c.byKey = make(map[string]*Organisation)
-	for i := range c.Organisations {
-		for _, k := range c.Organisations[i].Keys {
-			c.byKey[k] = &c.Organisations[i]
-		}
-	}
+	c.indexKeys()
 	c.byHost = make(map[string][]*Route)
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -165,6 +162,36 @@
 	}
 }
 
+// SharedKey names two organisations that have a key in common. Requests with the key
+// belong to Owner, the first of them by name.
+type SharedKey struct{ Owner, Other string }
+
+// SharedKeys returns one entry for each key that an organisation shares with one
+// before it by name.
+func (c *Configuration) SharedKeys() []SharedKey { return c.sharedKeys }
+
+// indexKeys builds the index of keys.
+func (c *Configuration) indexKeys() {
+	c.keyRequired = len(c.Organisations) > 0
+	c.byKey, c.sharedKeys = make(map[string]*Organisation), nil
+	byName := make([]*Organisation, len(c.Organisations))
+	for i := range c.Organisations {
+		byName[i] = &c.Organisations[i]
+	}
+	slices.SortStableFunc(byName, func(a, b *Organisation) int { return cmp.Compare(a.Name, b.Name) })
+	for _, o := range byName {
+		for _, k := range o.Keys {
+			owner := c.byKey[k]
+			switch {
+			case owner == nil:
+				c.byKey[k] = o
+			case owner.Name != o.Name:
+				c.sharedKeys = append(c.sharedKeys, SharedKey{Owner: owner.Name, Other: o.Name})
+			}
+		}
+	}
+}
+
 // Route returns the route of the host whose prefix is the longest that matches
 // path, or nil if none matches.
 func (c *Configuration) Route(host, path string) *Route {
--- a/internal/commander/drain.go
+++ b/internal/commander/drain.go
@@ -65,7 +65,7 @@
 // requireInstance returns a usage error if no instance and no upstream of a service
 // has the name. A patch with a mistyped name would be accepted and drain nothing.
 func (c *commander) requireInstance(ctx context.Context, configuration lycheebarrow.Configuration, name string) error {
-	d, err := validator.Parse([]byte(configuration.Document))
+	d, err := validator.ParseRecorded([]byte(configuration.Document))
 	if err != nil {
 		return err
 	}
--- a/internal/commander/read.go
+++ b/internal/commander/read.go
@@ -151,7 +151,7 @@
 	if err != nil {
 		return err
 	}
-	d, err := validator.Parse([]byte(configuration.Document))
+	d, err := validator.ParseRecorded([]byte(configuration.Document))
 	if err != nil {
 		return err
 	}
--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -188,6 +188,9 @@
 			log.Event("configuration", logger.Fields{
 				"version": next.Version, "before": old, "revision": revision, "routes": len(next.Routes), "services": len(next.Services), "organisations": len(next.Organisations),
 			})
+			for _, s := range next.SharedKeys() {
+				log.Warn("key-shared", logger.Fields{"version": next.Version, "organisation": s.Owner, "other": s.Other, "outcome": "requests with the key belong to organisation"})
+			}
 		}
 	}
 }
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -100,7 +100,7 @@
 		}
 		return false
 	}
-	document, err := validator.Parse([]byte(record.GetDocument()))
+	document, err := validator.ParseRecorded([]byte(record.GetDocument()))
 	if err != nil {
 		c.log.Failure("configuration-bad", err, logger.Fields{"number": record.GetNumber(), "source": source})
 		return false
@@ -114,6 +114,9 @@
 	close(c.changed)
 	c.changed = make(chan struct{})
 	c.log.Event("configuration", logger.Fields{"number": record.GetNumber(), "source": source})
+	for _, k := range document.SharedKeys() {
+		c.log.Warn("key-shared", logger.Fields{"number": record.GetNumber(), "organisation": k.Owner, "other": k.Other, "outcome": "requests with the key belong to organisation"})
+	}
 	return true
 }
 
--- a/internal/validator/document.go
+++ b/internal/validator/document.go
@@ -137,6 +137,16 @@
 // unknown fields and for text after the document, and Faults for a document that
 // is not valid.
 func Parse(text []byte) (Document, error) {
+	return parse(text, Document.Validate)
+}
+
+// ParseRecorded is Parse for a document that is already in force. It accepts keys
+// that several organisations share, which earlier versions accepted from operators.
+func ParseRecorded(text []byte) (Document, error) {
+	return parse(text, Document.validateValues)
+}
+
+func parse(text []byte, validate func(Document) Faults) (Document, error) {
 	var d Document
 	dec := json.NewDecoder(bytes.NewReader(text))
 	dec.DisallowUnknownFields()
@@ -146,7 +156,7 @@
 	if _, err := dec.Token(); err != io.EOF {
 		return Document{}, fmt.Errorf("validator: parse the configuration: unexpected text after the document")
 	}
-	if faults := d.Validate(); len(faults) > 0 {
+	if faults := validate(d); len(faults) > 0 {
 		return Document{}, faults
 	}
 	return d, nil
--- a/internal/validator/validate.go
+++ b/internal/validator/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"regexp"
 	"slices"
@@ -49,6 +50,18 @@
 // Validate returns all faults of the document, sorted by path. The result is
 // empty for a valid document.
 func (d Document) Validate() Faults {
+	c := checker{faults: d.validateValues()}
+	for _, k := range d.SharedKeys() {
+		problem := fmt.Sprintf("the key also belongs to organisation %q", k.Owner)
+		c.addFault(fmt.Sprintf("/organisations/%s/keys_sha256/%d", k.Other, k.Index), problem, "a key of one organisation only")
+	}
+	c.sort()
+	return c.faults
+}
+
+// validateValues returns the faults of single values and of references to names,
+// sorted by path.
+func (d Document) validateValues() Faults {
 	var c checker
 	for n, o := range d.Organisations {
 		c.checkOrganisation("/organisations/"+n, n, o)
@@ -63,15 +76,48 @@
 		c.checkLabel("/instances/"+n, n)
 	}
 	c.checkPolicy(d.Policy)
-	sort.Slice(c.faults, func(i, j int) bool { return c.faults[i].Path < c.faults[j].Path })
+	c.sort()
 	return c.faults
 }
 
+// SharedKey is an API key that two organisations have.
+type SharedKey struct {
+	// Owner is the organisation that requests with the key belong to: the first by
+	// name.
+	Owner string
+	// Other is the other organisation, and Index the place of the key in its list.
+	Other string
+	Index int
+}
+
+// SharedKeys returns the keys that an organisation shares with one before it by name.
+func (d Document) SharedKeys() []SharedKey {
+	owners := make(map[string]string)
+	var shared []SharedKey
+	for _, n := range slices.Sorted(maps.Keys(d.Organisations)) {
+		for i, k := range d.Organisations[n].KeysSHA256 {
+			owner, taken := owners[k]
+			switch {
+			case !taken:
+				owners[k] = n
+			case owner != n:
+				shared = append(shared, SharedKey{Owner: owner, Other: n, Index: i})
+			}
+		}
+	}
+	return shared
+}
+
 // checker collects the faults of a document.
 type checker struct {
 	faults Faults
 }
 
+// sort sorts the faults by path.
+func (c *checker) sort() {
+	sort.Slice(c.faults, func(i, j int) bool { return c.faults[i].Path < c.faults[j].Path })
+}
+
 func (c *checker) addFault(path, problem, allowed string) {
 	c.faults = append(c.faults, Fault{Path: path, Problem: problem, Allowed: allowed})
 }
