internal/sharer: the history is complete since the list

Cause: a gatherer that has read no change since its list had an empty history, and answered "unknown" to every peer whose revision was not its own, which is never the same where other kinds change.

Change: the history knows the revision since which it is complete: that of the list, or of a watch that did not follow on.

Ruled out: the first seconds, in which all watch because nobody knows its peers yet; the peer's own revision, which moves on with each answer.

Test: TestOnlyGatherersWatchPlatformAfterRestart (before: six processes that are no gatherers watch). The test's platform now ends a wait at the present revision, as the users' store does, and leaves out changes of other kinds.

--- a/internal/sharer/history.go
+++ b/internal/sharer/history.go
@@ -19,6 +19,8 @@
 // from the platform itself. The zero value is empty and ready for use.
 type history struct {
 	batches []batch
+	// since is the revision after which no change is missing.
+	since uint64
 	// revision is the revision up to which the platform was read, and readAt is when.
 	revision uint64
 	readAt   time.Time
@@ -26,13 +28,13 @@
 
 // reset starts the history anew after all objects of the kind were read at revision.
 func (h *history) reset(revision uint64, now time.Time) {
-	h.batches, h.revision, h.readAt = nil, revision, now
+	h.batches, h.since, h.revision, h.readAt = nil, revision, revision, now
 }
 
 // add records the changes after revision after, up to and including revision to.
 func (h *history) add(after, to uint64, changes []reflector.Change[[]byte], now time.Time) {
 	if after != h.revision {
-		h.batches = nil
+		h.batches, h.since = nil, after
 	}
 	h.revision, h.readAt = max(after, to), now
 	if len(changes) == 0 {
@@ -41,6 +43,7 @@
 	h.batches = append(h.batches, batch{after, to, changes})
 	if len(h.batches) > _maxBatches {
 		h.batches = h.batches[len(h.batches)-_maxBatches:]
+		h.since = h.batches[0].after
 	}
 }
 
@@ -50,7 +53,7 @@
 	if revision == h.revision {
 		return nil, true
 	}
-	if revision > h.revision || len(h.batches) == 0 || revision < h.batches[0].after {
+	if revision > h.revision || revision < h.since {
 		return nil, false
 	}
 	var out []reflector.Change[[]byte]
--- a/internal/sharer/sharer_test.go
+++ b/internal/sharer/sharer_test.go
@@ -38,6 +38,25 @@
 	p.changed = make(chan struct{})
 }
 
+// changeOtherKind changes an object of another kind, which raises the revision only.
+func (p *platform) changeOtherKind() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision++
+	p.log = append(p.log, reflector.Change[[]byte]{})
+}
+
+// changesAfter returns the changes of the kind after a revision.
+func (p *platform) changesAfter(revision uint64) []reflector.Change[[]byte] {
+	var out []reflector.Change[[]byte]
+	for _, c := range p.log[revision:] {
+		if c.Name != "" {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // view is the reflector.Source through which the process of that name reads the
 // platform.
 type view struct {
@@ -52,7 +71,7 @@
 		return reflector.Listing[[]byte]{}, errors.New("platform unavailable")
 	}
 	out := reflector.Listing[[]byte]{Values: make(map[string][]byte), Revision: v.revision}
-	for _, c := range v.log {
+	for _, c := range v.changesAfter(0) {
 		out.Values[c.Name] = c.Value
 		if c.Deleted {
 			delete(out.Values, c.Name)
@@ -68,18 +87,18 @@
 	v.mu.Unlock()
 	for {
 		v.mu.Lock()
-		now, log, changed, unavailable := v.revision, v.log, v.changed, v.unavailable[v.name]
+		now, changes, changed, unavailable := v.revision, v.changesAfter(after), v.changed, v.unavailable[v.name]
 		v.mu.Unlock()
 		if unavailable {
 			return reflector.Changes[[]byte]{}, errors.New("platform unavailable")
 		}
-		if now > after {
-			return reflector.Changes[[]byte]{Revision: now, Changes: log[after:]}, nil
+		if len(changes) > 0 {
+			return reflector.Changes[[]byte]{Revision: now, Changes: changes}, nil
 		}
 		select {
 		case <-changed:
 		case <-end:
-			return reflector.Changes[[]byte]{Revision: after}, nil
+			return reflector.Changes[[]byte]{Revision: now}, nil
 		case <-ctx.Done():
 			return reflector.Changes[[]byte]{}, ctx.Err()
 		}
@@ -112,6 +131,8 @@
 // It is their Exchanger.
 type system struct {
 	platform  *platform
+	peers     []sharer.Peer
+	group     sync.WaitGroup
 	mu        sync.Mutex
 	processes map[string]*process
 }
@@ -144,49 +165,51 @@
 			platform:  &platform{changed: make(chan struct{}), watches: make(map[string]int), unavailable: make(map[string]bool)},
 			processes: make(map[string]*process),
 		}
-		var peers []sharer.Peer
 		for i := range 2 * n {
 			name := fmt.Sprintf("%s%d", []string{"a", "b"}[i%2], i/2)
-			peers = append(peers, sharer.Peer{Name: name, DataCentre: name[:1], Address: name})
+			s.peers = append(s.peers, sharer.Peer{Name: name, DataCentre: name[:1], Address: name})
 		}
 		ctx, cancel := context.WithCancel(context.Background())
-		var group sync.WaitGroup
-		var runs []func(context.Context)
-		for _, p := range peers {
-			x := &process{Sharer: &sharer.Sharer{
-				Name: p.Name, DataCentre: p.DataCentre, Exchanger: s, Peers: func() []sharer.Peer { return peers }, ReadsDirectly: func() bool { return false },
-				OwnLoad: func() sharer.Load {
-					return sharer.Load{InFlight: map[string]int{"u": 2}, SilentHeads: map[sharer.SilentHead]int{{Upstream: "h", Epoch: 3}: 1}}
-				},
-			}}
-			x.Publish = func(c sharer.TotalLoad) {
-				x.mu.Lock()
-				defer x.mu.Unlock()
-				x.total = c
-			}
-			s.processes[p.Name] = x
-			r := &reflector.Reflector[[]byte]{
-				Kind: "kind", Source: x.Source("kind", view{s.platform, p.Name}),
-				Publish: func(_ uint64, values map[string][]byte) {
-					x.mu.Lock()
-					defer x.mu.Unlock()
-					x.values = make(map[string]string)
-					for k, v := range values {
-						x.values[k] = string(v)
-					}
-				},
-			}
-			runs = append(runs, x.Run, r.Run)
-		}
-		for _, run := range runs {
-			group.Go(func() { run(ctx) })
+		for _, p := range s.peers {
+			s.start(ctx, p)
 		}
 		script(s)
 		cancel()
-		group.Wait()
+		s.group.Wait()
 	})
 }
 
+// start runs a process, which knows nothing at first, until ctx ends.
+func (s *system) start(ctx context.Context, p sharer.Peer) {
+	x := &process{Sharer: &sharer.Sharer{
+		Name: p.Name, DataCentre: p.DataCentre, Exchanger: s, Peers: func() []sharer.Peer { return s.peers }, ReadsDirectly: func() bool { return false },
+		OwnLoad: func() sharer.Load {
+			return sharer.Load{InFlight: map[string]int{"u": 2}, SilentHeads: map[sharer.SilentHead]int{{Upstream: "h", Epoch: 3}: 1}}
+		},
+	}}
+	x.Publish = func(c sharer.TotalLoad) {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.total = c
+	}
+	s.mu.Lock()
+	s.processes[p.Name] = x
+	s.mu.Unlock()
+	r := &reflector.Reflector[[]byte]{
+		Kind: "kind", Source: x.Source("kind", view{s.platform, p.Name}),
+		Publish: func(_ uint64, values map[string][]byte) {
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			x.values = make(map[string]string)
+			for k, v := range values {
+				x.values[k] = string(v)
+			}
+		},
+	}
+	s.group.Go(func() { x.Run(ctx) })
+	s.group.Go(func() { r.Run(ctx) })
+}
+
 // Changes reach every process within 450 ms, and only the gatherers watch the platform.
 func TestOnlyGatherersWatchPlatform(t *testing.T) {
 	runSystem(t, 5, func(s *system) {
@@ -212,6 +235,33 @@
 	})
 }
 
+// After its gatherer has started again, a process learns of changes through it again,
+// although the gatherer has seen no change since.
+func TestOnlyGatherersWatchPlatformAfterRestart(t *testing.T) {
+	runSystem(t, 4, func(s *system) {
+		s.platform.put("x", "1")
+		run := func(d time.Duration) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+				s.platform.changeOtherKind()
+			}
+		}
+		run(3 * time.Second)
+		s.kill("a0")
+		run(2 * time.Second)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		s.start(ctx, s.peers[0])
+		run(12 * time.Second)
+		s.platform.mu.Lock()
+		clear(s.platform.watches)
+		s.platform.mu.Unlock()
+		run(10 * time.Second)
+		s.platform.mu.Lock()
+		defer s.platform.mu.Unlock()
+		assert.ElementsMatch(t, []string{"a0", "b0"}, keys(s.platform.watches))
+	})
+}
+
 // A change too large for the gatherer to pass on reaches every process within a second,
 // since each reads it from the platform.
 func TestLargeChangeIsReadDirectly(t *testing.T) {
