internal/grouper: don't open a group whose members may still leave it

Change: a group of which a leave has an unknown outcome, or none yet, is not opened again; its members form another one, and if it is open it closes and runs its requests to their end. An order that was never sent has an outcome of its own ("unsent"): a group that was away behind a cut as a whole, whose members were never reached, stays open as before (TestGroupStaysOpen...).

Ruled out: the grouper's term and plans (one term, no plan of the group was left); the delay of the close alone.

The simulation gives "unsent" for an upstream that it can't reach, as the conductor does, which reads a report first.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -270,7 +270,7 @@
 func (c *Conductor) sendIfUnchanged(ctx context.Context, u cataloguer.Upstream, o grouper.Order) (grouper.Outcome, error) {
 	r, err := c.report(ctx, u)
 	if err != nil {
-		return grouper.OutcomeUnknown, fmt.Errorf("conductor: %s on %s: report: %w", o.Operation, u.ID, err)
+		return grouper.OutcomeUnsent, fmt.Errorf("conductor: %s on %s: report: %w", o.Operation, u.ID, err)
 	}
 	if u.StartedMs != 0 && r.StartedMs != 0 && r.StartedMs != u.StartedMs {
 		return grouper.OutcomeRefused, fmt.Errorf("conductor: %s on %s: the upstream has restarted", o.Operation, u.ID)
@@ -289,7 +289,7 @@
 		return grouper.OutcomeRefused, fmt.Errorf("conductor: %s on %s: the upstream is the head of group %q, which is now %s", o.Operation, u.ID, r.Group.Name, r.Group.State)
 	}
 	if err := c.checkMayLeave(u, o, r); err != nil {
-		return grouper.OutcomeUnknown, err
+		return grouper.OutcomeUnsent, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, _orderTimeout)
 	defer cancel()
--- a/internal/grouper/decision.go
+++ b/internal/grouper/decision.go
@@ -160,7 +160,8 @@
 // updateGroup opens a complete group, closes a group that has lost or is about to
 // lose a member, and reserves the members of a group that must stay as it is.
 func (d *decision) updateGroup(x *group) {
-	dropped := d.dropped[x.key] && x.head != nil && x.head.Group.State != cataloguer.MemberOpen
+	mayLoseMembers := d.mayLoseMembers(x)
+	disbanded := (d.dropped[x.key] || mayLoseMembers) && x.head != nil && x.head.Group.State != cataloguer.MemberOpen
 	switch {
 	case d.plans[x.key.epoch] != nil, x.isStandby():
 		// advancePlans handles a group that is being formed; a standby never opens.
@@ -169,8 +170,10 @@
 		d.reserve(x)
 	case x.isComplete() && x.head.Unlisted:
 		d.handleUnlistedHead(x)
-	case dropped:
-		// The group was never opened, so its members are free for other groups.
+	case disbanded:
+		// The group is not open and will not be, so its members are free for other groups.
+	case x.isComplete() && mayLoseMembers:
+		d.closeGroup(x, false, "members may leave")
 	case x.isComplete() && x.drainingCount > 0:
 		d.closeGroup(x, false, "member leaves")
 	case x.isComplete() && x.allIn(cataloguer.MemberReady, cataloguer.MemberOpen):
@@ -182,6 +185,18 @@
 	}
 }
 
+// mayLoseMembers reports whether a member of a group was ordered to leave it and may
+// still do so.
+func (d *decision) mayLoseMembers(x *group) bool {
+	if d.uncertainLeaves[x.key] {
+		return true
+	}
+	return slices.ContainsFunc(x.members, func(m cataloguer.Upstream) bool {
+		s := d.sent[m.ID]
+		return s.unanswered && s.operation == OperationLeave && s.epoch == x.key.epoch
+	})
+}
+
 // handleUnlistedHead closes a group whose head has been missing from the platform's
 // list for _unlistedHeadGrace. Until then it reserves the group's members, since the
 // head's entry may come back.
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -59,6 +59,9 @@
 	OutcomeAccepted
 	// OutcomeRefused means that the order had no effect.
 	OutcomeRefused
+	// OutcomeUnsent means that the order was not sent, since the upstream did not
+	// report or may have had another order.
+	OutcomeUnsent
 )
 
 // Snapshot is the state on which one decision is made.
@@ -141,6 +144,9 @@
 	opened, closed map[groupKey]bool
 	// dropped holds the groups whose plan was dropped before they were complete.
 	dropped map[groupKey]bool
+	// uncertainLeaves holds the groups of which a member was ordered to leave with an
+	// unknown outcome, so that it may leave even much later.
+	uncertainLeaves map[groupKey]bool
 }
 
 // domainSize is a number of upstreams and when it last changed.
@@ -281,7 +287,7 @@
 	g.conditions, g.loadingUntil = make(map[groupCondition]observation), make(map[string]time.Time)
 	g.staging, g.domainSizes = make(map[string]stagingLoad), make(map[string]domainSize)
 	g.opened, g.closed = make(map[groupKey]bool), make(map[groupKey]bool)
-	g.dropped = make(map[groupKey]bool)
+	g.dropped, g.uncertainLeaves = make(map[groupKey]bool), make(map[groupKey]bool)
 	g.loadStarts = nil
 }
 
@@ -296,6 +302,9 @@
 
 // RecordOutcome records the outcome of an order that Decide returned.
 func (g *Grouper) RecordOutcome(now time.Time, o Order, outcome Outcome) {
+	if o.Operation == OperationLeave && outcome == OutcomeUnknown {
+		g.uncertainLeaves[groupKey{o.Group, o.Epoch}] = true
+	}
 	s, ok := g.sent[o.Upstream]
 	if !ok || s.operation != o.Operation || s.epoch != o.Epoch {
 		return
@@ -323,7 +332,7 @@
 		if p.refusedJoins > _maxRefusedJoins {
 			g.dropPlan(p)
 		}
-	case OutcomeUnknown:
+	case OutcomeUnknown, OutcomeUnsent:
 		// The fleet shows later whether the join was carried out; if not, the join is
 		// ordered again.
 	}
@@ -343,6 +352,7 @@
 	maps.DeleteFunc(g.conditions, func(_ groupCondition, s observation) bool { return now.Sub(s.last) > _maxConditionGap })
 	maps.DeleteFunc(g.opened, func(k groupKey, _ bool) bool { return d.byKey[k] == nil })
 	maps.DeleteFunc(g.closed, func(k groupKey, _ bool) bool { return d.byKey[k] == nil })
+	maps.DeleteFunc(g.uncertainLeaves, func(k groupKey, _ bool) bool { return d.byKey[k] == nil })
 	if len(g.dropped) > _maxDroppedPlans {
 		maps.DeleteFunc(g.dropped, func(k groupKey, _ bool) bool { return d.byKey[k] == nil })
 	}
@@ -375,4 +385,4 @@
 }
 
 // String returns the outcome's name for logs.
-func (o Outcome) String() string { return [...]string{"unknown", "accepted", "refused"}[o] }
+func (o Outcome) String() string { return [...]string{"unknown", "accepted", "refused", "unsent"}[o] }
--- a/internal/grouper/simulation_test.go
+++ b/internal/grouper/simulation_test.go
@@ -130,7 +130,7 @@
 func (s *simulation) sendOrder(o grouper.Order) {
 	u := s.upstreams[o.Upstream]
 	if u == nil || u.dead || u.unreachable {
-		s.grouper.RecordOutcome(s.now, o, grouper.OutcomeUnknown)
+		s.grouper.RecordOutcome(s.now, o, grouper.OutcomeUnsent)
 		return
 	}
 	if s.loseAnswers {
@@ -143,7 +143,7 @@
 		return
 	}
 	if s.mayHaveOpened(u, o) {
-		s.grouper.RecordOutcome(s.now, o, grouper.OutcomeUnknown)
+		s.grouper.RecordOutcome(s.now, o, grouper.OutcomeUnsent)
 		return
 	}
 	outcome := grouper.OutcomeRefused
