internal/enumerator: one reader of the list of processes a data centre

Cause: every process listed all process objects every 4 s, in pages of 50: calls grew with the square of the processes (22 processes of the large site's small twin: 308 lists of a page in 48 s; at 295 processes six pages each, 442 pages a second).

Change: a gatherer that has read the list itself tells its version with each answer, and sends the list to a process that has another one. A process that got either in the last 8 s does not read the list. Only a process that has read it passes it on, so that two processes that take each other for the gatherer read for themselves after 8 s. A process tells its share of a processor in its object (new setting processor-share), and the gatherer is the one with the largest, then the first by name: of 68 processes of a data centre on the large site three have 0.8 of a core and the rest 0.192.

--- a/internal/composer/sharer.go
+++ b/internal/composer/sharer.go
@@ -36,26 +36,17 @@
 		return err
 	}
 	e := &enumerator.Enumerator{
-		Store: a.Store, Name: k.settings.Name(), DataCentre: k.settings.DataCentre(), Address: k.settings.PeerListen(), Log: k.log, InitialCount: _initialInstanceCount,
+		Store: a.Store, Name: k.settings.Name(), DataCentre: k.settings.DataCentre(), Address: k.settings.PeerListen(),
+		ProcessorShare: k.settings.ProcessorShare(), Log: k.log, InitialCount: _initialInstanceCount,
 	}
 	k.run(e.Run)
 	if err := k.services.Register(NameEnumerator, e); err != nil {
 		return err
 	}
-	sh := &sharer.Sharer{Name: k.settings.Name(), DataCentre: k.settings.DataCentre(), Log: k.log, Peers: func() []sharer.Peer { return peers(e) }}
+	sh := &sharer.Sharer{Name: k.settings.Name(), DataCentre: k.settings.DataCentre(), Log: k.log, Membership: e}
 	return k.services.Register(NameSharer, sh)
 }
 
-// peers returns the known instances.
-func peers(e *enumerator.Enumerator) []sharer.Peer {
-	list := e.Peers()
-	out := make([]sharer.Peer, len(list))
-	for i, p := range list {
-		out[i] = sharer.Peer(p)
-	}
-	return out
-}
-
 // connectSharer connects the sharer to the catalogue and the relayer, and to the other
 // instances if the settings give an address to listen on for peers. It must come after
 // the services that it connects.
--- a/internal/enumerator/enumerator.go
+++ b/internal/enumerator/enumerator.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +26,9 @@
 	_firstCountDelay = 2 * time.Second
 	// _countInterval is the time between two counts.
 	_countInterval = 4 * time.Second
+	// _receivedLifetime is how long a list that a peer has read makes a read by this
+	// process needless: a peer that reads the store confirms its list far more often.
+	_receivedLifetime = 2 * _countInterval
 	// _loadChangeRatio is the relative change of the load from which an object is
 	// renewed early.
 	_loadChangeRatio = 0.3
@@ -58,6 +63,8 @@
 	// each is empty where peers don't connect to it.
 	DataCentre string
 	Address    string
+	// ProcessorShare is the share of a processor core that this process may use.
+	ProcessorShare float64
 	// RequestRate returns the requests a second that this process receives, as a mean
 	// over a recent period; nil means that it reports a rate of 0.
 	RequestRate func() float64
@@ -67,7 +74,10 @@
 	// the share is unknown.
 	share      atomic.Uint64
 	initialise sync.Once
-	peers      atomic.Pointer[[]Peer]
+	members    atomic.Pointer[Members]
+	// readAt is when this process last read the list from the store, and receivedAt is
+	// when a peer last sent or confirmed it.
+	readAt, receivedAt atomic.Pointer[time.Time]
 
 	// Only Run's goroutine uses the fields below.
 	version     uint64 // of this process's object; 0 where unknown
@@ -85,25 +95,16 @@
 	// DataCentre is that of the process, and Address is where its peers reach it.
 	DataCentre string `json:"data_centre,omitempty"`
 	Address    string `json:"address,omitempty"`
+	// ProcessorShare is the share of a processor core that the process may use.
+	ProcessorShare float64 `json:"processor_share,omitempty"`
 }
 
-// Peer is a running process, as its object in the store describes it.
-type Peer struct{ Name, DataCentre, Address string }
-
 // observation is a revision of an object and when this process first read it.
 type observation struct {
 	revision uint64
 	at       time.Time
 }
 
-// Peers returns the processes, this one included, as of the latest count.
-func (e *Enumerator) Peers() []Peer {
-	if list := e.peers.Load(); list != nil {
-		return *list
-	}
-	return nil
-}
-
 // Count returns the number of running processes, this one included.
 func (e *Enumerator) Count() int {
 	e.initialise.Do(func() { e.count.CompareAndSwap(0, int64(max(e.InitialCount, 1))) })
@@ -120,7 +121,9 @@
 		if e.version == 0 || now.Sub(e.renewed) >= _renewInterval || e.loadChanged() {
 			e.renew(ctx, now)
 		}
-		e.countProcesses(ctx, now)
+		if !e.hasReceivedList(now) {
+			e.countProcesses(ctx, now)
+		}
 	}
 	removal, cancel := context.WithTimeout(context.WithoutCancel(ctx), _writeTimeout)
 	defer cancel()
@@ -147,7 +150,7 @@
 func (e *Enumerator) write(ctx context.Context, now time.Time) error {
 	key := Kind + "/" + e.Name
 	e.writtenLoad = e.requestRate()
-	value, err := json.Marshal(record{Renewed: now.UnixMilli(), Load: e.writtenLoad, DataCentre: e.DataCentre, Address: e.Address})
+	value, err := json.Marshal(record{Renewed: now.UnixMilli(), Load: e.writtenLoad, DataCentre: e.DataCentre, Address: e.Address, ProcessorShare: e.ProcessorShare})
 	if err != nil {
 		return fmt.Errorf("enumerator: encode %s: %w", key, err)
 	}
@@ -214,9 +217,10 @@
 		return
 	}
 	next := make(map[string]observation, len(objects))
-	n, total := 0, 0.0
+	total := 0.0
 	var peers []Peer
-	for name, o := range objects {
+	for _, name := range slices.Sorted(maps.Keys(objects)) {
+		o := objects[name]
 		seen := e.observed[name]
 		if seen.revision != o.Version {
 			seen = observation{revision: o.Version, at: now}
@@ -225,23 +229,19 @@
 		if now.Sub(seen.at) >= _objectExpiry {
 			continue
 		}
-		n++
 		var r record
 		if err := json.Unmarshal(o.Value, &r); err != nil {
+			// The process counts, but its peers can't reach it.
 			e.Log.Failure("instance-object", err, logger.Fields{"step": "read", "instance": name})
-			continue
 		}
 		if name == e.Name {
 			r.Load = e.requestRate()
 		}
 		total += r.Load
-		peers = append(peers, Peer{Name: name, DataCentre: r.DataCentre, Address: r.Address})
+		peers = append(peers, Peer{Name: name, DataCentre: r.DataCentre, Address: r.Address, ProcessorShare: r.ProcessorShare})
 	}
 	e.observed = next
-	e.peers.Store(&peers)
+	e.readAt.Store(&now)
+	e.setMembers(NewMembers(peers), "store")
 	e.updateShare(total)
-	if before := e.Count(); before != max(n, 1) {
-		e.count.Store(int64(max(n, 1)))
-		e.Log.Event("instance-count", logger.Fields{"count": max(n, 1), "before": before})
-	}
 }
--- a/internal/enumerator/enumerator_test.go
+++ b/internal/enumerator/enumerator_test.go
@@ -21,6 +21,7 @@
 	revision  uint64
 	revisions map[string]uint64
 	values    map[string][]byte
+	lists     int // calls of Objects
 }
 
 func (s *store) put(key string, value []byte, allowed bool) (uint64, error) {
@@ -64,6 +65,7 @@
 func (s *store) Objects(context.Context, string) (map[string]storer.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.lists++
 	out := make(map[string]storer.Object)
 	for key, r := range s.revisions {
 		_, name, _ := strings.Cut(key, "/")
@@ -72,6 +74,12 @@
 	return out, nil
 }
 
+func (s *store) listCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lists
+}
+
 // A process that stops is soon no longer counted, since it removes its object. One
 // that is killed is no longer counted once its object has expired.
 func TestCount(t *testing.T) {
@@ -103,3 +111,30 @@
 		stops[1]()
 	})
 }
+
+// A process that receives the list of processes, or a confirmation of its own, does not
+// read it from the store. It reads again soon after the last one.
+func TestReceivedListIsNotRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{revisions: make(map[string]uint64), values: make(map[string][]byte)}
+		ctx, cancel := context.WithCancel(t.Context())
+		e := &enumerator.Enumerator{Store: s, Name: "a", DataCentre: "d", Address: "10.0.0.1:1", ProcessorShare: 0.4}
+		go e.Run(ctx)
+		list := enumerator.NewMembers([]enumerator.Peer{{Name: "a"}, {Name: "b"}, {Name: "c"}})
+		time.Sleep(time.Second)
+		e.Receive(list, time.Now())
+		for range 10 {
+			time.Sleep(4 * time.Second)
+			e.Confirm(time.Now())
+		}
+		assert.Equal(t, 3, e.Count())
+		assert.Equal(t, list, e.Members())
+		assert.False(t, e.HasReadList(time.Now()))
+		assert.Zero(t, s.listCount())
+		time.Sleep(13 * time.Second)
+		assert.Equal(t, 1, e.Count())
+		assert.True(t, e.HasReadList(time.Now()))
+		assert.Equal(t, []enumerator.Peer{{Name: "a", DataCentre: "d", Address: "10.0.0.1:1", ProcessorShare: 0.4}}, e.Members().Peers())
+		cancel()
+	})
+}
--- a/internal/loader/instance.go
+++ b/internal/loader/instance.go
@@ -47,6 +47,10 @@
 			key: "retry-slack", meaning: "retries allowed in each window in addition to retry-ratio, over all instances", allowed: "a number from 0 to 1000000", defaultValue: "100",
 			store: storeNumber(&s.retrySlack, 0, 1e6),
 		},
+		{
+			key: "processor-share", meaning: "processor cores, or the share of one, that the instance may use; peers with more are preferred for shared work", allowed: "a number from 0.01 to 1024", defaultValue: "1",
+			store: storeNumber(&s.processorShare, 0.01, 1024),
+		},
 		{
 			key: "memory-limit", meaning: "memory of the instance, in `megabytes`; 0 sets no limit", allowed: "a whole number from 0 to 1048576", defaultValue: "0",
 			store: func(text string) bool {
@@ -95,5 +99,9 @@
 // to those of RetryRatio, over all instances.
 func (s Settings) RetrySlack() float64 { return s.retrySlack }
 
+// ProcessorShare returns the processor cores, or the share of one, that the instance
+// may use.
+func (s Settings) ProcessorShare() float64 { return s.processorShare }
+
 // MemoryLimit returns the memory limit of the instance in bytes; 0 means no limit.
 func (s Settings) MemoryLimit() int64 { return s.memoryLimit }
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -47,6 +47,7 @@
 	retryRatio         float64
 	retryWindow        time.Duration
 	retrySlack         float64
+	processorShare     float64
 	memoryLimit        int64
 	file               string
 }
--- a/internal/sharer/codec.go
+++ b/internal/sharer/codec.go
@@ -1,6 +1,7 @@
 package sharer
 
 import (
+	"github.com/lycheebarrow/lycheebarrow/internal/enumerator"
 	"github.com/lycheebarrow/lycheebarrow/internal/reflector"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
 )
@@ -55,3 +56,19 @@
 	}
 	return out
 }
+
+func encodeMembers(m enumerator.Members) []*wire.Member {
+	out := make([]*wire.Member, len(m.Peers()))
+	for i, p := range m.Peers() {
+		out[i] = &wire.Member{Name: p.Name, DataCentre: p.DataCentre, Address: p.Address, ProcessorShare: p.ProcessorShare}
+	}
+	return out
+}
+
+func decodeMembers(list []*wire.Member) enumerator.Members {
+	peers := make([]enumerator.Peer, len(list))
+	for i, m := range list {
+		peers[i] = enumerator.Peer{Name: m.GetName(), DataCentre: m.GetDataCentre(), Address: m.GetAddress(), ProcessorShare: m.GetProcessorShare()}
+	}
+	return enumerator.NewMembers(peers)
+}
--- a/internal/sharer/peers.go
+++ b/internal/sharer/peers.go
@@ -2,18 +2,10 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
-)
 
-// Peer is a process that shares state with this one.
-type Peer struct {
-	Name       string
-	DataCentre string
-	// Address is the IP address and port for messages between peers, as host:port;
-	// empty where the process accepts none.
-	Address string
-}
+	"github.com/lycheebarrow/lycheebarrow/internal/enumerator"
+)
 
 const (
 	// _minBackoff and _maxBackoff bound the time for which a peer that did not answer is
@@ -28,28 +20,33 @@
 	wait  time.Duration
 }
 
-// gathererSelector selects the gatherer of each data centre: the first process by name
-// that is not skipped after a failure. The zero value is ready for use.
+// gathererSelector selects the gatherer of each data centre: the process with the
+// largest share of a processor, and the first of these by name, that is not skipped
+// after a failure. The zero value is ready for use.
 type gathererSelector struct {
 	backoffs map[string]backoff
 }
 
 // gatherers returns the gatherer of each data centre; the process named self is never
 // skipped.
-func (g *gathererSelector) gatherers(peers []Peer, self string, now time.Time) map[string]Peer {
-	sorted := slices.SortedFunc(slices.Values(peers), func(a, b Peer) int { return cmp.Compare(a.Name, b.Name) })
-	out := make(map[string]Peer)
-	for _, p := range sorted {
-		if _, ok := out[p.DataCentre]; ok || p.Address == "" {
+func (g *gathererSelector) gatherers(peers []enumerator.Peer, self string, now time.Time) map[string]enumerator.Peer {
+	out := make(map[string]enumerator.Peer)
+	for _, p := range peers {
+		if p.Address == "" || p.Name != self && now.Before(g.backoffs[p.Name].until) {
 			continue
 		}
-		if p.Name == self || !now.Before(g.backoffs[p.Name].until) {
+		if best, ok := out[p.DataCentre]; !ok || compareGatherers(p, best) < 0 {
 			out[p.DataCentre] = p
 		}
 	}
 	return out
 }
 
+// compareGatherers returns a negative number if a is preferred to b as a gatherer.
+func compareGatherers(a, b enumerator.Peer) int {
+	return cmp.Or(cmp.Compare(b.ProcessorShare, a.ProcessorShare), cmp.Compare(a.Name, b.Name))
+}
+
 // recordFailure starts or doubles the backoff of a peer that did not answer.
 func (g *gathererSelector) recordFailure(name string, now time.Time) {
 	if g.backoffs == nil {
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/lycheebarrow/lycheebarrow/internal/enumerator"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 	"github.com/lycheebarrow/lycheebarrow/internal/pauser"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
@@ -27,6 +28,18 @@
 	Exchange(ctx context.Context, address string, r *wire.Round) (*wire.Round, error)
 }
 
+// Membership holds the list of the running processes, this one included. Where the
+// gatherer has read it from the platform, the others receive it from the gatherer.
+type Membership interface {
+	Members() enumerator.Members
+	// HasReadList reports whether this process has itself read the list recently.
+	HasReadList(now time.Time) bool
+	// Receive takes the list that a peer has read, and Confirm records that a peer has
+	// read the list that this process has.
+	Receive(m enumerator.Members, now time.Time)
+	Confirm(now time.Time)
+}
+
 // TotalLoad is the most recent load of all processes together.
 type TotalLoad struct {
 	Load
@@ -40,8 +53,7 @@
 	Name       string
 	DataCentre string
 	Exchanger  Exchanger
-	// Peers returns the known processes, including this one.
-	Peers func() []Peer
+	Membership Membership
 	// OwnLoad returns the load of this process.
 	OwnLoad func() Load
 	// ReadsDirectly reports whether this process reads the platform itself even where
@@ -99,7 +111,7 @@
 		own := s.OwnLoad()
 		own.Processes = 1
 		s.mu.Lock()
-		gatherers := s.selector.gatherers(s.Peers(), s.Name, now)
+		gatherers := s.selector.gatherers(s.Membership.Members().Peers(), s.Name, now)
 		gatherer, ok := gatherers[s.DataCentre]
 		isGatherer := !ok || gatherer.Name == s.Name
 		s.setGatherer(gatherer, isGatherer)
@@ -113,7 +125,7 @@
 }
 
 // setGatherer records the gatherer of this data centre; the caller holds the lock.
-func (s *Sharer) setGatherer(gatherer Peer, isGatherer bool) {
+func (s *Sharer) setGatherer(gatherer enumerator.Peer, isGatherer bool) {
 	before := s.gatherer
 	s.gatherer = gatherer.Name
 	if isGatherer {
@@ -129,7 +141,7 @@
 
 // exchangeWithGatherers sends the load of this data centre to the gatherers of the
 // others, and publishes the sum with their loads.
-func (s *Sharer) exchangeWithGatherers(ctx context.Context, now time.Time, own Load, gatherers map[string]Peer) {
+func (s *Sharer) exchangeWithGatherers(ctx context.Context, now time.Time, own Load, gatherers map[string]enumerator.Peer) {
 	s.mu.Lock()
 	sum := s.local.sum(own, now)
 	s.mu.Unlock()
@@ -159,17 +171,19 @@
 
 // reportToGatherer sends this process's load to the gatherer, and publishes the total
 // load and the changes in its answer.
-func (s *Sharer) reportToGatherer(ctx context.Context, now time.Time, own Load, gatherer Peer) {
+func (s *Sharer) reportToGatherer(ctx context.Context, now time.Time, own Load, gatherer enumerator.Peer) {
 	r := s.encode(own)
 	s.mu.Lock()
 	for _, x := range s.sources {
 		r.Following = append(r.Following, &wire.Following{Kind: x.kind, Revision: x.waitingAfter})
 	}
 	s.mu.Unlock()
+	r.MembersVersion = s.Membership.Members().Version()
 	answer, ok := s.exchange(ctx, gatherer, r)
 	if !ok {
 		return
 	}
+	s.receiveMembers(answer, time.Now())
 	s.mu.Lock()
 	for _, f := range answer.GetFollowing() {
 		s.deliver(f, r)
@@ -178,6 +192,16 @@
 	s.Publish(TotalLoad{Load: decode(answer), OwnLoad: own, At: now})
 }
 
+// receiveMembers takes the list of processes in the gatherer's answer, if it has one.
+func (s *Sharer) receiveMembers(answer *wire.Round, now time.Time) {
+	switch {
+	case len(answer.GetMembers()) > 0:
+		s.Membership.Receive(decodeMembers(answer.GetMembers()), now)
+	case answer.GetMembersVersion() != 0 && answer.GetMembersVersion() == s.Membership.Members().Version():
+		s.Membership.Confirm(now)
+	}
+}
+
 // deliver passes the gatherer's answer about one kind of objects to the source of that
 // kind, unless the source has begun to wait for changes after another revision since
 // request was sent; the caller holds the lock.
@@ -191,7 +215,7 @@
 
 // exchange sends a message to a peer and returns the peer's answer; false where the peer
 // did not answer in time or ctx ended.
-func (s *Sharer) exchange(ctx context.Context, p Peer, r *wire.Round) (*wire.Round, bool) {
+func (s *Sharer) exchange(ctx context.Context, p enumerator.Peer, r *wire.Round) (*wire.Round, bool) {
 	call, cancel := context.WithTimeout(ctx, _answerTimeout)
 	defer cancel()
 	answer, err := s.Exchanger.Exchange(call, p.Address, r)
@@ -229,6 +253,13 @@
 	for _, f := range r.GetFollowing() {
 		answer.Following = append(answer.Following, s.changes(f, now))
 	}
+	if s.Membership.HasReadList(now) {
+		members := s.Membership.Members()
+		answer.MembersVersion = members.Version()
+		if r.GetMembersVersion() != members.Version() {
+			answer.Members = encodeMembers(members)
+		}
+	}
 	return answer, nil
 }
 
--- a/internal/sharer/sharer_test.go
+++ b/internal/sharer/sharer_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,6 +15,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/lycheebarrow/lycheebarrow/internal/enumerator"
 	"github.com/lycheebarrow/lycheebarrow/internal/reflector"
 	"github.com/lycheebarrow/lycheebarrow/internal/sharer"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
@@ -127,11 +129,49 @@
 	return p.total
 }
 
+// membership is the Membership of a process that reads the list of processes from the
+// platform itself, unless it has received one.
+type membership struct {
+	mu       sync.Mutex
+	read     []enumerator.Peer // the list that the platform holds
+	received *enumerator.Members
+	// confirmations is the number of times that a peer has sent or confirmed the list.
+	confirmations int
+}
+
+func (m *membership) Members() enumerator.Members {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.received != nil {
+		return *m.received
+	}
+	return enumerator.NewMembers(m.read)
+}
+
+func (m *membership) HasReadList(time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.received == nil
+}
+
+func (m *membership) Receive(list enumerator.Members, _ time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.received = &list
+	m.confirmations++
+}
+
+func (m *membership) Confirm(time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.confirmations++
+}
+
 // system is a set of processes in the two data centres "a" and "b", with one platform.
 // It is their Exchanger.
 type system struct {
 	platform  *platform
-	peers     []sharer.Peer
+	peers     []enumerator.Peer
 	group     sync.WaitGroup
 	mu        sync.Mutex
 	processes map[string]*process
@@ -167,7 +207,7 @@
 		}
 		for i := range 2 * n {
 			name := fmt.Sprintf("%s%d", []string{"a", "b"}[i%2], i/2)
-			s.peers = append(s.peers, sharer.Peer{Name: name, DataCentre: name[:1], Address: name})
+			s.peers = append(s.peers, enumerator.Peer{Name: name, DataCentre: name[:1], Address: name})
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		for _, p := range s.peers {
@@ -180,9 +220,9 @@
 }
 
 // start runs a process, which knows nothing at first, until ctx ends.
-func (s *system) start(ctx context.Context, p sharer.Peer) {
+func (s *system) start(ctx context.Context, p enumerator.Peer) {
 	x := &process{Sharer: &sharer.Sharer{
-		Name: p.Name, DataCentre: p.DataCentre, Exchanger: s, Peers: func() []sharer.Peer { return s.peers }, ReadsDirectly: func() bool { return false },
+		Name: p.Name, DataCentre: p.DataCentre, Exchanger: s, Membership: &membership{read: s.peers}, ReadsDirectly: func() bool { return false },
 		OwnLoad: func() sharer.Load {
 			return sharer.Load{InFlight: map[string]int{"u": 2}, SilentHeads: map[sharer.SilentHead]int{{Upstream: "h", Epoch: 3}: 1}}
 		},
@@ -332,3 +372,31 @@
 	}
 	return out
 }
+
+// A process that has the same list of processes as its gatherer is told so, and one
+// with an older list receives the gatherer's. The gatherer is the process with the
+// largest share of a processor.
+func TestMembersComeFromGatherer(t *testing.T) {
+	runSystem(t, 4, func(s *system) {
+		current := slices.Clone(s.peers)
+		strong := slices.IndexFunc(current, func(p enumerator.Peer) bool { return p.Name == "a2" })
+		current[strong].ProcessorShare = 0.8
+		for name, p := range s.processes {
+			m := p.Membership.(*membership)
+			m.mu.Lock()
+			m.read = current
+			if name == "a3" {
+				m.read = s.peers[:len(s.peers)-1] // a3 knows neither b3 nor that a2 is strong
+			}
+			m.mu.Unlock()
+		}
+		time.Sleep(2 * time.Second)
+		assert.True(t, s.processes["a2"].IsGatherer())
+		m := s.processes["a1"].Membership.(*membership)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		assert.Positive(t, m.confirmations)
+		assert.Nil(t, m.received)
+		assert.Equal(t, enumerator.NewMembers(current), s.processes["a3"].Membership.Members())
+	})
+}
