--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -158,6 +158,9 @@
 	if err != nil {
 		return Object{}, fmt.Errorf("storer: %s %s at %s: %w: %w", step, key, c.base, ErrUnavailable, err)
 	}
+	if len(value) > MaxValueBytes {
+		return Object{}, fmt.Errorf("storer: %s %s at %s: value is over the platform's limit of %d bytes: %w", step, key, c.base, MaxValueBytes, ErrUnavailable)
+	}
 	version, err := strconv.ParseUint(strings.Trim(res.Header.Get("ETag"), `"`), 10, 64)
 	if err != nil {
 		return Object{}, fmt.Errorf("storer: %s %s at %s: ETag holds no version: %w", step, key, c.base, ErrUnavailable)
@@ -204,7 +207,13 @@
 	if err := writeError(res.StatusCode); err != nil {
 		return 0, fmt.Errorf("storer: write %s at %s: status %d: %w", key, c.base, res.StatusCode, err)
 	}
-	version, _ := strconv.ParseUint(strings.Trim(res.Header.Get("ETag"), `"`), 10, 64)
+	if method == http.MethodDelete {
+		return 0, nil
+	}
+	version, err := strconv.ParseUint(strings.Trim(res.Header.Get("ETag"), `"`), 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("storer: write %s at %s: ETag holds no version: %w", key, c.base, ErrUncertain)
+	}
 	return version, nil
 }
 
@@ -280,9 +289,17 @@
 		return ErrNotFound
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return ErrUnavailable
-	default:
-		return ErrUncertain
 	}
+	if RejectsCall(status) {
+		return ErrUnavailable
+	}
+	return ErrUncertain
+}
+
+// RejectsCall reports whether a status says that the platform did not carry out the
+// call because of the call itself, such as 400 or 403.
+func RejectsCall(status int) bool {
+	return status >= http.StatusBadRequest && status < http.StatusInternalServerError && status != http.StatusRequestTimeout
 }
 
 // etag returns version in the form of an ETag.
--- a/internal/storer/write_test.go
+++ b/internal/storer/write_test.go
@@ -31,6 +31,8 @@
 		{name: "internal server error", want: storer.ErrUncertain, handler: status(http.StatusInternalServerError)},
 		{name: "gateway timeout", want: storer.ErrUncertain, handler: status(http.StatusGatewayTimeout)},
 		{name: "precondition failed", want: storer.ErrConflict, handler: status(http.StatusPreconditionFailed)},
+		{name: "bad request", want: storer.ErrUnavailable, handler: status(http.StatusBadRequest)},
+		{name: "request timeout", want: storer.ErrUncertain, handler: status(http.StatusRequestTimeout)},
 		{name: "not found", want: storer.ErrNotFound, handler: status(http.StatusNotFound)},
 	}
 	for _, tc := range testCases {
@@ -55,3 +57,25 @@
 		})
 	}
 }
+
+// A write whose response holds no version has an unknown outcome, and a read of a value
+// over the limit fails.
+func TestMalformedResponses(t *testing.T) {
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			w.Header().Set("ETag", `"1"`)
+			_, _ = w.Write(make([]byte, storer.MaxValueBytes+1))
+		}
+	}
+	s := httptest.NewServer(http.HandlerFunc(handler))
+	defer s.Close()
+	c := storer.New(s.URL, networker.System{})
+	defer c.Close()
+	_, err := c.Create(t.Context(), "k", []byte("{}"))
+	require.ErrorIs(t, err, storer.ErrUncertain)
+	_, err = c.Update(t.Context(), "k", 1, []byte("{}"))
+	require.ErrorIs(t, err, storer.ErrUncertain)
+	require.NoError(t, c.Delete(t.Context(), "k", 1))
+	_, err = c.Get(t.Context(), "k")
+	require.ErrorIs(t, err, storer.ErrUnavailable)
+}
