internal/reflector: a compacted history is no fresh copy

Cause, found in reading: the answer that the store no longer has the history counted as a moment at which the copy was up to date, although the copy is then at least as old as what is gone. A gatherer would have told its peers that what it has is fresh.

Ruled out: the outage that such an answer ends; the store does answer. Test: TestCompactedHistoryIsNoFreshCopy (before: answers each second).

--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -72,8 +72,8 @@
 	// OnOutage is called with true when the store becomes unreadable, and with false
 	// when it can be read again; it may be nil.
 	OnOutage func(outage bool)
-	// OnAnswer is called with the time of each answer of the store, from which the age
-	// of the copy is measured; it may be nil.
+	// OnAnswer is called with the time of each answer of the store that brings the copy
+	// up to date, from which the age of the copy is measured; it may be nil.
 	OnAnswer func(now time.Time)
 	// Publish is called from Run's goroutine with each new copy, which the function
 	// may keep but must not change.
@@ -129,7 +129,8 @@
 func (r *Reflector[T]) recordResult(err error) {
 	switch {
 	case err == nil || errors.Is(err, ErrCompacted):
-		if r.OnAnswer != nil {
+		// Where the history is gone, the copy is as old as it was.
+		if r.OnAnswer != nil && err == nil {
 			r.OnAnswer(time.Now())
 		}
 		if r.unavailable {
--- a/internal/reflector/reflector_test.go
+++ b/internal/reflector/reflector_test.go
@@ -149,3 +149,35 @@
 		assert.Less(t, lastSeen["a"], 8*time.Second)
 	})
 }
+
+// compacted is a source that lists, and then no longer has the history of any watch.
+type compacted struct{ calls int }
+
+func (c *compacted) List(context.Context) (reflector.Listing[int], error) {
+	c.calls++
+	if c.calls > 1 {
+		return reflector.Listing[int]{}, errors.New("store unavailable")
+	}
+	return reflector.Listing[int]{Revision: 1}, nil
+}
+
+func (c *compacted) Watch(context.Context, uint64, time.Duration) (reflector.Changes[int], error) {
+	time.Sleep(time.Second)
+	return reflector.Changes[int]{}, reflector.ErrCompacted
+}
+
+// An answer that the history is gone does not make the copy any newer.
+func TestCompactedHistoryIsNoFreshCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		began := time.Now()
+		var answers []time.Duration
+		r := &reflector.Reflector[int]{
+			Kind: "k", Source: &compacted{}, Publish: func(uint64, map[string]int) {},
+			OnAnswer: func(now time.Time) { answers = append(answers, now.Sub(began)) },
+		}
+		r.Run(ctx)
+		assert.Equal(t, []time.Duration{0}, answers)
+	})
+}
