internal/announcer: a failed deletion is tried again

Cause, found in reading: an expired object whose deletion failed was left out of the versions of the list, so the next list took it for a renewed one and its process for a live one. A step without a record counted as a write, and listed all objects.

Ruled out: two processes that delete the same object; the version guards it.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -79,11 +79,15 @@
 // The write comes first so that of two processes that start together, at least one
 // lists the other's object.
 func (a *Announcer) Step(ctx context.Context) error {
-	err := a.write(ctx)
+	self := a.processes.Self(ctx)
+	if self == nil {
+		return ctx.Err()
+	}
+	err := a.write(ctx, self)
 	if errors.Is(err, storer.ErrConflict) || errors.Is(err, storer.ErrNotFound) {
 		// An earlier run of the process, or a write whose answer was lost, left
 		// another version. The failed write has read that version.
-		err = a.write(ctx)
+		err = a.write(ctx, self)
 	}
 	if err != nil {
 		return err
@@ -99,11 +103,9 @@
 	return nil
 }
 
-func (a *Announcer) write(ctx context.Context) error {
-	self := a.processes.Self(ctx)
-	if self == nil {
-		return ctx.Err()
-	}
+// write writes the process's object. If the object has another version than the known
+// one, it reads that version and returns an error.
+func (a *Announcer) write(ctx context.Context, self *wire.ProcessRecord) error {
 	key := Prefix + self.GetDataCentre() + "/" + self.GetName()
 	value, err := protojson.Marshal(self)
 	if err != nil {
@@ -123,6 +125,7 @@
 	return fmt.Errorf("announcer: write %s: %w", key, err)
 }
 
+// put creates the object, or updates the known version of it, and returns its version.
 func (a *Announcer) put(ctx context.Context, key string, value []byte) (uint64, error) {
 	if a.version == 0 {
 		return a.store.Create(ctx, key, value)
@@ -141,9 +144,13 @@
 	versions := make(map[string]uint64, len(objects))
 	for _, o := range objects {
 		if a.listedVersions[o.Key] == o.Version {
-			if err := a.store.Delete(ctx, o.Key, o.Version); err == nil {
-				a.log.Event("process-expired", logger.Fields{"key": o.Key})
+			if err := a.store.Delete(ctx, o.Key, o.Version); err != nil {
+				// The next list tries again unless the object is renewed until then.
+				versions[o.Key] = o.Version
+				a.log.Failure("process-expired", err, logger.Fields{"key": o.Key})
+				continue
 			}
+			a.log.Event("process-expired", logger.Fields{"key": o.Key})
 			continue
 		}
 		versions[o.Key] = o.Version
