internal/prober: a removed target has no evidence

Cause, found in reading: a probe that ended while its target was removed put the target's evidence back, and nothing removed it again.

Ruled out: Close, which waits for the probes. Test: TestRemovedTargetHasNoEvidence (before: the evidence of e1 is kept).

--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -215,6 +215,10 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if ctx.Err() != nil {
+		// The target was removed, with its evidence, since the answer came.
+		return
+	}
 	e := p.evidence[t.Instance]
 	if err != nil || s.Instance != t.Instance {
 		if !e.failed {
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -81,3 +81,20 @@
 		})
 	}
 }
+
+// remover is a Meter that removes the targets of a Prober when a probe has been answered.
+type remover struct{ prober *prober.Prober }
+
+func (r remover) CountProbe(bool) { r.prober.SetTargets(nil) }
+
+// A probe that ends while its target is removed leaves no evidence.
+func TestRemovedTargetHasNoEvidence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := prober.New(&counter{}, logger.Logger{})
+		p.Meter = remover{p}
+		p.SetTargets([]prober.Target{{Instance: "e1", Interval: time.Second}})
+		time.Sleep(500 * time.Millisecond)
+		assert.Zero(t, p.Evidence("e1"))
+		assert.NoError(t, p.Close())
+	})
+}
