internal/sharer: one sum of all loads serves several answers

Cause: a gatherer summed the loads of all processes of its data centre and of all other data centres for each answer.

Change: a sum serves the answers of 50 ms, and its encoded lists are shared.

Ruled out: sums at a fixed interval, which a gatherer without peers would make for nobody. Test: TestAnswersShareSum (before: two answers of one moment hold two sums).

--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -16,6 +16,9 @@
 	_roundInterval = 200 * time.Millisecond
 	// _answerTimeout bounds one exchange; the round trip to a peer takes milliseconds.
 	_answerTimeout = 350 * time.Millisecond
+	// _sumLifetime is how long one sum of all loads serves the answers to peers. Loads
+	// change with each round of each of them, and a sum costs more the more there are.
+	_sumLifetime = 50 * time.Millisecond
 	// _maxRelayedBytes is the largest size of changes, in bytes, that a gatherer passes
 	// on. Peers read larger changes from the platform themselves, whose link delivers
 	// them to all peers sooner than the gatherer's.
@@ -72,8 +75,11 @@
 	// local holds the loads of processes of the same data centre by process name, and
 	// remote those of other data centres by data centre.
 	local, remote loadTable
-	selector      gathererSelector
-	running       bool
+	// summed is the encoded sum of all loads as of summedAt. It is not changed later.
+	summed   *wire.Round
+	summedAt time.Time
+	selector gathererSelector
+	running  bool
 	// gatherer is the name of the gatherer of this data centre; empty where this
 	// process is the gatherer.
 	gatherer string
@@ -240,16 +246,17 @@
 // for.
 func (s *Sharer) Answer(_ context.Context, r *wire.Round) (*wire.Round, error) {
 	now := time.Now()
+	load := decode(r)
 	own := s.OwnLoad()
 	own.Processes = 1
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r.GetGathers() {
-		s.remote.record(r.GetDataCentre(), decode(r), now)
+		s.remote.record(r.GetDataCentre(), load, now)
 		return s.encode(s.local.sum(own, now)), nil
 	}
-	s.local.record(r.GetSender(), decode(r), now)
-	answer := s.encode(s.remote.sum(s.local.sum(own, now), now))
+	s.local.record(r.GetSender(), load, now)
+	answer := s.encodeSum(own, now)
 	for _, f := range r.GetFollowing() {
 		answer.Following = append(answer.Following, s.changes(f, now))
 	}
@@ -263,6 +270,19 @@
 	return answer, nil
 }
 
+// encodeSum returns a message with the load of all data centres, which is up to
+// _sumLifetime old; the caller holds the lock.
+func (s *Sharer) encodeSum(own Load, now time.Time) *wire.Round {
+	if s.summed == nil || now.Sub(s.summedAt) >= _sumLifetime {
+		s.summed, s.summedAt = s.encode(s.remote.sum(s.local.sum(own, now), now)), now
+	}
+	sum := s.summed
+	return &wire.Round{
+		Sender: sum.GetSender(), DataCentre: sum.GetDataCentre(), Processes: sum.GetProcesses(),
+		Loads: sum.GetLoads(), Demands: sum.GetDemands(), Silences: sum.GetSilences(),
+	}
+}
+
 // changes returns the changes that this process has read from the platform after the
 // revision that a peer has, if it can; the caller holds the lock.
 func (s *Sharer) changes(f *wire.Following, now time.Time) *wire.Following {
--- a/internal/sharer/sharer_test.go
+++ b/internal/sharer/sharer_test.go
@@ -400,3 +400,19 @@
 		assert.Equal(t, enumerator.NewMembers(current), s.processes["a3"].Membership.Members())
 	})
 }
+
+// One sum of the loads serves the answers to several peers, for a short time: a
+// gatherer with many peers answers each of them several times a second.
+func TestAnswersShareSum(t *testing.T) {
+	runSystem(t, 2, func(s *system) {
+		ask := func() *wire.UpstreamLoad {
+			answer, err := s.processes["a0"].Answer(t.Context(), &wire.Round{Sender: "a1", DataCentre: "a"})
+			assert.NoError(t, err)
+			return answer.GetLoads()[0]
+		}
+		first := ask()
+		assert.Same(t, first, ask())
+		time.Sleep(60 * time.Millisecond)
+		assert.NotSame(t, first, ask())
+	})
+}
