internal/forwarder: bounds for bytes without end

The head of a response was read by net/http without any bound until the request's time was over, and grew in memory all the while; so was an event of a stream without an end. A plain body was bounded, but many of them together were not. A caller that sent its body a byte a second was read for ever.

Change: a head, with the interim and late responses before it, takes 16 KB at most, an event 256 KB; a plain body up to 256 KB is read in any case, a larger one only while all of them together take 32 MB at most. Beyond that the connection is closed at once, the request goes to another upstream where it may, and the line of the request says why. A caller has the time that its request may take to send the body, and is refused with 408 after that. The clients of the platform and of engines take 64 KB of head.

Ruled out, by tests that passed before: chunk sizes and extensions, trailers (net/http bounds them), bytes beyond Content-Length and on an idle connection (the connection is closed before it is used again).

--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -34,7 +34,7 @@
 // New returns a Client that connects over network.
 func New(network networker.Network) *Client {
 	t := &http.Transport{
-		DialContext: network.DialContext, MaxIdleConnsPerHost: 2,
+		MaxResponseHeaderBytes: networker.MaxResponseHeadBytes, DialContext: network.DialContext, MaxIdleConnsPerHost: 2,
 		IdleConnTimeout: 30 * time.Second, DisableCompression: true,
 	}
 	return &Client{http: &http.Client{Transport: t}}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -85,12 +85,14 @@
 	if n, err := c.Write(r.encode()); err != nil {
 		return nil, fail("write to", n > 0, err)
 	}
+	c.head.start()
 	for skipped := 0; ; skipped++ {
 		res, err := x.readHead(r.Method)
 		if err != nil {
 			return nil, fail("read the response of", true, err)
 		}
 		if r.Matches == nil || r.Matches(res.Header) {
+			c.head.end()
 			x.Response = res
 			return x, nil
 		}
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -39,6 +39,8 @@
 // conn is a connection to an upstream.
 type conn struct {
 	net.Conn
+	// head limits the bytes of a response's head; reader reads through it.
+	head    headLimiter
 	reader  *bufio.Reader
 	address string
 	// idleSince is when the last response ended.
@@ -70,7 +72,9 @@
 	if p.OnOpen != nil {
 		p.OnOpen()
 	}
-	return &conn{Conn: n, reader: bufio.NewReaderSize(n, _readBuffer), address: address, idleLimit: _idleLimit}, nil
+	c := &conn{Conn: n, head: headLimiter{reader: n}, address: address, idleLimit: _idleLimit}
+	c.reader = bufio.NewReaderSize(&c.head, _readBuffer)
+	return c, nil
 }
 
 // pop returns the idle connection that was used last, or nil if there is none.
--- a/internal/networker/network.go
+++ b/internal/networker/network.go
@@ -17,6 +17,11 @@
 	ListenPacket(address string) (net.PacketConn, error)
 }
 
+// MaxResponseHeadBytes is the largest size, in bytes, of the head of an HTTP response
+// that clients of upstreams and of the platform accept. A server in trouble may send a
+// head without end.
+const MaxResponseHeadBytes = 64 << 10
+
 // System is the Network of the operating system. The zero value is ready for
 // use.
 type System struct{}
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"io"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,11 +12,6 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/forwarder"
 )
 
-// _maxPlainBody is the largest response body of a plain service, in bytes. A body is
-// read whole before any of it is passed on, so that the request can be sent to another
-// upstream if the body is broken.
-const _maxPlainBody = 8 << 20
-
 // relayPlain relays a request whose response is a single body.
 func (c *call) relayPlain() {
 	reason := "no-upstream"
@@ -58,7 +53,7 @@
 	}
 	defer func() { _ = x.Close() }() // the connection is not reused if closing fails
 	c.Balancer.RecordActivity(u.ID, time.Now())
-	body, err := io.ReadAll(io.LimitReader(x, _maxPlainBody+1))
+	body, err := c.bodies.read(x)
 	status := x.Response.StatusCode
 	switch {
 	case a.NotRun:
@@ -66,8 +61,8 @@
 			c.Balancer.MarkFull(u.ID, time.Now())
 		}
 		return false, "refused-by-upstream"
-	case err != nil || len(body) > _maxPlainBody:
-		c.lastErr = errors.Join(err, errors.New("relayer: upstream response truncated or too large"))
+	case err != nil:
+		c.lastErr = fmt.Errorf("relayer: read the response of %s: %w", u.ID, err)
 		return false, "answer-broken"
 	case status < 300 && (!a.Signed || a.Encoded):
 		c.lastErr = errors.New("relayer: upstream response has no signature or has a content encoding")
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -64,6 +65,7 @@
 	requests atomic.Int64
 	arrivals rateMeter
 	draining atomic.Bool
+	bodies   bodyReader
 }
 
 // TrafficStarted returns true once a request has been read whole and has passed
@@ -247,9 +249,14 @@
 	if limit <= 0 {
 		limit = _defaultBodyLimit
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	body, err := c.readBody(limit)
 	var large *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.lastErr = err
+		c.w.Header().Set("Connection", "close")
+		c.refuse(http.StatusRequestTimeout, "body-late")
+		return false
 	case errors.As(err, &large):
 		c.fail(http.StatusRequestEntityTooLarge, "body-too-large")
 		return false
@@ -266,6 +273,20 @@
 	return true
 }
 
+// readBody reads the body of the caller's request, of limit bytes at most. A caller may
+// send it slowly, but not beyond the time that the request may take.
+func (c *call) readBody(limit int64) ([]byte, error) {
+	if c.r.ContentLength == 0 {
+		return nil, nil
+	}
+	control := http.NewResponseController(c.w)
+	if err := control.SetReadDeadline(c.arrivedAt.Add(c.timeout())); err == nil {
+		// The connection may serve other requests, whose time is their own.
+		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	}
+	return io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+}
+
 // timeout returns how long the request may take: the timeout of the route, or that of
 // the caller if it is shorter.
 func (c *call) timeout() time.Duration {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -1,6 +1,7 @@
 package relayer_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -53,10 +54,10 @@
 // upstreamHandler returns an upstream's handler that responds as behaviour says, and
 // counts the requests that it runs. For plain services, behaviour is one of "ok",
 // "500", "503", "not-run" (refuses the request), "cut" (closes the connection without
-// a response) and "unsigned". For streams it is "N", the number of events, alone or
+// a response), "unsigned" and "endless" (sends a body without end). For streams it is "N", the number of events, alone or
 // followed by "cut" (closes the connection after the last event), "torn" (closes the
-// connection in the middle of another event) or "skip" (gives the last event an id
-// that is one too high).
+// connection in the middle of another event), "endless" (sends another event without
+// end) or "skip" (gives the last event an id that is one too high).
 func upstreamHandler(behaviour string, runs *atomic.Int32) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		word, ending, _ := strings.Cut(behaviour, " ")
@@ -77,6 +78,10 @@
 			w.WriteHeader(status)
 			return
 		}
+		if word == "endless" {
+			sendEndless(w)
+			return
+		}
 		count, err := strconv.Atoi(word)
 		if err != nil {
 			_, _ = io.WriteString(w, "done")
@@ -91,6 +96,8 @@
 			_ = http.NewResponseController(w).Flush()
 		}
 		switch ending {
+		case "endless":
+			sendEndless(w)
 		case "torn":
 			_, _ = io.WriteString(w, "id: 99\nda")
 			_ = http.NewResponseController(w).Flush()
@@ -101,6 +108,15 @@
 	})
 }
 
+// sendEndless sends bytes without an end of a line until the connection is closed.
+func sendEndless(w http.ResponseWriter) {
+	block := []byte(strings.Repeat("x", 64<<10))
+	var err error
+	for err == nil {
+		_, err = w.Write(block)
+	}
+}
+
 func TestRelay(t *testing.T) {
 	testCases := []struct {
 		name      string
@@ -115,6 +131,10 @@
 		{name: "safe, sent again after 500", kind: cataloguer.KindSafe, upstreams: []string{"500", "ok"}, want: "200 done", runs: 2},
 		{name: "safe, sent again after a cut", kind: cataloguer.KindSafe, upstreams: []string{"cut", "ok"}, want: "200 done", runs: 2},
 		{name: "safe, unsigned", kind: cataloguer.KindSafe, upstreams: []string{"unsigned", "ok"}, want: "200 done", runs: 2},
+		{name: "safe, sent again after a body without end", kind: cataloguer.KindSafe, upstreams: []string{"endless", "ok"}, want: "200 done", runs: 2},
+		{name: "unsafe, body without end", kind: cataloguer.KindUnsafe, upstreams: []string{"endless", "ok"}, want: "502", runs: 1},
+		{name: "stream resumed after an event without end", kind: cataloguer.KindStream, resumable: true, upstreams: []string{"2 endless", "4"}, want: "200 1 2 3 4", runs: 2},
+		{name: "stream with an event without end", kind: cataloguer.KindStream, upstreams: []string{"2 endless"}, want: "200 1 2 broken", runs: 1},
 		{name: "safe, all cut", kind: cataloguer.KindSafe, upstreams: []string{"cut", "cut", "ok"}, want: "502", runs: 2},
 		{name: "safe, no upstream", kind: cataloguer.KindSafe, want: "503 retry"},
 		{name: "unsafe", kind: cataloguer.KindUnsafe, upstreams: []string{"ok"}, want: "200 done", runs: 1},
@@ -142,6 +162,24 @@
 	}
 }
 
+// A caller that does not send its body in the time that its request may take is refused,
+// and nothing is sent to an upstream.
+func TestBodySentTooSlowly(t *testing.T) {
+	var runs atomic.Int32
+	s := startRelayer(t, cataloguer.KindUnsafe, false, []string{"ok"}, &runs)
+	c, err := net.Dial("tcp", s.Listener.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /a/x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: 1\r\nKey: k\r\nWait: 100ms\r\nContent-Length: 4\r\n\r\nb")
+	require.NoError(t, err)
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	defer res.Body.Close()
+	assert.Equal(t, http.StatusRequestTimeout, res.StatusCode)
+	assert.True(t, res.Close)
+	assert.Zero(t, runs.Load())
+}
+
 func TestRouteAndKey(t *testing.T) {
 	var runs atomic.Int32
 	s := startRelayer(t, cataloguer.KindSafe, false, []string{"ok"}, &runs)
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -18,6 +18,9 @@
 // _streamBuffer is the size of one read of a stream, in bytes.
 const _streamBuffer = 4 << 10
 
+// _maxEventBytes is the largest size of one event of a stream, in bytes.
+const _maxEventBytes = 256 << 10
+
 // position is how much of a stream the caller has received.
 type position struct {
 	// last is the id of the last event that was passed on.
@@ -118,7 +121,7 @@
 // relayError passes on the error response of an upstream. It returns false and the
 // reason if the caller must not receive that response.
 func (c *call) relayError(x *forwarder.Exchange, a Response, status int) (bool, string) {
-	body, err := io.ReadAll(io.LimitReader(x, _maxPlainBody))
+	body, err := c.bodies.read(x)
 	if err != nil || promisesNotRun(status) || !a.Signed {
 		c.lastErr = errors.Join(err, fmt.Errorf("relayer: upstream responded with status %d", status))
 		return false, "failed-by-upstream"
@@ -155,6 +158,10 @@
 			if why := c.passEvents(x, &s, p); why != "" {
 				return false, why
 			}
+			if len(s.rest()) > _maxEventBytes {
+				c.lastErr = fmt.Errorf("relayer: event of a stream is over %d bytes", _maxEventBytes)
+				return false, "answer-broken"
+			}
 		}
 		switch {
 		case errors.Is(err, io.EOF) && len(s.rest()) == 0:
--- a/internal/serviceclient/client.go
+++ b/internal/serviceclient/client.go
@@ -56,7 +56,7 @@
 func New(network networker.Network) *Client {
 	// The timeout for connecting leaves time to try another upstream.
 	dialer := networker.TimeoutNetwork{Network: network}
-	t := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
+	t := &http.Transport{MaxResponseHeaderBytes: networker.MaxResponseHeadBytes, DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
 	return &Client{http: &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error {
 		return http.ErrUseLastResponse
 	}}}
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -82,7 +82,7 @@
 // New returns a Client of the platform whose URL is base, such as
 // "http://127.0.0.1:9000", that connects over network.
 func New(base string, network networker.Network) *Client {
-	t := &http.Transport{DialContext: network.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second}
+	t := &http.Transport{MaxResponseHeaderBytes: networker.MaxResponseHeadBytes, DialContext: network.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second}
 	return &Client{base: strings.TrimSuffix(base, "/"), http: &http.Client{Transport: t}}
 }
 
--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -106,7 +106,7 @@
 // New returns a Streamer that connects over network.
 func New(network networker.Network, c Confirmer) *Streamer {
 	const maxIdle = 64
-	t := &http.Transport{DialContext: network.DialContext, MaxIdleConnsPerHost: maxIdle, DisableCompression: true}
+	t := &http.Transport{MaxResponseHeaderBytes: networker.MaxResponseHeadBytes, DialContext: network.DialContext, MaxIdleConnsPerHost: maxIdle, DisableCompression: true}
 	return &Streamer{http: &http.Client{Transport: t}, confirmer: c}
 }
 
