internal/admitter: tell returning callers by route, not by model

Cause: a caller counted as returning if it waited clearly less than the longest time that any caller of the model had ever waited. On the users' sites one model serves routes of 8 s and of 5 s: every first attempt of the 5 s route (doc-check, the worst-served class) counted as returning. It was sent with the lower priority, behind all others at the engine, and admitted by the bound on returning requests in place of the load.

A stream that the watchdog ends is logged with that cause in place of the closed connection's read error.

Ruled out: the request's own id, which is new with each attempt; the route's timeout alone, since callers may wait less than it.

--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -206,6 +206,9 @@
 		Routes: []cataloguer.Route{{
 			Name: "r", Host: "127.0.0.1", Prefix: "/", Kind: cataloguer.KindStream, Resumable: true, Timeout: 8 * time.Second,
 			Split: []cataloguer.ServiceWeight{{Service: "s", Weight: 1}}, Attempts: 2,
+		}, {
+			Name: "short", Host: "127.0.0.1", Prefix: "/short/", Kind: cataloguer.KindStream, Resumable: true, Timeout: 5 * time.Second,
+			Split: []cataloguer.ServiceWeight{{Service: "s", Weight: 1}}, Attempts: 2,
 		}},
 	}
 	c.Index()
@@ -225,12 +228,16 @@
 	sendWithTimeout := func(d string) string { return sendRequestWith(t, s, "/x", http.Header{"Id": {"1"}, "Wait": {d}}) }
 	setTotalLoad(12, 0)
 	assert.Equal(t, "503 retry", sendWithTimeout("6s"))
+	// Callers of another route of the same model wait less in any case.
+	sendShort := func(d string) string { return sendRequestWith(t, s, "/short/x", http.Header{"Id": {"1"}, "Wait": {d}}) }
+	assert.Equal(t, "503 retry", sendShort("5s"))
+	assert.Equal(t, "200 1", sendShort("4s"))
 	assert.Equal(t, "200 1", sendWithTimeout("5s"))
 	setTotalLoad(15, 5)
 	assert.Equal(t, "503 retry", sendWithTimeout("5s"))
 	setTotalLoad(2, 0)
 	assert.Equal(t, "200 1", sendWithTimeout("6s"))
-	assert.Equal(t, []string{"7", "5"}, priorities)
+	assert.Equal(t, []string{"7", "7", "5"}, priorities)
 }
 
 // startRelayer starts a relayer with one route to upstreams that are tried in the
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -115,7 +115,7 @@
 		c.lastErr = errors.New("relayer: upstream response has no signature or has a content encoding")
 		return false, "answer-broken"
 	}
-	return c.relayEvents(x, watch, p)
+	return c.relayEvents(ctx, x, watch, p)
 }
 
 // relayError passes on the error response of an upstream. It returns false and the
@@ -147,7 +147,7 @@
 
 // relayEvents passes events on until the stream is complete. It returns false and
 // the reason if the stream breaks off before that.
-func (c *call) relayEvents(x *forwarder.Exchange, watch *Watch, p *position) (bool, string) {
+func (c *call) relayEvents(ctx context.Context, x *forwarder.Exchange, watch *Watch, p *position) (bool, string) {
 	var s splitter
 	buffer := make([]byte, _streamBuffer)
 	for {
@@ -172,7 +172,8 @@
 			return true, ""
 		case err != nil:
 			c.lastErr = err
-			if cause := context.Cause(c.ctx); cause != nil {
+			// The read fails because ctx closed the connection, for example for silence.
+			if cause := context.Cause(ctx); cause != nil {
 				c.lastErr = cause
 			}
 			return false, "stream-broken"
--- a/internal/relayer/total_load.go
+++ b/internal/relayer/total_load.go
@@ -21,10 +21,6 @@
 	// _durationSmoothing divides the difference between the duration of the newest
 	// request and the moving average before it is added to the average.
 	_durationSmoothing = 8
-	// _firstAttemptFraction is a fraction of the longest time that any caller was
-	// willing to wait. A request whose caller waits at least that long counts as the
-	// caller's first attempt, since a retry has less time left.
-	_firstAttemptFraction = 0.97
 )
 
 // Priorities of sends at an upstream; 0 is served first.
@@ -46,8 +42,6 @@
 	// meanDuration is the moving average of the time from the start of a request to
 	// its end, in ns; 0 before the first one ended.
 	meanDuration atomic.Int64
-	// longestTimeout is the longest time that a caller was willing to wait, in ns.
-	longestTimeout atomic.Int64
 }
 
 // recordEnd counts the end of an admitted request and adds its duration to the
@@ -63,16 +57,6 @@
 	m.meanDuration.Store(max(took, 1))
 }
 
-// isReturning returns true if a request whose caller waits for left is returning, since
-// a retry has only the rest of the caller's timeout. It updates longestTimeout.
-func (m *modelState) isReturning(left time.Duration) bool {
-	longest := m.longestTimeout.Load()
-	for int64(left) > longest && !m.longestTimeout.CompareAndSwap(longest, int64(left)) {
-		longest = m.longestTimeout.Load()
-	}
-	return float64(left) < _firstAttemptFraction*float64(longest)
-}
-
 func newModelState() *modelState {
 	return &modelState{arrivals: rateMeter{timeConstant: _demandTimeConstant}, completions: rateMeter{timeConstant: _demandTimeConstant}}
 }
