internal/conductor: bounded decisions and checks in a large fleet

Each answer of a check caused a decision over the whole fleet: with 864 members a profile of ten virtual seconds shows 12 s of processor time, 1.4 ms a decision, 875 a second, on 0.8 of a core.

Change: events that come within 20 ms cause one decision, and none follows another before four times what that one took. Members are checked once a second up to 300 of them, and 300 a second beyond; what callers see of a group's head still starts checks at once. A fleet makes its sorted list of a service when it is first asked for, which only the holder and plain services do.

Ruled out: the lease's duration and the store (its calls took milliseconds); the network: the checks were answered, late.

--- a/internal/cataloguer/upstream.go
+++ b/internal/cataloguer/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"sync"
 )
 
 // Upstream is a server that requests are forwarded to, as it last described
@@ -86,43 +87,57 @@
 type Fleet struct {
 	Revision         uint64
 	Upstreams        map[string]Upstream
-	byService        map[string][]Upstream
 	openHeadsByModel map[[2]string][]Upstream // by service and model
+
+	mu sync.Mutex
+	// byService holds the results of OfService.
+	byService map[string][]Upstream
 }
 
 // NewFleet returns the fleet of the upstreams given. It keeps the map, which the
 // caller must not change afterwards.
 func NewFleet(revision uint64, upstreams map[string]Upstream) *Fleet {
-	f := &Fleet{
-		Revision: revision, Upstreams: upstreams,
-		byService: make(map[string][]Upstream), openHeadsByModel: make(map[[2]string][]Upstream),
-	}
+	f := &Fleet{Revision: revision, Upstreams: upstreams, openHeadsByModel: make(map[[2]string][]Upstream)}
 	for _, u := range upstreams {
-		f.byService[u.Service] = append(f.byService[u.Service], u)
 		if u.IsOpenHead() {
 			k := [2]string{u.Service, u.Group.Model}
 			f.openHeadsByModel[k] = append(f.openHeadsByModel[k], u)
 		}
 	}
-	byID := func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) }
-	for _, list := range f.byService {
-		slices.SortFunc(list, byID)
-	}
 	for _, list := range f.openHeadsByModel {
-		slices.SortFunc(list, byID)
+		slices.SortFunc(list, compareIDs)
 	}
 	return f
 }
 
+func compareIDs(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) }
+
 // IsOpenHead reports whether the upstream is the head of an open group.
 func (u *Upstream) IsOpenHead() bool {
 	return u.Group.Name != "" && u.Group.Rank == 0 && u.Group.State == MemberOpen
 }
 
 // OfService returns the upstreams of a service, sorted by id. Callers must not
-// change the slice.
+// change the slice. The list is made at the first call, since most processes need that
+// of a service with engines never and each new fleet replaces it.
 func (f *Fleet) OfService(service string) []Upstream {
-	return f.byService[service]
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list, ok := f.byService[service]
+	if ok {
+		return list
+	}
+	for _, u := range f.Upstreams {
+		if u.Service == service {
+			list = append(list, u)
+		}
+	}
+	slices.SortFunc(list, compareIDs)
+	if f.byService == nil {
+		f.byService = make(map[string][]Upstream)
+	}
+	f.byService[service] = list
+	return list
 }
 
 // OpenHeads returns the heads of a model's open groups, sorted by id. Callers must
--- a/internal/conductor/checks.go
+++ b/internal/conductor/checks.go
@@ -129,7 +129,7 @@
 	k.failures = 0
 	k.answeredAt = now
 	k.recheckSince = time.Time{}
-	k.nextAt = now.Add(_checkInterval)
+	k.nextAt = now.Add(c.checkInterval())
 }
 
 // recordFailure records a check that failed.
@@ -155,10 +155,15 @@
 		c.Log.Failure("member-lost", err, logger.Fields{"upstream": u.ID, "group": u.Group.Name, "epoch": u.Group.Epoch, "checks": k.failures})
 	}
 	if k.failures > _failuresUntilLost {
-		k.nextAt = now.Add(_checkInterval)
+		k.nextAt = now.Add(c.checkInterval())
 	}
 }
 
+// checkInterval returns the time between two periodic checks of a member.
+func (c *Conductor) checkInterval() time.Duration {
+	return max(_checkInterval, time.Duration(len(c.checks))*time.Second/_maxChecksPerSecond)
+}
+
 // recheckGroup makes the checks of a group's other lost members due now, since one
 // lost member has answered. It returns their number.
 func (c *Conductor) recheckGroup(returned *check, now time.Time) int {
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -15,13 +15,24 @@
 const (
 	// _decisionInterval is the time between two decisions when no event causes one.
 	_decisionInterval = 200 * time.Millisecond
+	// _minDecisionInterval is the shortest time between two decisions. Events that come
+	// closer together cause one decision, whose cost grows with the fleet.
+	_minDecisionInterval = 20 * time.Millisecond
+	// _decisionRestFactor is how many times as long as a decision took no other follows
+	// it, so that decisions leave most of a slow processor to checks and callers.
+	_decisionRestFactor = 4
 	// _reportTimeout is the timeout of a request for a report; an upstream of the
 	// same region answers in milliseconds.
 	_reportTimeout = 300 * time.Millisecond
 	// _orderTimeout is the timeout of an order, which an upstream answers at once.
 	_orderTimeout = 700 * time.Millisecond
-	// _checkInterval is the time between two checks of a member of a group.
+	// _checkInterval is the time between two checks of a member of a group, unless
+	// _maxChecksPerSecond stretches it.
 	_checkInterval = time.Second
+	// _maxChecksPerSecond is the largest number of periodic checks per second, over all
+	// members. Callers' requests show sooner than a periodic check that a busy group
+	// has lost a member.
+	_maxChecksPerSecond = 300
 	// _recheckDelay is the time from a failed check to the next one.
 	_recheckDelay = 200 * time.Millisecond
 	// _failuresUntilLost is the number of failed checks in a row after which a
@@ -133,11 +144,20 @@
 	suspects := c.suspects
 	c.mu.Unlock()
 	defer c.tasks.Wait()
-	t := time.NewTicker(_decisionInterval)
+	t := time.NewTimer(_decisionInterval)
 	defer t.Stop()
-	for {
+	var nextAt time.Time // when the next step may begin
+	for due := true; ; {
 		changed := c.Catalogue.Changed()
-		c.step(ctx, time.Now())
+		if now := time.Now(); due && !now.Before(nextAt) {
+			c.step(ctx, now)
+			due, nextAt = false, time.Now().Add(max(_minDecisionInterval, _decisionRestFactor*time.Since(now)))
+		}
+		wait := _decisionInterval
+		if due {
+			wait = time.Until(nextAt)
+		}
+		t.Reset(wait)
 		select {
 		case <-ctx.Done():
 			return
@@ -149,6 +169,7 @@
 		case <-changed:
 		case <-t.C:
 		}
+		due = true
 	}
 }
 
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,7 +30,9 @@
 	mu      sync.Mutex
 	reports map[string]cataloguer.Report
 	orders  []conductor.Command
-	times   []time.Time // when each order was given
+	// reportCount is the number of reports that were asked for.
+	reportCount int
+	times       []time.Time // when each order was given
 	// orderAddedAt is when the report of "a" starts to show one order more.
 	orderAddedAt time.Time
 	// From unreachableFrom until reachableFrom no upstream can be reached: a report
@@ -50,6 +54,9 @@
 }
 
 func (u *upstreams) Report(_ context.Context, x cataloguer.Upstream) (cataloguer.Report, error) {
+	u.mu.Lock()
+	u.reportCount++
+	u.mu.Unlock()
 	if u.isUnreachable(x.ID) {
 		time.Sleep(u.failureDelays[x.ID])
 		return cataloguer.Report{}, errors.New("no answer")
@@ -103,6 +110,12 @@
 	return member("a", 0, cataloguer.MemberOpen), member("b", 1, cataloguer.MemberReady), member("c", 2, cataloguer.MemberReady)
 }
 
+// threeUpstreams returns the members of an open group by rank.
+func threeUpstreams() []cataloguer.Upstream {
+	a, b, c := threeMembers()
+	return []cataloguer.Upstream{a, b, c}
+}
+
 // runConductor runs a conductor that holds the lease for d on a fixed fleet.
 func runConductor(d time.Duration, u *upstreams, list ...cataloguer.Upstream) {
 	runWithLease(d, u, lease{}, func(bool) {}, list...)
@@ -318,6 +331,55 @@
 	}
 }
 
+// countingCatalogue counts how often the configuration is read, which each decision
+// does once.
+type countingCatalogue struct {
+	*cataloguer.Catalogue
+	reads atomic.Int64
+}
+
+func (c *countingCatalogue) Configuration() *cataloguer.Configuration {
+	c.reads.Add(1)
+	return c.Catalogue.Configuration()
+}
+
+// In a large fleet the numbers of checks and of decisions per second are bounded, and a
+// group that callers suspect is still closed soon after the loss of a member.
+func TestChecksAndDecisionsOfLargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const groups, seconds = 300, 10
+		u := &upstreams{reports: make(map[string]cataloguer.Report), answerDelays: make(map[string]time.Duration)}
+		var list []cataloguer.Upstream
+		for g := range groups {
+			for rank, x := range threeUpstreams() {
+				x.ID, x.Group.Name, x.Group.Epoch = fmt.Sprintf("%s%d", x.ID, g), fmt.Sprint("g", g), uint64(g+1)
+				u.reports[x.ID] = cataloguer.Report{Group: x.Group}
+				u.answerDelays[x.ID] = time.Duration((3*g+rank)%250) * time.Millisecond
+				list = append(list, x)
+			}
+		}
+		var k cataloguer.Catalogue
+		counting := &countingCatalogue{Catalogue: &k}
+		var lostAt time.Time
+		setup := func(x *conductor.Conductor) {
+			x.Catalogue = counting
+			time.AfterFunc(8*time.Second, func() {
+				lostAt = time.Now()
+				u.lose("c7")
+				x.Suspect("a7")
+			})
+		}
+		runWithSetup(&k, seconds*time.Second, u, lease{}, func(bool) {}, setup, list...)
+		assert.LessOrEqual(t, counting.reads.Load(), int64(seconds*50+1))
+		// The first check of each member begins at once.
+		assert.LessOrEqual(t, u.reportCount, 3*groups+seconds*320)
+		closes := u.ordersTo(grouper.OperationClose, "a7")
+		if assert.NotEmpty(t, closes) {
+			assert.Less(t, u.times[0].Sub(lostAt), time.Second)
+		}
+	})
+}
+
 // A holder that can't reach the store and continues to give orders after its lease has
 // expired stops for good when an upstream shows an order of a later term.
 func TestLeadingWithoutLeaseEndsAtLaterTerm(t *testing.T) {
