internal/composer: idle instances read changes less often

Each instance read each batch of them: the batches were too large for a gatherer to pass on, and before the first list of peers each instance took itself for the gatherer.

Change: until its first request, an instance that others don't depend on pauses 1.5 s between reads of the list (at most half of the time in which a leaving upstream may be used), and half of that for the configuration. The decision is code of its own now.

Ruled out: passing on larger batches, which 60 peers would need of one 200 Mbit/s link at once.

--- a/internal/composer/export_test.go
+++ b/internal/composer/export_test.go
@@ -1,7 +1,26 @@
 package composer
 
+import "time"
+
 // Evidence exports evidence for tests.
 type Evidence = evidence
 
 // SetDepartures sets the source of departures that peers report.
 func (e *evidence) SetDepartures(d departureSource) { e.departures = d }
+
+// ReaderState is readerState with exported fields.
+type ReaderState struct {
+	Leading, Gathers, Follows, Busy bool
+	Instances                       int
+	Longest                         time.Duration
+}
+
+func (s ReaderState) state() readerState {
+	return readerState{leading: s.Leading, gathers: s.Gathers, follows: s.Follows, busy: s.Busy, instances: s.Instances, longest: s.Longest}
+}
+
+// ListDelay exports readerState.listDelay to the tests.
+func (s ReaderState) ListDelay() time.Duration { return s.state().listDelay() }
+
+// ConfigurationDelay exports readerState.configurationDelay to the tests.
+func (s ReaderState) ConfigurationDelay() time.Duration { return s.state().configurationDelay() }
--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -52,16 +52,6 @@
 	// _stopMargin is the time kept free at the end of a graceful shutdown, after the
 	// requests in progress, in which the lease is released.
 	_stopMargin = 500 * time.Millisecond
-	// _batchDelayLeading is how long an instance that leads, and so makes the decisions
-	// about groups, batches changes of the list of upstreams.
-	_batchDelayLeading = 60 * time.Millisecond
-	// _batchDelayGatherer is how long the gatherer, which reads the list for its data
-	// centre, batches changes.
-	_batchDelayGatherer = 200 * time.Millisecond
-	// _batchDelayPerInstance times the number of instances is how long an instance that
-	// exchanges nothing with peers batches changes. All instances together then read the
-	// list at most 25 times a second.
-	_batchDelayPerInstance = 40 * time.Millisecond
 	// _removalGrace is how long an upstream stays in use after its record in the store
 	// expired during an outage. Upstreams write their records again within two seconds.
 	_removalGrace = 1800 * time.Millisecond
@@ -151,23 +141,18 @@
 		Publish: func(revision uint64, values map[string]*cataloguer.Configuration) {
 			publishConfiguration(k.log, c, revision, values)
 		},
+		BatchDelay: func() time.Duration {
+			if c.Configuration() == nil {
+				return 0
+			}
+			return k.readerState(c, sh, e).configurationDelay()
+		},
 	}
 	upstreams := &reflector.Reflector[cataloguer.Upstream]{
 		Kind: "upstreams", Log: k.log,
 		Source:       reflector.DecodingSource[cataloguer.Upstream]{Source: sh.Source("upstreams", a.Upstreams), Decode: a.DecodeUpstream},
 		RemovalGrace: _removalGrace, OnOutage: c.SetListUnavailable, OnAnswer: c.SetListReadAt,
-		BatchDelay: func() time.Duration {
-			switch {
-			case c.Leading():
-				return _batchDelayLeading
-			case sh.FollowsGatherer():
-				// The gatherer has batched the changes already.
-				return 0
-			case sh.IsRunning():
-				return _batchDelayGatherer
-			}
-			return min(time.Duration(e.Count())*_batchDelayPerInstance, k.settings.UpstreamDrainGrace()/2)
-		},
+		BatchDelay: func() time.Duration { return k.readerState(c, sh, e).listDelay() },
 		Publish: func(revision uint64, values map[string]cataloguer.Upstream) {
 			c.SetFleet(cataloguer.NewFleet(revision, values))
 		},
