internal/balancer: prefer upstreams with an idle connection

Change: with the loads of all processes known, the choice is made among the upstreams to which the process has an idle connection, by the same weights; all of them count where none of these is below the common level. Requests that may run only once don't ask for a kept connection.

Tried first: the connected upstream with the fewest in flight, where that is no more than the drawn one has.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -37,6 +37,9 @@
 	Exclude []string
 	// Random is a random number in [0, 1) that breaks ties.
 	Random float64
+	// Connected reports whether this process has an idle connection to an upstream; nil
+	// means that this does not matter.
+	Connected func(u *cataloguer.Upstream) bool
 	// ExpectedRequests is the number of requests with the same candidates that all
 	// processes together send until the next exchange of loads; 0 if loads are not
 	// exchanged.
@@ -192,7 +195,14 @@
 	if b.peerLoads == nil {
 		return usable[pickLowest(costs, q.Random)], ""
 	}
-	return usable[pickLevelled(costs, max(q.ExpectedRequests, 1), q.Random)], ""
+	requests := max(q.ExpectedRequests, 1)
+	if q.Connected != nil {
+		connected := func(i int) bool { return q.Connected(&candidates[usable[i]]) }
+		if i := pickConnected(costs, requests, q.Random, connected); i >= 0 {
+			return usable[i], ""
+		}
+	}
+	return usable[pickLevelled(costs, requests, q.Random)], ""
 }
 
 func isExcluded(list []string, id string) bool {
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -90,6 +90,19 @@
 	return c
 }
 
+// HasIdle reports whether an idle connection to an upstream can be reused now, unless
+// the upstream has closed it.
+func (p *Pool) HasIdle(address string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return false
+	}
+	last := list[len(list)-1]
+	return now.Sub(last.idleSince) < last.idleLimit
+}
+
 // put makes a connection idle after a complete response.
 func (p *Pool) put(c *conn) {
 	c.idleSince, c.reused = time.Now(), true
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -28,6 +28,7 @@
 	now := time.Now()
 	u, reason := c.Balancer.Acquire(candidates, balancer.Query{
 		Now: now, ExpectedRequests: c.expectedArrivals(now), DataCentre: c.DataCentre, Limit: limit, Exclude: c.tried, Random: rand.Float64(),
+		Connected: c.connected(now),
 	})
 	fields := logger.Fields{
 		"request": c.request.ID, "configuration": c.version, "fleet_revision": fleet.Revision,
@@ -46,6 +47,16 @@
 	return u, reason
 }
 
+// connected returns a function that reports whether an idle connection to an upstream
+// is open. It returns nil for a request that may run only once: a kept connection that
+// the upstream closes at that moment would leave its outcome unknown.
+func (c *call) connected(now time.Time) func(u *cataloguer.Upstream) bool {
+	if !c.route.Repeatable() {
+		return nil
+	}
+	return func(u *cataloguer.Upstream) bool { return c.Pool.HasIdle(u.Address, now) }
+}
+
 // candidates returns the upstreams that can serve the request, and how many
 // requests each runs at once.
 func (c *call) candidates() ([]cataloguer.Upstream, int) {
