--- /dev/null
+++ b/internal/sharer/system_test.go
@@ -0,0 +1,246 @@
+package sharer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/enumerator"
+	"github.com/lycheebarrow/lycheebarrow/internal/reflector"
+	"github.com/lycheebarrow/lycheebarrow/internal/sharer"
+	"github.com/lycheebarrow/lycheebarrow/internal/wire"
+)
+
+// platform is a fake platform with objects of one kind.
+type platform struct {
+	mu          sync.Mutex
+	revision    uint64
+	log         []reflector.Change[[]byte]
+	changed     chan struct{}
+	watches     map[string]int
+	unavailable map[string]bool
+}
+
+func (p *platform) put(name, value string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision++
+	p.log = append(p.log, reflector.Change[[]byte]{Name: name, Value: []byte(value), Deleted: value == ""})
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// changeOtherKind changes an object of another kind, which raises the revision only.
+func (p *platform) changeOtherKind() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision++
+	p.log = append(p.log, reflector.Change[[]byte]{})
+}
+
+// changesAfter returns the changes of the kind after a revision.
+func (p *platform) changesAfter(revision uint64) []reflector.Change[[]byte] {
+	var out []reflector.Change[[]byte]
+	for _, c := range p.log[revision:] {
+		if c.Name != "" {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// view is the reflector.Source through which the process of that name reads the
+// platform.
+type view struct {
+	*platform
+	name string
+}
+
+func (v view) List(context.Context) (reflector.Listing[[]byte], error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.unavailable[v.name] {
+		return reflector.Listing[[]byte]{}, errors.New("platform unavailable")
+	}
+	out := reflector.Listing[[]byte]{Values: make(map[string][]byte), Revision: v.revision}
+	for _, c := range v.changesAfter(0) {
+		out.Values[c.Name] = c.Value
+		if c.Deleted {
+			delete(out.Values, c.Name)
+		}
+	}
+	return out, nil
+}
+
+func (v view) Watch(ctx context.Context, after uint64, wait time.Duration) (reflector.Changes[[]byte], error) {
+	end := time.After(wait)
+	v.mu.Lock()
+	v.watches[v.name]++
+	v.mu.Unlock()
+	for {
+		v.mu.Lock()
+		now, changes, changed, unavailable := v.revision, v.changesAfter(after), v.changed, v.unavailable[v.name]
+		v.mu.Unlock()
+		if unavailable {
+			return reflector.Changes[[]byte]{}, errors.New("platform unavailable")
+		}
+		if len(changes) > 0 {
+			return reflector.Changes[[]byte]{Revision: now, Changes: changes}, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return reflector.Changes[[]byte]{Revision: now}, nil
+		case <-ctx.Done():
+			return reflector.Changes[[]byte]{}, ctx.Err()
+		}
+	}
+}
+
+// process is one process of a system, with the objects and the total load that it has
+// received.
+type process struct {
+	*sharer.Sharer
+	mu     sync.Mutex
+	values map[string]string
+	total  sharer.TotalLoad
+	dead   bool
+}
+
+func (p *process) seenValues() map[string]string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.values)
+}
+
+func (p *process) totalLoad() sharer.TotalLoad {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.total
+}
+
+// membership is the Membership of a process that reads the list of processes from the
+// platform itself, unless it has received one.
+type membership struct {
+	mu       sync.Mutex
+	read     []enumerator.Peer // the list that the platform holds
+	received *enumerator.Members
+	// confirmations is the number of times that a peer has sent or confirmed the list.
+	confirmations int
+}
+
+func (m *membership) Members() enumerator.Members {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.received != nil {
+		return *m.received
+	}
+	return enumerator.NewMembers(m.read)
+}
+
+func (m *membership) HasReadList(time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.received == nil
+}
+
+func (m *membership) Receive(list enumerator.Members, _ time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.received = &list
+	m.confirmations++
+}
+
+func (m *membership) Confirm(time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.confirmations++
+}
+
+// system is a set of processes in the two data centres "a" and "b", with one platform.
+// It is their Exchanger.
+type system struct {
+	platform  *platform
+	peers     []enumerator.Peer
+	group     sync.WaitGroup
+	mu        sync.Mutex
+	processes map[string]*process
+}
+
+// Exchange passes a message to the process at address; it times out if the sender or the
+// receiver is dead.
+func (s *system) Exchange(ctx context.Context, address string, r *wire.Round) (*wire.Round, error) {
+	s.mu.Lock()
+	to, from := s.processes[address], s.processes[r.GetSender()]
+	unreachable := to.dead || from.dead
+	s.mu.Unlock()
+	if unreachable {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	time.Sleep(2 * time.Millisecond)
+	return to.Answer(ctx, r)
+}
+
+func (s *system) kill(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.processes[name].dead = true
+}
+
+// runSystem runs n processes in each data centre until script returns.
+func runSystem(t *testing.T, n int, script func(s *system)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &system{
+			platform:  &platform{changed: make(chan struct{}), watches: make(map[string]int), unavailable: make(map[string]bool)},
+			processes: make(map[string]*process),
+		}
+		for i := range 2 * n {
+			name := fmt.Sprintf("%s%d", []string{"a", "b"}[i%2], i/2)
+			s.peers = append(s.peers, enumerator.Peer{Name: name, DataCentre: name[:1], Address: name})
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		for _, p := range s.peers {
+			s.start(ctx, p)
+		}
+		script(s)
+		cancel()
+		s.group.Wait()
+	})
+}
+
+// start runs a process, which knows nothing at first, until ctx ends.
+func (s *system) start(ctx context.Context, p enumerator.Peer) {
+	x := &process{Sharer: &sharer.Sharer{
+		Name: p.Name, DataCentre: p.DataCentre, Exchanger: s, Membership: &membership{read: s.peers}, ReadsDirectly: func() bool { return false },
+		OwnLoad: func() sharer.Load {
+			return sharer.Load{InFlight: map[string]int{"u": 2}, SilentHeads: map[sharer.SilentHead]int{{Upstream: "h", Epoch: 3}: 1}}
+		},
+	}}
+	x.Publish = func(c sharer.TotalLoad) {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.total = c
+	}
+	s.mu.Lock()
+	s.processes[p.Name] = x
+	s.mu.Unlock()
+	r := &reflector.Reflector[[]byte]{
+		Kind: "kind", Source: x.Source("kind", view{s.platform, p.Name}),
+		Publish: func(_ uint64, values map[string][]byte) {
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			x.values = make(map[string]string)
+			for k, v := range values {
+				x.values[k] = string(v)
+			}
+		},
+	}
+	s.group.Go(func() { x.Run(ctx) })
+	s.group.Go(func() { r.Run(ctx) })
+}
