Revert "internal/sharer: gatherers pass on up to 128 KB of changes"

A failed try. In the 1.5 s between two reads of an idle instance more than 128 KB of changes gather while 887 upstreams register and join, so the gatherer still could not pass them on.

And it harms: 60 peers that ask for 128 KB at once take 0.3 s of a gatherer's 200 Mbit/s, as long as a peer waits for an answer. The bound is 32 KB again.

--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -22,7 +22,7 @@
 	// _maxRelayedBytes is the largest size of changes, in bytes, that a gatherer passes
 	// on. Peers read larger changes from the platform themselves, whose link delivers
 	// them to all peers sooner than the gatherer's.
-	_maxRelayedBytes = 128 << 10
+	_maxRelayedBytes = 32 << 10
 )
 
 // Exchanger sends a message to the peer at address and returns the peer's answer; both
--- a/internal/sharer/sharer_test.go
+++ b/internal/sharer/sharer_test.go
@@ -75,7 +75,7 @@
 		s.platform.mu.Lock()
 		clear(s.platform.watches)
 		s.platform.mu.Unlock()
-		large := strings.Repeat("x", 200<<10)
+		large := strings.Repeat("x", 100<<10)
 		s.platform.put("large", large)
 		time.Sleep(time.Second)
 		for name, p := range s.processes {
