internal/composer: one deadline for the whole shutdown

The requests in progress had the limit less half a second; after them the lease is released and the process's object removed, each within half a second, and an instance whose store does not respond uses all of it: 8.000 s of virtual time of 8 s allowed, before any time of the processor. Each server also had that limit for itself, one after the other.

All servers of an instance now share one deadline, a second before the limit. Requests in progress have 7.0 s after SIGTERM in place of 7.5 s; with the old margin a slow machine was killed in the middle of the same work.

--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -49,9 +49,12 @@
 	// _leaseDuration is how long a lease lasts without renewal: when its holder has
 	// died, no other instance sends orders for that long. Safety does not depend on it.
 	_leaseDuration = 1500 * time.Millisecond
+	// _releaseTimeout bounds the release of the lease at the end of a graceful shutdown.
+	_releaseTimeout = 500 * time.Millisecond
 	// _stopMargin is the time kept free at the end of a graceful shutdown, after the
-	// requests in progress, in which the lease is released.
-	_stopMargin = 500 * time.Millisecond
+	// requests in progress, in which the lease is released and a slow processor ends
+	// what runs.
+	_stopMargin = time.Second
 	// _removalGrace is how long an upstream stays in use after its record in the store
 	// expired during an outage. Upstreams write their records again within two seconds.
 	_removalGrace = 1800 * time.Millisecond
@@ -268,7 +271,7 @@
 	rl.Watchdog.OnSilence = cd.Suspect
 	k.run(func(ctx context.Context) {
 		lease.Run(ctx)
-		release, cancel := context.WithTimeout(context.WithoutCancel(ctx), _stopMargin)
+		release, cancel := context.WithTimeout(context.WithoutCancel(ctx), _releaseTimeout)
 		defer cancel()
 		lease.Release(release)
 	})
@@ -296,6 +299,7 @@
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
+			k.stopBeganAt = time.Now()
 			k.health.MarkShuttingDown()
 			rl.StartDraining()
 			k.log.Event("leave", logger.Fields{"notice": k.settings.DrainNotice(), "limit": k.settings.DrainLimit()})
--- a/internal/composer/kernel.go
+++ b/internal/composer/kernel.go
@@ -49,6 +49,9 @@
 	lifecycle fx.Lifecycle
 	// operatorListener accepts the connections of operators.
 	operatorListener net.Listener
+	// stopBeganAt is when the shutdown of an instance began. The hooks that run at the
+	// shutdown, one after the other, set and read it.
+	stopBeganAt time.Time
 
 	// ctx ends when the loops of services have to stop.
 	ctx    context.Context
@@ -97,14 +100,19 @@
 	return s.DrainNotice() + s.DrainLimit() + 10*time.Second
 }
 
-// shutdownLimit returns the time that requests in progress may take after their listener
-// has closed; 0 means no limit. The drain limit of an instance, unlike that of other
-// roles, includes the drain notice.
-func shutdownLimit(s loader.Settings) time.Duration {
-	if s.Role() != loader.RoleInstance || s.DrainLimit() == 0 {
-		return s.DrainLimit()
+// drainContext returns the context in which a server waits for its requests in progress.
+// The drain limit of an instance, unlike that of other roles, bounds the whole shutdown,
+// so all servers of an instance share one deadline.
+func (k *kernel) drainContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	limit := k.settings.DrainLimit()
+	switch {
+	case limit == 0:
+		return context.WithCancel(ctx)
+	case k.settings.Role() == loader.RoleInstance:
+		return context.WithDeadline(ctx, k.stopBeganAt.Add(limit-_stopMargin))
+	default:
+		return context.WithTimeout(ctx, limit)
 	}
-	return max(s.DrainLimit()-s.DrainNotice()-_stopMargin, time.Millisecond)
 }
 
 // run runs a service's loop while the application runs. The loop must return when its ctx
@@ -145,11 +153,8 @@
 			if beforeShutdown != nil {
 				beforeShutdown()
 			}
-			if d := shutdownLimit(k.settings); d > 0 {
-				var cancel context.CancelFunc
-				ctx, cancel = context.WithTimeout(ctx, d)
-				defer cancel()
-			}
+			ctx, cancel := k.drainContext(ctx)
+			defer cancel()
 			if err := s.Shutdown(ctx); err != nil {
 				k.log.Failure("drain-cut", err, logger.Fields{"service": name})
 				return s.Close()
