internal/configurer: an incomplete history is an error

History left out a change that the archive lacks and returned no error, so an operator could take a list with a gap for the whole one; it now returns the changes before the gap and names the missing one. A patch for a number that does not exist was told that number 0 "was accepted first, by : ", and the operator API sent an empty winner; such a conflict now has no winner and says what is wrong.

The tests failed first: History returned 79 of 80 changes and no error, and the conflict named a winner. In TestPatchSizes the assertion on faults could not fail after NoError; in its place the test now asserts that changes were dropped by size, which is what it is for.

--- a/internal/configurer/archive.go
+++ b/internal/configurer/archive.go
@@ -23,6 +23,9 @@
 	_historyLimit = 100
 )
 
+// errMissing says that the archive lacks an accepted change.
+var errMissing = errors.New("the archive lacks the change")
+
 func numberKey(number uint64) string { return fmt.Sprintf("%s%020d", _numberPrefix, number) }
 
 func patchIDKey(id string) string {
@@ -102,7 +105,7 @@
 
 // changesAfter returns at most limit changes with numbers above after, in order
 // of their numbers. They come from the record or, if it no longer holds them,
-// from the archive. A change that is not found in the archive is left out.
+// from the archive. If the archive lacks one, the error wraps errMissing.
 func (c *Configurer) changesAfter(ctx context.Context, record *wire.ConfigurationRecord, after uint64, limit int) ([]*wire.ConfigurationChange, error) {
 	var out []*wire.ConfigurationChange
 	recent := record.GetRecent()
@@ -115,9 +118,10 @@
 		if err != nil {
 			return out, err
 		}
-		if x != nil {
-			out = append(out, x)
+		if x == nil {
+			return out, fmt.Errorf("configurer: read change %d: %w", n, errMissing)
 		}
+		out = append(out, x)
 	}
 	return out, nil
 }
--- a/internal/configurer/patch.go
+++ b/internal/configurer/patch.go
@@ -62,12 +62,17 @@
 // ConflictError means that the base of a patch is not the current number of the
 // configuration. Winner is the newest accepted change.
 type ConflictError struct {
+	Base    uint64                    // number that the patch was made for
 	Current uint64                    // number of the configuration
-	Winner  *wire.ConfigurationChange // nil if no change was accepted yet
+	Winner  *wire.ConfigurationChange // nil if no change was accepted after the base
 }
 
-// Error returns a text with the current number and the newest change.
+// Error returns a text with the current number and, if there is one, the change that was
+// accepted first.
 func (e *ConflictError) Error() string {
+	if e.Winner == nil {
+		return fmt.Sprintf("configurer: the configuration is at number %d; there is no number %d for a patch to be made for", e.Current, e.Base)
+	}
 	return fmt.Sprintf("configurer: the configuration is at number %d; number %d was accepted first, by %s: %s",
 		e.Current, e.Winner.GetNumber(), e.Winner.GetAuthor(), e.Winner.GetReason())
 }
@@ -124,7 +129,7 @@
 				return first, err
 			}
 		}
-		return nil, &ConflictError{Current: record.GetNumber(), Winner: newest(record.GetRecent())}
+		return nil, newConflict(record, p.Base)
 	}
 	next, change, err := applyPatch(record, p)
 	if err != nil {
@@ -160,17 +165,26 @@
 	return record, o.Version, nil
 }
 
+// newConflict returns the error for a patch with a base that is not the record's number.
+func newConflict(record *wire.ConfigurationRecord, base uint64) *ConflictError {
+	e := &ConflictError{Base: base, Current: record.GetNumber()}
+	if base < e.Current {
+		e.Winner = newest(record.GetRecent())
+	}
+	return e
+}
+
 // changeAfter returns the change with number base+1. It is the caller's own change
 // if a stale response of the platform hid that the patch was accepted.
 func (c *Configurer) changeAfter(ctx context.Context, record *wire.ConfigurationRecord, base uint64) (*wire.ConfigurationChange, error) {
 	changes, err := c.changesAfter(ctx, record, base, 1)
-	if err != nil {
-		return nil, err
-	}
-	if changes[0].GetNumber() != base+1 {
+	if errors.Is(err, errMissing) {
 		// The change exists in the archive, since changes are archived before the
 		// record drops them, so the platform's response is stale.
-		return nil, fmt.Errorf("configurer: read the archive: change %d is missing: %w", base+1, errStale)
+		return nil, fmt.Errorf("%w: %w", err, errStale)
+	}
+	if err != nil {
+		return nil, err
 	}
 	return changes[0], nil
 }
--- a/internal/configurer/patch_test.go
+++ b/internal/configurer/patch_test.go
@@ -15,7 +15,6 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/reader"
 	"github.com/lycheebarrow/lycheebarrow/internal/standin"
 	"github.com/lycheebarrow/lycheebarrow/internal/storer"
-	"github.com/lycheebarrow/lycheebarrow/internal/validator"
 )
 
 // newConfigurer returns the Configurer of a process whose platform is s.
@@ -152,6 +151,51 @@
 	})
 }
 
+// damagedStore is a store that has lost an object.
+type damagedStore struct {
+	*standin.Store
+	missing string // key of the lost object
+}
+
+func (d damagedStore) Get(ctx context.Context, key string) (storer.Object, error) {
+	if key == d.missing {
+		return storer.Object{}, storer.ErrNotFound
+	}
+	return d.Store.Get(ctx, key)
+}
+
+// TestHistoryOfDamagedArchive checks that History fails, and does not skip a change, if
+// the archive lacks one.
+func TestHistoryOfDamagedArchive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newConfigurer(damagedStore{Store: standin.NewStore(), missing: "configuration-archive/00000000000000000007"})
+		for n := range uint64(80) {
+			_, err := c.Patch(context.Background(), queuePatch(fmt.Sprintf("p%d", n+1), n, int(n)+1))
+			require.NoError(t, err)
+		}
+		changes, err := c.History(context.Background(), 0)
+		require.Len(t, changes, 6)
+		require.ErrorContains(t, err, "change 7")
+	})
+}
+
+// TestPatchOfUnknownNumber checks that a patch for a number above the current one is
+// refused without naming a winner.
+func TestPatchOfUnknownNumber(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newConfigurer(standin.NewStore())
+		var conflict *configurer.ConflictError
+		for current := range uint64(2) {
+			_, err := c.Patch(context.Background(), queuePatch("late", 7, 9))
+			require.ErrorAs(t, err, &conflict)
+			require.Nil(t, conflict.Winner)
+			require.Equal(t, fmt.Sprintf("configurer: the configuration is at number %d; there is no number 7 for a patch to be made for", current), conflict.Error())
+			_, err = c.Patch(context.Background(), queuePatch(fmt.Sprint(current), current, 9))
+			require.NoError(t, err)
+		}
+	})
+}
+
 // TestPatchSizes checks that a series of large patches is accepted: the record
 // must drop recent changes by size, so that it still fits into an object of the
 // platform.
@@ -159,8 +203,6 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := standin.NewStore()
 		c := newConfigurer(s)
-		var faults validator.Faults
-		accepted := uint64(0)
 		for n := range 12 {
 			organisations := make(map[string]any)
 			for i := range 800 {
@@ -169,13 +211,12 @@
 			merge, err := json.Marshal(map[string]any{"organisations": organisations})
 			require.NoError(t, err)
 			_, err = c.Patch(context.Background(), configurer.Patch{
-				ID: fmt.Sprint(n), Base: accepted, Author: "ann", Reason: "keys", Merge: merge,
+				ID: fmt.Sprint(n), Base: uint64(n), Author: "ann", Reason: "keys", Merge: merge,
 			})
 			require.NoError(t, err)
-			require.NotErrorAs(t, err, &faults)
-			accepted++
 		}
 		require.EqualValues(t, 12, c.Current().Number())
+		require.Less(t, len(c.Current().Record().GetRecent()), 12, "no change was dropped by size")
 	})
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -174,11 +174,7 @@
 	case errors.As(err, &faults):
 		c.JSON(http.StatusUnprocessableEntity, gin.H{"error": gin.H{"code": "bad-configuration", "message": "nothing was changed", "outcome": "not-run"}, "faults": faults})
 	case errors.As(err, &conflict):
-		winner, _ := protojson.Marshal(conflict.Winner)
-		c.JSON(http.StatusConflict, gin.H{
-			"error":   gin.H{"code": "overtaken", "message": err.Error(), "outcome": "not-run", "mend": "review the change that won, then send the patch again with base set to the current number"},
-			"current": conflict.Current, "winner": json.RawMessage(winner),
-		})
+		c.JSON(http.StatusConflict, conflictBody(conflict))
 	case errors.Is(err, configurer.ErrTooLarge):
 		writeProblem(c, &responder.Problem{
 			Status: http.StatusUnprocessableEntity, Code: "too-large", Message: err.Error(), Outcome: responder.NotRun,
@@ -192,6 +188,20 @@
 	}
 }
 
+// conflictBody returns the body of the response to a patch that came too late, or that
+// was made for a number that does not exist.
+func conflictBody(e *configurer.ConflictError) gin.H {
+	remedy := "send the patch again with base set to the current number"
+	body := gin.H{"current": e.Current}
+	if e.Winner != nil {
+		remedy = "review the change that won, then " + remedy
+		winner, _ := protojson.Marshal(e.Winner) // the change was decoded from JSON or a valid message
+		body["winner"] = json.RawMessage(winner)
+	}
+	body["error"] = gin.H{"code": "overtaken", "message": e.Error(), "outcome": "not-run", "mend": remedy}
+	return body
+}
+
 // badRequest returns the problem of a malformed request. Its code is bad-patch, also
 // for requests other than patches.
 func badRequest(message string) *responder.Problem {
