internal/placer, recorder: say which domain, count what was deleted

A placement whose object names another domain was logged with "%!w(<nil>)"; the log now names both. The trimmer counted records that were claimed again, and so stayed, as deleted. Both tests failed first.

--- a/internal/placer/outage_test.go
+++ b/internal/placer/outage_test.go
@@ -76,6 +76,21 @@
 	}
 }
 
+// A placement whose object names another domain is logged with both names.
+func TestPlacementOfAnotherDomain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2, 2, true, time.Second)
+		f.withLock(func() {
+			f.objects["placement/dc/f0"] = storer.Object{Key: "placement/dc/f0", Version: 1, Value: []byte(`{"domain":"f7"}`)}
+		})
+		p := f.start("p1")
+		p.configure(t, 1, validator.Document{Groups: groups(2, 1, 2)})
+		time.Sleep(10 * time.Second)
+		p.stop()
+		assert.Contains(t, p.log.String(), `placer: read placement/dc/f0: the object names the domain \"f7\"`)
+	})
+}
+
 // setRefusesOrders makes all engines refuse orders, or accept them again.
 func (f *fleet) setRefusesOrders(refuse bool) {
 	for _, e := range f.engines {
--- a/internal/placer/platform_cache.go
+++ b/internal/placer/platform_cache.go
@@ -94,8 +94,8 @@
 	c.placements, c.unreadable = make(map[string]storedPlacement), make(map[string]bool)
 	for _, o := range objects {
 		domain := strings.TrimPrefix(o.Key, prefix)
-		p := &wire.Placement{}
-		if err := protojson.Unmarshal(o.Value, p); err != nil || p.GetDomain() != domain {
+		p, err := decodePlacement(o.Value, domain)
+		if err != nil {
 			c.unreadable[domain] = true
 			c.log.Failure("placement-bad", fmt.Errorf("placer: read %s: %w", o.Key, err), nil)
 			continue
@@ -106,6 +106,18 @@
 	return nil
 }
 
+// decodePlacement decodes the placement of a domain.
+func decodePlacement(value []byte, domain string) (*wire.Placement, error) {
+	p := &wire.Placement{}
+	if err := protojson.Unmarshal(value, p); err != nil {
+		return nil, err
+	}
+	if p.GetDomain() != domain {
+		return nil, fmt.Errorf("the object names the domain %q", p.GetDomain())
+	}
+	return p, nil
+}
+
 // adopt rewrites every placement of an earlier term with this holder's term, and
 // writes an empty one for each domain that has none, so that no write of an
 // earlier holder can succeed afterwards.
--- a/internal/recorder/trimmer.go
+++ b/internal/recorder/trimmer.go
@@ -141,8 +141,8 @@
 	return time.UnixMilli(next.GetThroughUnixMs()), true, nil
 }
 
-// trimShard deletes the expired records under one key prefix. It returns how many
-// it tried to delete, including those that were claimed again.
+// trimShard deletes the expired records under one key prefix, and returns how many it
+// deleted.
 func (t *Trimmer) trimShard(ctx context.Context, prefix string, cutoff time.Time, limiter *rate.Limiter) (int, error) {
 	objects, err := t.Store.List(ctx, prefix)
 	if err != nil {
@@ -161,8 +161,12 @@
 		if err := limiter.Wait(ctx); err != nil {
 			return deleted, err
 		}
-		// On a conflict, the record was claimed again meanwhile and stays.
-		if err := t.Store.Delete(ctx, o.Key, o.Version); err != nil && !errors.Is(err, storer.ErrConflict) {
+		err = t.Store.Delete(ctx, o.Key, o.Version)
+		if errors.Is(err, storer.ErrConflict) {
+			// The record was claimed again meanwhile, and stays.
+			continue
+		}
+		if err != nil {
 			return deleted, err
 		}
 		deleted++
--- a/internal/recorder/trimmer_test.go
+++ b/internal/recorder/trimmer_test.go
@@ -1,6 +1,8 @@
 package recorder_test
 
 import (
+	"bytes"
+	"context"
 	"encoding/binary"
 	"testing"
 	"testing/synctest"
@@ -12,6 +14,7 @@
 
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 	"github.com/lycheebarrow/lycheebarrow/internal/recorder"
+	"github.com/lycheebarrow/lycheebarrow/internal/storer"
 )
 
 // keyAt returns a UUID of version 7 that carries the given time.
@@ -78,6 +81,29 @@
 	})
 }
 
+// claimedStore is a store whose records are claimed again just before each deletion.
+type claimedStore struct{ *fakeStore }
+
+func (claimedStore) Delete(context.Context, string, uint64) error { return storer.ErrConflict }
+
+// A record that was claimed again stays, and is not counted as deleted.
+func TestTrimOfClaimedRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{}
+		r := recorder.New(s, logger.Logger{})
+		_, err := r.Begin(t.Context(), newRecord("a"), time.Hour)
+		require.NoError(t, err)
+		time.Sleep(4 * time.Hour)
+		var log bytes.Buffer
+		trimmer := newTrimmer(s, time.Hour)
+		trimmer.Store, trimmer.Log = claimedStore{s}, logger.New(&log, "p")
+		require.NoError(t, trimmer.RunPass(t.Context()))
+		assert.Len(t, s.objects, 2)
+		assert.Contains(t, log.String(), "deleted=0")
+		require.NoError(t, r.Close())
+	})
+}
+
 // A shorter retention doesn't apply to a record that was created before it: the
 // caller was promised a longer one.
 func TestTrimKeepsPromisedRetention(t *testing.T) {
