--- a/internal/gossiper/table.go
+++ b/internal/gossiper/table.go
@@ -153,3 +153,14 @@
 func age(ms uint64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
 func millis(d time.Duration) uint64 { return uint64(max(0, d.Milliseconds())) }
+
+// Addresses returns the peer addresses of the known processes.
+func (t *Table) Addresses() []string {
+	var out []string
+	for _, p := range t.byName {
+		if a := p.record.GetPeerAddress(); a != "" {
+			out = append(out, a)
+		}
+	}
+	return out
+}
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -215,6 +216,7 @@
 	r.rounds++
 	if r.rounds%_expiryRounds == 0 {
 		r.gossiper.RemoveExpired(now)
+		r.forgetUnreachable()
 	}
 	r.updateLeaving(now)
 	r.designatedReader.Store(r.gossiper.IsDesignatedReader(now))
@@ -229,6 +231,18 @@
 	}
 }
 
+// forgetUnreachable removes the unreachable addresses at which no known process listens.
+func (r *Replicator) forgetUnreachable() {
+	known := make(map[string]bool)
+	for _, a := range r.options.Seeds {
+		known[a] = true
+	}
+	for _, a := range r.gossiper.Table().Addresses() {
+		known[a] = true
+	}
+	maps.DeleteFunc(r.unreachable, func(address string, _ bool) bool { return !known[address] })
+}
+
 // updateLeaving records which instances this process found to be leaving, and publishes
 // those that any process found.
 func (r *Replicator) updateLeaving(now time.Time) {
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -222,3 +222,21 @@
 		}
 	})
 }
+
+// The addresses of processes that have started again elsewhere are not remembered as
+// unreachable for ever.
+func TestUnreachableAddressesAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		m := f.add("qld-bne", 0)
+		for start := range 100 {
+			m.replicator.AddUnverified(t.Context(), []*wire.ProcessRecord{{
+				Name: "ghost", Role: "entry", DataCentre: "qld-bne", PeerAddress: fmt.Sprintf("ghost:%d", start+1), StartedUnixMs: int64(start + 1),
+			}})
+			time.Sleep(3 * time.Second)
+		}
+		time.Sleep(20 * time.Second)
+		f.close()
+		require.LessOrEqual(t, m.replicator.UnreachableCount(), 1)
+	})
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -14,6 +14,9 @@
 // The scheduler fills in the local load.
 type CandidateFunc func(model, organisation string) []router.Candidate
 
+// _pruneInterval is the time between two removals of records that are no longer needed.
+const _pruneInterval = 10 * time.Second
+
 // _contentionPeriod is how long an entry takes only its share of the free slots
 // after a pass that left a request waiting.
 const _contentionPeriod = time.Second
@@ -43,6 +46,8 @@
 	// decisions holds the last decision for each queue. Queues for a single
 	// request, which end with it, are left out.
 	decisions map[queueKey]router.Decision
+	// prunedAt is when records were last removed.
+	prunedAt time.Time
 }
 
 // waitingRequest is a request in the queue.
@@ -178,6 +183,7 @@
 // passed and assigns free slots to waiting ones.
 func (s *Scheduler) Schedule(now time.Time, listCandidates CandidateFunc) []Outcome {
 	out := s.expireRequests(now)
+	s.prune(now)
 	cache := &candidateCache{scheduler: s, listCandidates: listCandidates, now: now, candidates: make(map[candidateKey][]router.Candidate), blocked: make(map[queueKey]bool)}
 	var assigned [2]int
 	for {
@@ -231,6 +237,29 @@
 	return out
 }
 
+// prune removes the loads of replicas on which this entry has none and that have vanished
+// or are idle, and the decisions for queues without requests.
+func (s *Scheduler) prune(now time.Time) {
+	if now.Sub(s.prunedAt) < _pruneInterval {
+		return
+	}
+	s.prunedAt = now
+	for k, l := range s.loads {
+		if l.isOutdated(now) {
+			delete(s.loads, k)
+		}
+	}
+	queues := make(map[queueKey]bool)
+	for _, w := range s.waiting {
+		queues[queueKeyOf(w.item)] = true
+	}
+	for k := range s.decisions {
+		if !queues[k] {
+			delete(s.decisions, k)
+		}
+	}
+}
+
 // assignNext assigns a slot to the first request, in queue order, for which
 // a replica has room, and takes the request out of the queue.
 func (s *Scheduler) assignNext(now time.Time, cache *candidateCache) (Outcome, bool) {
