internal/relayer, conductor: bounded state for unknown models and gone upstreams

A caller may name any model: for each name the relayer kept rates and an admission for ever, and told them to its peers five times a second. Models that the service lacks now share one state; their requests are refused as before. The conductor kept the number of orders of each upstream it ever saw; those of upstreams that are neither listed nor remembered as members are removed every 10 s.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -49,6 +49,9 @@
 	// may still show upstreams as they were before it: upstreams write their entries
 	// again within two seconds.
 	_listSettleTime = 2500 * time.Millisecond
+	// _pruneInterval is the time between two removals of the numbers of orders of upstreams
+	// that are gone.
+	_pruneInterval = 10 * time.Second
 	// _maxSuspects is the largest number of suspected upstreams in the queue.
 	_maxSuspects = 64
 )
@@ -114,6 +117,8 @@
 	groupers    map[string]*grouper.Grouper // by service
 	checks      map[string]*check           // by the upstream's id
 	orderCounts orderCounts
+	// countsPrunedAt is when orderCounts was last rid of upstreams that are gone.
+	countsPrunedAt time.Time
 	// members holds the members of groups, by id: those in the platform's list, and
 	// those no longer in it that still answer or are remembered.
 	members map[string]member
@@ -205,6 +210,14 @@
 	if c.Catalogue.ListUnavailable() {
 		c.listUnavailableAt = now
 	}
+	if fleet != nil && now.Sub(c.countsPrunedAt) >= _pruneInterval {
+		c.countsPrunedAt = now
+		c.orderCounts.keepOnly(func(id string) bool {
+			_, listed := fleet.Upstreams[id]
+			_, member := c.members[id]
+			return listed || member
+		})
+	}
 	leading := c.Lease.Held(now)
 	if leading {
 		c.leaseHeldAt = now
--- a/internal/conductor/counts.go
+++ b/internal/conductor/counts.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -89,6 +90,14 @@
 	c.accepted[id] = orderCount{startedMs: startedMs, orders: orders}
 }
 
+// keepOnly removes the numbers of the upstreams for which known returns false.
+func (c *orderCounts) keepOnly(known func(id string) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	maps.DeleteFunc(c.accepted, func(id string, _ orderCount) bool { return !known(id) })
+	maps.DeleteFunc(c.reported, func(id string, _ reportedCount) bool { return !known(id) })
+}
+
 // forget removes the number of accepted orders of an upstream that refused an order,
 // since the number may be wrong.
 func (c *orderCounts) forget(id string) {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -240,6 +240,28 @@
 	assert.Equal(t, []string{"7", "7", "5"}, priorities)
 }
 
+// However many models callers name, one state is kept for all that the service lacks.
+func TestUnknownModelsShareState(t *testing.T) {
+	k, b := &cataloguer.Catalogue{}, &balancer.Balancer{}
+	c := &cataloguer.Configuration{
+		Version: 1, Services: map[string]cataloguer.Service{"s": {Name: "s", Engine: &cataloguer.Engine{Slots: 9, Models: []cataloguer.Model{{Name: "m"}}}}},
+		Routes: []cataloguer.Route{{
+			Name: "r", Host: "127.0.0.1", Prefix: "/", Kind: cataloguer.KindStream, Timeout: time.Second, Split: []cataloguer.ServiceWeight{{Service: "s", Weight: 1}}, Attempts: 2,
+		}},
+	}
+	c.Index()
+	k.SetConfiguration(c)
+	k.SetFleet(cataloguer.NewFleet(1, nil))
+	relay := newRelayer(k, b)
+	s := httptest.NewServer(relay)
+	defer s.Close()
+	for n := range 100 {
+		assert.Equal(t, "503 retry", sendRequestWith(t, s, "/x", http.Header{"Id": {fmt.Sprint(n)}, "Model": {fmt.Sprint("unknown-", n)}}))
+	}
+	assert.Equal(t, "503 retry", sendRequestWith(t, s, "/x", http.Header{"Id": {"m"}, "Model": {"m"}}))
+	assert.Len(t, relay.OwnLoad().Demand, 2)
+}
+
 // startRelayer starts a relayer with one route to upstreams that are tried in the
 // given order, one for each behaviour.
 func startRelayer(t *testing.T, kind cataloguer.Kind, resumable bool, behaviours []string, runs *atomic.Int32) *httptest.Server {
--- a/internal/relayer/total_load.go
+++ b/internal/relayer/total_load.go
@@ -126,7 +126,13 @@
 	return totalLoad.Demand[c.modelKey()].ArrivalRate * _exchangeInterval.Seconds()
 }
 
-// modelKey returns the request's service and model, the key of Relayer.models.
+// modelKey returns the request's service and model, the key of Relayer.models. Models that
+// the service does not have share one key, since callers may name any number of them.
 func (c *call) modelKey() sharer.ModelKey {
-	return sharer.ModelKey{Service: c.service.Name, Model: c.request.Model}
+	if e := c.service.Engine; e != nil {
+		if _, ok := e.Model(c.request.Model); ok {
+			return sharer.ModelKey{Service: c.service.Name, Model: c.request.Model}
+		}
+	}
+	return sharer.ModelKey{Service: c.service.Name}
 }
