internal/budgeter: a restart brings no new slack

Until a process had counted the others, it took a part of the common slack as if there were 8, with 77 processes nearly ten times the whole. And a process that starts again had its part at once, although its earlier run may have used it up within the same window.

A process now has no slack until the processes are counted, and none in the first window after its start; its retries are then bounded by the ratio. The budget also counts in slices of the steady clock: a step of the time of day could drop the counts.

TestRestartsAddNoSlack fails without SlackFrom: 120 retries in a window of 60 allowed.

--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -20,14 +20,18 @@
 	// Slack is the number of retries per window that this process may make in
 	// addition.
 	Slack float64
+	// SlackFrom is when Slack begins to count: an earlier run of this process may have
+	// used its slack up to one window before. The zero time means at once.
+	SlackFrom time.Time
 
 	mu       sync.Mutex
 	services map[string]*counters
+	// countedFrom is when slice 0 began.
+	countedFrom time.Time
 }
 
-// counters has the counts of one service for the latest slices. The number of a slice
-// is the number of slices since the Unix epoch, and its counts are at that number
-// modulo _slicesPerWindow.
+// counters has the counts of one service for the latest slices. The counts of a slice
+// are at its number modulo _slicesPerWindow.
 type counters struct {
 	latestSlice int64
 	requests    [_slicesPerWindow]int
@@ -58,7 +62,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.currentCounters(service, now)
-	if !b.canSpend(c) {
+	if !b.canSpend(c, now) {
 		return false
 	}
 	c.retries[c.latestSlice%_slicesPerWindow]++
@@ -69,23 +73,31 @@
 func (b *Budget) CanSpend(service string, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.canSpend(b.currentCounters(service, now))
+	return b.canSpend(b.currentCounters(service, now), now)
 }
 
-func (b *Budget) canSpend(c *counters) bool {
+func (b *Budget) canSpend(c *counters, now time.Time) bool {
 	requests, retries := 0, 0
 	for i := range _slicesPerWindow {
 		requests += c.requests[i]
 		retries += c.retries[i]
 	}
-	return float64(retries+1) <= b.Ratio*float64(requests)+b.Slack
+	limit := b.Ratio * float64(requests)
+	if !now.Before(b.SlackFrom) {
+		limit += b.Slack
+	}
+	return float64(retries+1) <= limit
 }
 
 // currentCounters returns the counters of a service for the window that ends at now,
 // with older counts set to zero. The caller holds b.mu.
 func (b *Budget) currentCounters(service string, now time.Time) *counters {
 	c := b.services[service]
-	slice := now.UnixNano() / int64(max(b.Window, _slicesPerWindow)/_slicesPerWindow)
+	if b.countedFrom.IsZero() {
+		b.countedFrom = now
+	}
+	// A difference of two times is not changed by a step of the clock.
+	slice := max(int64(now.Sub(b.countedFrom)/(max(b.Window, _slicesPerWindow)/_slicesPerWindow)), 0)
 	if c == nil {
 		if b.services == nil {
 			b.services = make(map[string]*counters)
--- a/internal/budgeter/budgeter_test.go
+++ b/internal/budgeter/budgeter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"slices"
 	"testing"
 	"time"
 
@@ -52,3 +53,41 @@
 		}
 	})
 }
+
+// Processes that share the slack and restart together stay within it, even if they used
+// their slack right before.
+func TestRestartsAddNoSlack(t *testing.T) {
+	const (
+		window    = 10 * time.Second
+		processes = 20
+		slack     = 60
+		step      = 100 * time.Millisecond
+	)
+	start := time.Unix(1_800_000_000, 0)
+	var retries []time.Time
+	for _, restarts := range [][]time.Duration{{0, 3 * time.Second}, {0, 9 * time.Second, 12 * time.Second}} {
+		budgets := make([]*budgeter.Budget, processes)
+		for now := start; now.Sub(start) < 40*time.Second; now = now.Add(step) {
+			for i := range budgets {
+				if slices.Contains(restarts, now.Sub(start)) {
+					budgets[i] = &budgeter.Budget{Window: window, Slack: slack / processes}
+					if now.After(start) {
+						budgets[i].SlackFrom = now.Add(window)
+					}
+				}
+				for budgets[i].Spend("s", now) {
+					retries = append(retries, now)
+				}
+			}
+			recent := 0
+			for _, at := range retries {
+				// The budget counts the retries of at least nine tenths of a window.
+				if now.Sub(at) < window*9/10 && !at.After(now) {
+					recent++
+				}
+			}
+			require.LessOrEqual(t, recent, slack)
+		}
+		retries = nil
+	}
+}
--- a/internal/composer/export_test.go
+++ b/internal/composer/export_test.go
@@ -24,3 +24,9 @@
 
 // ConfigurationDelay exports readerState.configurationDelay to the tests.
 func (s ReaderState) ConfigurationDelay() time.Duration { return s.state().configurationDelay() }
+
+// Counter exports counter to the tests.
+type Counter = counter
+
+// RetrySlack exports retrySlack to the tests.
+func RetrySlack(total float64, c Counter) float64 { return retrySlack(total, c) }
--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -201,7 +201,7 @@
 	}
 	rl := &relayer.Relayer{
 		Catalogue: c, Protocol: a.Protocol, Pool: &forwarder.Pool{Network: k.network}, Balancer: b,
-		Budget: &budgeter.Budget{},
+		Budget: &budgeter.Budget{SlackFrom: time.Now().Add(k.settings.RetryWindow())},
 		Log:    k.log, Meter: m, DataCentre: k.settings.DataCentre(), Watchdog: &relayer.Watchdog{Balancer: b, Log: k.log},
 	}
 	rl.CallerShare = func() float64 { return callerShare(e) }
@@ -218,7 +218,7 @@
 	k.run(rl.Watchdog.Run)
 	k.run(func(ctx context.Context) {
 		for next := settings.Load(); ; next = settings.Load() {
-			rl.Budget.Configure(next.RetryWindow(), next.RetryRatio(), next.RetrySlack()/float64(e.Count()))
+			rl.Budget.Configure(next.RetryWindow(), next.RetryRatio(), retrySlack(next.RetrySlack(), e))
 			if !pauser.Pause(ctx, _cleanUpInterval) {
 				return
 			}
@@ -231,6 +231,21 @@
 	return k.services.Register(NameRelayer, rl)
 }
 
+// counter counts the running instances.
+type counter interface {
+	Count() int
+	Counted() bool
+}
+
+// retrySlack returns this instance's part of a slack that all instances share. Until the
+// instances have been counted it is 0, since an assumed number may be far too small.
+func retrySlack(total float64, c counter) float64 {
+	if !c.Counted() {
+		return 0
+	}
+	return total / float64(c.Count())
+}
+
 // callerShare returns the fraction of all callers that this process serves. Until the
 // loads are known, it assumes more than an even share, since callers are distributed
 // unevenly.
--- a/internal/enumerator/enumerator.go
+++ b/internal/enumerator/enumerator.go
@@ -111,6 +111,9 @@
 	return int(e.count.Load())
 }
 
+// Counted reports whether the processes have been counted, by this process or a peer.
+func (e *Enumerator) Counted() bool { return e.members.Load() != nil }
+
 // Run renews this process's object and counts the processes until ctx ends, and then
 // removes the object.
 func (e *Enumerator) Run(ctx context.Context) {
