internal/relayer: bytes without an event are no progress

Progress is now an event with a higher id; where a stream has no ids, any event. Slow but sound streams are as before: their events come within the same limits.

--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -29,6 +29,12 @@
 	events int
 }
 
+// hasAdvanced reports whether the stream has made progress since before. Bytes of an
+// incomplete event are none, and neither are events without an id among others.
+func (p position) hasAdvanced(before position) bool {
+	return p.last > before.last || p.last == 0 && p.events > before.events
+}
+
 // relayStream relays a request whose response is a stream of events.
 func (c *call) relayStream() {
 	p := position{last: c.request.LastEvent}
@@ -153,11 +159,14 @@
 	for {
 		n, err := x.Read(buffer)
 		if n > 0 {
-			watch.RecordActivity()
+			before := *p
 			s.add(buffer[:n])
 			if why := c.passEvents(x, &s, p); why != "" {
 				return false, why
 			}
+			if p.hasAdvanced(before) {
+				watch.RecordActivity()
+			}
 			if len(s.rest()) > _maxEventBytes {
 				c.lastErr = fmt.Errorf("relayer: event of a stream is over %d bytes", _maxEventBytes)
 				return false, "answer-broken"
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -61,7 +61,7 @@
 
 	// The fields below are guarded by watchdog.mu.
 
-	// lastDataAt is when data was last received, or the send began.
+	// lastDataAt is when the stream last made progress, or the send began.
 	lastDataAt time.Time
 	// begun is true once the upstream has begun to respond.
 	begun bool
@@ -82,7 +82,8 @@
 	return w
 }
 
-// RecordActivity records that data was received from the upstream.
+// RecordActivity records that the upstream has begun to respond, or that its stream has
+// made progress.
 func (w *Watch) RecordActivity() {
 	now := time.Now()
 	w.watchdog.Balancer.RecordActivity(w.send.Upstream, now)
