internal/relayer: a response without an id is none on a kept connection

Such a response now counts only on a connection that was not used before; on others it is skipped like any stale one. The test (an upstream that repeats each response without its id before the next) failed first: the second caller got the first one's answer. TestAdmissionByTotalLoad's upstream now echoes the id too, as servers do.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -22,9 +22,10 @@
 	Header http.Header
 	Body   []byte
 	// Matches reports whether a response with that header belongs to this
-	// request; nil accepts any. A response that does not match is a late one to
-	// an earlier request and is skipped.
-	Matches func(http.Header) bool
+	// request; nil accepts any. reused says that the connection had been used before,
+	// so that a response may be a late one to an earlier request. A response that does
+	// not match is skipped.
+	Matches func(h http.Header, reused bool) bool
 }
 
 // ExchangeError is an error of Pool.Send.
@@ -91,7 +92,7 @@
 		if err != nil {
 			return nil, fail("read the response of", true, err)
 		}
-		if r.Matches == nil || r.Matches(res.Header) {
+		if r.Matches == nil || r.Matches(res.Header, c.reused) {
 			c.head.end()
 			x.Response = res
 			return x, nil
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -76,7 +76,7 @@
 func send(t *testing.T, p *forwarder.Pool, u *scriptedUpstream) (*forwarder.Exchange, error) {
 	return p.Send(t.Context(), u.address, &forwarder.Request{
 		Method: http.MethodPost, Target: "/a/b?c=%20d", Host: "h", Header: http.Header{"X": {"y"}}, Body: []byte("body"),
-		Matches: func(h http.Header) bool { return h.Get("Id") == "1" },
+		Matches: func(h http.Header, _ bool) bool { return h.Get("Id") == "1" },
 	})
 }
 
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -196,6 +196,7 @@
 	var priorities []string
 	u := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		priorities = append(priorities, r.Header.Get("Priority"))
+		w.Header().Set("Id", r.Header.Get("Id"))
 		w.Header().Set("Seal", "s")
 		_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
 	}))
@@ -240,6 +241,64 @@
 	assert.Equal(t, []string{"7", "7", "5"}, priorities)
 }
 
+// startStaleUpstream starts an upstream that keeps one connection, on which it precedes
+// each response but the first with a copy of the response before, without its id.
+func startStaleUpstream(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		requests := bufio.NewReader(c)
+		stale := ""
+		for {
+			r, err := http.ReadRequest(requests)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			body := "done " + r.Header.Get("Id")
+			response := fmt.Sprintf("Seal: s\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			fmt.Fprintf(c, "%sHTTP/1.1 200 OK\r\nId: %s\r\n%s", stale, r.Header.Get("Id"), response)
+			stale = "HTTP/1.1 200 OK\r\n" + response
+		}
+	}()
+	return l.Addr().String()
+}
+
+// A late copy of an answer on a kept connection, without the id of its request, does not
+// reach the next caller.
+func TestStaleResponseWithoutID(t *testing.T) {
+	k, b := &cataloguer.Catalogue{}, &balancer.Balancer{}
+	c := &cataloguer.Configuration{
+		Version: 1, Services: map[string]cataloguer.Service{"s": {Name: "s"}},
+		Routes: []cataloguer.Route{{
+			Name: "r", Host: "127.0.0.1", Prefix: "/", Kind: cataloguer.KindSafe, Timeout: 5 * time.Second, Split: []cataloguer.ServiceWeight{{Service: "s", Weight: 1}}, Attempts: 2,
+		}},
+	}
+	c.Index()
+	k.SetConfiguration(c)
+	k.SetFleet(cataloguer.NewFleet(1, map[string]cataloguer.Upstream{"u": {ID: "u", Service: "s", Address: startStaleUpstream(t), Slots: 9}}))
+	s := httptest.NewServer(newRelayer(k, b))
+	defer s.Close()
+	for n := range 3 {
+		id := fmt.Sprint("q", n)
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, s.URL+"/x", nil)
+		require.NoError(t, err)
+		req.Header.Set("Id", id)
+		res, err := s.Client().Do(req)
+		require.NoError(t, err)
+		body, err := io.ReadAll(res.Body)
+		require.NoError(t, err)
+		assert.NoError(t, res.Body.Close())
+		assert.Equal(t, "done "+id, string(body))
+	}
+}
+
 // However many models callers name, one state is kept for all that the service lacks.
 func TestUnknownModelsShareState(t *testing.T) {
 	k, b := &cataloguer.Catalogue{}, &balancer.Balancer{}
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -85,9 +85,10 @@
 	})
 	x, err := c.Pool.Send(ctx, u.Address, &forwarder.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: h, Body: c.body,
-		Matches: func(h http.Header) bool {
+		Matches: func(h http.Header, reused bool) bool {
 			id := c.Protocol.Response(h).ID
-			return id == "" || id == c.request.ID
+			// A response without an id may be a late copy of an earlier one.
+			return id == c.request.ID || id == "" && !reused
 		},
 	})
 	if err != nil {
