internal/sharer: gatherers give all objects, and large changes packed

Each of 295 processes listed the configuration and the upstreams itself, in pages of 50, and read all that changed while upstreams registered and groups formed, since gatherers passed on no more than 32 KB; so they did for each version of a large configuration.

A process that starts now asks its gatherer for all objects and lists them itself only where no gatherer answers within three seconds.

--- a/internal/composer/batch_delay.go
+++ b/internal/composer/batch_delay.go
@@ -17,10 +17,13 @@
 	// _batchDelayGatherer is how long the gatherer, which reads the list for its data
 	// centre, batches changes.
 	_batchDelayGatherer = 200 * time.Millisecond
-	// _batchDelayIdle is the pause of an instance that has received no request yet.
-	// While a system starts, its upstreams register faster than a gatherer may pass on,
+	// _batchDelayIdle is the pause of an instance that reads for itself and has received
+	// no request yet. While a system starts, its upstreams register one after the other,
 	// and every instance would read all of their changes as they come.
 	_batchDelayIdle = 1500 * time.Millisecond
+	// _batchDelayIdleFollower is the pause of an instance that has received no request yet
+	// and follows a gatherer, which may not answer.
+	_batchDelayIdleFollower = 200 * time.Millisecond
 	// _batchDelayPerInstance times the number of instances is how long an instance that
 	// exchanges nothing with peers batches changes. All instances together then read the
 	// list at most 25 times a second.
@@ -58,6 +61,8 @@
 		return _batchDelayLeading
 	case s.gathers:
 		return _batchDelayGatherer
+	case s.follows && !s.busy:
+		return _batchDelayIdleFollower
 	case !s.busy:
 		return min(_batchDelayIdle, s.longest)
 	case s.follows:
@@ -70,8 +75,11 @@
 // configurationDelay returns the pause between two reads of changes of the
 // configuration.
 func (s readerState) configurationDelay() time.Duration {
-	if s.busy || s.gathers {
+	switch {
+	case s.busy || s.gathers:
 		return 0
+	case s.follows:
+		return _batchDelayIdleFollower
 	}
 	return min(_batchDelayIdle, s.longest) / 2
 }
--- a/internal/composer/sharer.go
+++ b/internal/composer/sharer.go
@@ -43,7 +43,7 @@
 	if err := k.services.Register(NameEnumerator, e); err != nil {
 		return err
 	}
-	sh := &sharer.Sharer{Name: k.settings.Name(), DataCentre: k.settings.DataCentre(), Log: k.log, Membership: e}
+	sh := &sharer.Sharer{Name: k.settings.Name(), DataCentre: k.settings.DataCentre(), Log: k.log, Membership: e, Peerless: k.settings.PeerListen() == ""}
 	return k.services.Register(NameSharer, sh)
 }
 
--- /dev/null
+++ b/internal/sharer/answer.go
@@ -0,0 +1,120 @@
+package sharer
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/reflector"
+	"github.com/lycheebarrow/lycheebarrow/internal/wire"
+)
+
+const (
+	// _maxRelayedBytes is the largest size of changes, in bytes, that a gatherer passes on
+	// in one answer to a peer that accepts packed changes, and _maxUnpackedRelayedBytes
+	// to another. Peers read larger ones from the platform themselves, whose link
+	// delivers them to all peers sooner than the gatherer's.
+	_maxRelayedBytes         = 1 << 20
+	_maxUnpackedRelayedBytes = 32 << 10
+	// _maxPackedBytes is the largest size of packed changes, in bytes, that a gatherer
+	// passes on.
+	_maxPackedBytes = 256 << 10
+	// _maxPackedAnswers is the number of packed answers that are kept for other peers.
+	_maxPackedAnswers = 8
+)
+
+// packedKey identifies a packed answer: the changes after a revision up to another, or all
+// objects as of that one.
+type packedKey struct {
+	after, to uint64
+	list      bool
+}
+
+// packedAnswers holds the latest packed answers, since many peers ask for the same. The
+// zero value is ready for use.
+type packedAnswers struct {
+	packer  packer
+	answers map[packedKey][]byte
+}
+
+// get returns the packed answer of that key, and makes it from changes if it is new.
+func (p *packedAnswers) get(k packedKey, changes func() []*wire.ObjectChange) ([]byte, error) {
+	if b, ok := p.answers[k]; ok {
+		return b, nil
+	}
+	b, err := p.packer.pack(changes())
+	if err != nil {
+		return nil, err
+	}
+	if p.answers == nil || len(p.answers) >= _maxPackedAnswers {
+		p.answers = make(map[packedKey][]byte)
+	}
+	p.answers[k] = b
+	return b, nil
+}
+
+// answer returns the answer to a peer that asks for the kind's objects or their changes.
+// The caller holds the sharer's lock.
+func (x *Source) answer(request *wire.Following, now time.Time) *wire.Following {
+	out := &wire.Following{Kind: x.kind, List: request.GetList()}
+	if request.GetList() {
+		x.answerListing(out, request, now)
+	} else {
+		x.answerChanges(out, request, now)
+	}
+	return out
+}
+
+// answerListing adds all objects to an answer. An answer of revision 0 says that this
+// process does not know them yet.
+func (x *Source) answerListing(out, request *wire.Following, now time.Time) {
+	l, ok := x.copy.listing(now, _maxGathererAge)
+	if !ok || !request.GetAcceptsPacked() {
+		out.Unknown = !x.history.readAt.IsZero()
+		return
+	}
+	packed, err := x.packed.get(packedKey{to: l.Revision, list: true}, func() []*wire.ObjectChange { return encodeListing(l) })
+	if err != nil || len(packed) > _maxPackedBytes {
+		out.Unknown = true
+		return
+	}
+	out.Revision, out.AgeMs, out.PackedChanges = l.Revision, ageMs(x.copy.asOf, now), packed
+}
+
+// answerChanges adds the changes that this process has read from the platform after the
+// revision that the peer has, as far as it knows them.
+func (x *Source) answerChanges(out, request *wire.Following, now time.Time) {
+	maxBytes := _maxUnpackedRelayedBytes
+	if request.GetAcceptsPacked() {
+		maxBytes = _maxRelayedBytes
+	}
+	out.Revision = x.history.revision
+	part, ok := x.history.changesSince(request.GetRevision(), maxBytes)
+	if !ok || x.history.readAt.IsZero() {
+		out.Unknown = true
+		return
+	}
+	out.AgeMs = ageMs(part.readAt, now)
+	if !request.GetAcceptsPacked() || valueBytes(part.changes) < _minPackedBytes {
+		out.Revision, out.Changes = part.to, encodeChanges(part.changes)
+		return
+	}
+	packed, err := x.packed.get(packedKey{after: part.after, to: part.to}, func() []*wire.ObjectChange { return encodeChanges(part.changes) })
+	if err != nil || len(packed) > _maxPackedBytes {
+		out.Unknown = true
+		return
+	}
+	out.Revision, out.PackedChanges = part.to, packed
+}
+
+// ageMs returns the time since at in ms.
+func ageMs(at, now time.Time) uint32 { return uint32(min(now.Sub(at), time.Hour).Milliseconds()) }
+
+// encodeListing returns the objects of a listing as changes.
+func encodeListing(l reflector.Listing[[]byte]) []*wire.ObjectChange {
+	out := make([]*wire.ObjectChange, 0, len(l.Values))
+	for _, name := range slices.Sorted(maps.Keys(l.Values)) {
+		out = append(out, &wire.ObjectChange{Name: name, Value: l.Values[name]})
+	}
+	return out
+}
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -19,10 +19,15 @@
 	// _sumLifetime is how long one sum of all loads serves the answers to peers. Loads
 	// change with each round of each of them, and a sum costs more the more there are.
 	_sumLifetime = 50 * time.Millisecond
-	// _maxRelayedBytes is the largest size of changes, in bytes, that a gatherer passes
-	// on. Peers read larger changes from the platform themselves, whose link delivers
-	// them to all peers sooner than the gatherer's.
-	_maxRelayedBytes = 32 << 10
+	// _listTimeout bounds an exchange in which this process asks for all objects, which
+	// is the first one with that peer after the start of both.
+	_listTimeout = 1500 * time.Millisecond
+	// _startTimeout is how long a process waits after its start for its gatherer, before
+	// it reads all objects from the platform itself.
+	_startTimeout = 3 * time.Second
+	// _startPollInterval is how often a process checks after its start whether the list of
+	// processes is known.
+	_startPollInterval = 50 * time.Millisecond
 )
 
 // Exchanger sends a message to the peer at address and returns the peer's answer; both
@@ -55,6 +60,9 @@
 type Sharer struct {
 	Name       string
 	DataCentre string
+	// Peerless says that this process exchanges nothing with peers, so that Run is not
+	// called.
+	Peerless   bool
 	Exchanger  Exchanger
 	Membership Membership
 	// OwnLoad returns the load of this process.
@@ -64,8 +72,8 @@
 	ReadsDirectly func() bool
 	// Publish is called with the most recent total load, from Run's goroutine.
 	Publish func(TotalLoad)
-	// OnGathererChange is called when another process becomes the gatherer of this data
-	// centre; it must not block.
+	// OnGathererChange is called when another process than before becomes the gatherer of
+	// this data centre; it must not block.
 	OnGathererChange func()
 	Log              logger.Logger
 
@@ -80,6 +88,10 @@
 	summedAt time.Time
 	selector gathererSelector
 	running  bool
+	// selected is true once the gatherers were selected from a list of processes.
+	selected bool
+	// wake ends the pause between two rounds early; nil until Run is called.
+	wake chan struct{}
 	// gatherer is the name of the gatherer of this data centre; empty where this
 	// process is the gatherer.
 	gatherer string
@@ -110,36 +122,81 @@
 // Run exchanges messages with peers until ctx ends.
 func (s *Sharer) Run(ctx context.Context) {
 	s.mu.Lock()
-	s.running = true
+	s.running, s.wake = true, make(chan struct{}, 1)
+	wake := s.wake
 	s.mu.Unlock()
-	for pauser.Pause(ctx, _roundInterval) {
-		now := time.Now()
-		own := s.OwnLoad()
-		own.Processes = 1
+	for len(s.Membership.Members().Peers()) == 0 && pauser.Pause(ctx, _startPollInterval) {
+		continue
+	}
+	for ctx.Err() == nil {
+		s.round(ctx)
+		pause(ctx, _roundInterval, wake)
+	}
+}
+
+// pause waits for d, or until wake has a value or ctx ends.
+func pause(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-wake:
+	case <-ctx.Done():
+	}
+}
+
+// wakeRun makes Run begin its next round now. The caller holds the lock.
+func (s *Sharer) wakeRun() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+		// Run is not pausing, or has been woken already.
+	}
+}
+
+// AwaitRole waits until this process knows whether it is the gatherer of its data centre,
+// at most for the time in which that is usual after a start.
+func (s *Sharer) AwaitRole(ctx context.Context) {
+	isKnown := func() bool {
 		s.mu.Lock()
-		gatherers := s.selector.gatherers(s.Membership.Members().Peers(), s.Name, now)
-		gatherer, ok := gatherers[s.DataCentre]
-		isGatherer := !ok || gatherer.Name == s.Name
-		s.setGatherer(gatherer, isGatherer)
-		s.mu.Unlock()
-		if isGatherer {
-			s.exchangeWithGatherers(ctx, now, own, gatherers)
-		} else {
-			s.reportToGatherer(ctx, now, own, gatherer)
+		defer s.mu.Unlock()
+		return s.Peerless || s.selected
+	}
+	for deadline := time.Now().Add(_startTimeout); !isKnown() && time.Now().Before(deadline); {
+		if !pauser.Pause(ctx, _rolePollInterval) {
+			return
 		}
 	}
 }
 
+// round exchanges one message with the gatherer, or with the other gatherers.
+func (s *Sharer) round(ctx context.Context) {
+	now := time.Now()
+	own := s.OwnLoad()
+	own.Processes = 1
+	s.mu.Lock()
+	gatherers := s.selector.gatherers(s.Membership.Members().Peers(), s.Name, now)
+	gatherer, ok := gatherers[s.DataCentre]
+	isGatherer := !ok || gatherer.Name == s.Name
+	s.setGatherer(gatherer, isGatherer)
+	s.mu.Unlock()
+	if isGatherer {
+		s.exchangeWithGatherers(ctx, now, own, gatherers)
+	} else {
+		s.reportToGatherer(ctx, now, own, gatherer)
+	}
+}
+
 // setGatherer records the gatherer of this data centre; the caller holds the lock.
 func (s *Sharer) setGatherer(gatherer enumerator.Peer, isGatherer bool) {
-	before := s.gatherer
-	s.gatherer = gatherer.Name
+	before, first := s.gatherer, !s.selected
+	s.gatherer, s.selected = gatherer.Name, true
 	if isGatherer {
 		s.gatherer = ""
 	}
 	if s.gatherer != before {
 		s.Log.Event("gatherer", logger.Fields{"gatherer": gatherer.Name, "before": before, "self": isGatherer, "data_centre": s.DataCentre})
-		if s.OnGathererChange != nil {
+		if s.OnGathererChange != nil && !first {
 			s.OnGathererChange()
 		}
 	}
@@ -159,7 +216,7 @@
 		group.Go(func() {
 			r := s.encode(sum)
 			r.Gathers = true
-			answer, ok := s.exchange(ctx, p, r)
+			answer, ok := s.exchange(ctx, p, r, _answerTimeout)
 			if !ok {
 				return
 			}
@@ -179,22 +236,27 @@
 // load and the changes in its answer.
 func (s *Sharer) reportToGatherer(ctx context.Context, now time.Time, own Load, gatherer enumerator.Peer) {
 	r := s.encode(own)
+	timeout := _answerTimeout
 	s.mu.Lock()
 	for _, x := range s.sources {
-		r.Following = append(r.Following, &wire.Following{Kind: x.kind, Revision: x.waitingAfter})
+		f := x.request()
+		r.Following = append(r.Following, f)
+		if f.GetList() {
+			timeout = _listTimeout
+		}
 	}
 	s.mu.Unlock()
 	r.MembersVersion = s.Membership.Members().Version()
-	answer, ok := s.exchange(ctx, gatherer, r)
+	answer, ok := s.exchange(ctx, gatherer, r, timeout)
 	if !ok {
 		return
 	}
 	s.receiveMembers(answer, time.Now())
-	s.mu.Lock()
 	for _, f := range answer.GetFollowing() {
-		s.deliver(f, r)
+		if err := s.deliver(f, r); err != nil {
+			s.Log.Failure("peer-unreadable", err, logger.Fields{"peer": gatherer.Name, "kind": f.GetKind()})
+		}
 	}
-	s.mu.Unlock()
 	s.Publish(TotalLoad{Load: decode(answer), OwnLoad: own, At: now})
 }
 
@@ -209,20 +271,22 @@
 }
 
 // deliver passes the gatherer's answer about one kind of objects to the source of that
-// kind, unless the source has begun to wait for changes after another revision since
-// request was sent; the caller holds the lock.
-func (s *Sharer) deliver(f *wire.Following, request *wire.Round) {
+// kind.
+func (s *Sharer) deliver(answer *wire.Following, request *wire.Round) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for i, x := range s.sources {
-		if x.kind == f.GetKind() && request.GetFollowing()[i].GetRevision() == x.waitingAfter {
-			x.receive(f, time.Now())
+		if x.kind == answer.GetKind() {
+			return x.receive(request.GetFollowing()[i], answer, time.Now())
 		}
 	}
+	return nil
 }
 
 // exchange sends a message to a peer and returns the peer's answer; false where the peer
-// did not answer in time or ctx ended.
-func (s *Sharer) exchange(ctx context.Context, p enumerator.Peer, r *wire.Round) (*wire.Round, bool) {
-	call, cancel := context.WithTimeout(ctx, _answerTimeout)
+// did not answer within timeout or ctx ended.
+func (s *Sharer) exchange(ctx context.Context, p enumerator.Peer, r *wire.Round, timeout time.Duration) (*wire.Round, bool) {
+	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	answer, err := s.Exchanger.Exchange(call, p.Address, r)
 	if ctx.Err() != nil {
@@ -258,7 +322,7 @@
 	s.local.record(r.GetSender(), load, now)
 	answer := s.encodeSum(own, now)
 	for _, f := range r.GetFollowing() {
-		answer.Following = append(answer.Following, s.changes(f, now))
+		answer.Following = append(answer.Following, s.answerFollowing(f, now))
 	}
 	if s.Membership.HasReadList(now) {
 		members := s.Membership.Members()
@@ -283,20 +347,12 @@
 	}
 }
 
-// changes returns the changes that this process has read from the platform after the
-// revision that a peer has, if it can; the caller holds the lock.
-func (s *Sharer) changes(f *wire.Following, now time.Time) *wire.Following {
+// answerFollowing returns the answer to what a peer asks about one kind of objects; the
+// caller holds the lock.
+func (s *Sharer) answerFollowing(f *wire.Following, now time.Time) *wire.Following {
 	for _, x := range s.sources {
-		if x.kind != f.GetKind() {
-			continue
-		}
-		list, ok := x.history.changesSince(f.GetRevision())
-		if valueBytes(list) > _maxRelayedBytes {
-			list, ok = nil, false
-		}
-		return &wire.Following{
-			Kind: x.kind, Revision: x.history.revision, Unknown: !ok || x.history.readAt.IsZero(),
-			AgeMs: uint32(min(now.Sub(x.history.readAt), time.Hour).Milliseconds()), Changes: encodeChanges(list),
+		if x.kind == f.GetKind() {
+			return x.answer(f, now)
 		}
 	}
 	return &wire.Following{Kind: f.GetKind(), Unknown: true}
--- a/internal/sharer/source.go
+++ b/internal/sharer/source.go
@@ -19,10 +19,13 @@
 	// _gathererTimeout is how long a process waits for an answer of its gatherer before
 	// it reads the platform itself.
 	_gathererTimeout = 700 * time.Millisecond
+	// _rolePollInterval is how often a process that waits for all objects checks whether
+	// it has become known which process is the gatherer.
+	_rolePollInterval = 50 * time.Millisecond
 )
 
-// Source reads the objects of one kind, and learns of their changes through the
-// gatherer where another process is the gatherer. It is a reflector.Source.
+// Source reads the objects of one kind, and learns of them and of their changes through
+// the gatherer where another process is the gatherer. It is a reflector.Source.
 type Source struct {
 	sharer *Sharer
 	kind   string
@@ -30,14 +33,20 @@
 
 	// The sharer's lock guards the fields below.
 	history history
+	copy    objectCopy
+	packed  packedAnswers
+	// wantsList is true while the reflector waits for all objects.
+	wantsList bool
+	// listing holds the objects that the gatherer sent; nil once the reflector has them.
+	listing *reflector.Listing[[]byte]
 	// waitingAfter is the revision after which the reflector waits for changes.
 	waitingAfter uint64
 	// received holds the changes that the gatherer sent; nil once the reflector has them.
 	received *reflector.Changes[[]byte]
 	// confirmedAt is when the gatherer last answered with an up-to-date state.
 	confirmedAt time.Time
-	// refusedAt is when the gatherer last answered that it does not know the changes, or
-	// with a state that was too old.
+	// refusedAt is when the gatherer last answered that it does not know the objects or
+	// their changes, or with a state that was too old.
 	refusedAt time.Time
 	// updated is closed, and replaced, when the gatherer has answered.
 	updated chan struct{}
@@ -51,22 +60,70 @@
 	return x
 }
 
-// List reads all objects from the platform.
+// List returns all objects: those that the gatherer has, or where it has none to give,
+// those that the platform lists.
 func (x *Source) List(ctx context.Context) (reflector.Listing[[]byte], error) {
+	if l, ok := x.awaitListing(ctx); ok {
+		return l, nil
+	}
 	l, err := x.direct.List(ctx)
 	if err == nil {
+		now := time.Now()
 		x.sharer.mu.Lock()
-		x.history.reset(l.Revision, time.Now())
+		x.history.reset(l.Revision, now)
+		x.copy.reset(l, now)
 		x.sharer.mu.Unlock()
 	}
 	return l, err
 }
 
+// awaitListing waits for the gatherer to send all objects. It returns false where this
+// process is the gatherer, or the gatherer does not send them in time.
+func (x *Source) awaitListing(ctx context.Context) (reflector.Listing[[]byte], bool) {
+	s, start := x.sharer, time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	deadline := start.Add(_gathererTimeout)
+	if x.confirmedAt.IsZero() && x.history.readAt.IsZero() {
+		deadline = start.Add(_startTimeout)
+	}
+	x.wantsList, x.listing = true, nil
+	defer func() { x.wantsList = false }()
+	s.wakeRun()
+	for {
+		now := time.Now()
+		switch {
+		case x.listing != nil:
+			l := *x.listing
+			x.listing = nil
+			return l, true
+		case s.Peerless, s.selected && (s.gatherer == "" || s.ReadsDirectly()), x.refusedAt.After(start), !now.Before(deadline), ctx.Err() != nil:
+			return reflector.Listing[[]byte]{}, false
+		}
+		x.awaitUpdate(ctx, min(_rolePollInterval, deadline.Sub(now)))
+	}
+}
+
+// awaitUpdate waits for an answer of the gatherer, at most for d. The caller holds the
+// sharer's lock, which is released meanwhile.
+func (x *Source) awaitUpdate(ctx context.Context, d time.Duration) {
+	updated := x.updated
+	x.sharer.mu.Unlock()
+	defer x.sharer.mu.Lock()
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-updated:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // Watch waits up to wait for changes after revision after. It reads the platform itself
 // where the gatherer does not provide them.
 func (x *Source) Watch(ctx context.Context, after uint64, wait time.Duration) (reflector.Changes[[]byte], error) {
 	if x.sharer.FollowsGatherer() {
-		if c, ok := x.awaitGatherer(ctx, after, wait); ok {
+		if c, ok := x.awaitChanges(ctx, after, wait); ok {
 			return c, nil
 		}
 		wait = min(wait, _gathererTimeout)
@@ -76,67 +133,102 @@
 	}
 	c, err := x.direct.Watch(ctx, after, wait)
 	if err == nil {
+		now := time.Now()
 		x.sharer.mu.Lock()
-		x.history.add(after, c.Revision, c.Changes, time.Now())
+		x.history.add(after, c.Revision, c.Changes, now)
+		x.copy.apply(after, c.Revision, c.Changes, now)
 		x.sharer.mu.Unlock()
 	}
 	return c, err
 }
 
-// awaitGatherer waits up to wait for the gatherer to send changes after revision after,
+// awaitChanges waits up to wait for the gatherer to send changes after revision after,
 // and returns none if there were none by then. It returns false where the gatherer did
 // not answer or cannot provide the changes.
-func (x *Source) awaitGatherer(ctx context.Context, after uint64, wait time.Duration) (reflector.Changes[[]byte], bool) {
+func (x *Source) awaitChanges(ctx context.Context, after uint64, wait time.Duration) (reflector.Changes[[]byte], bool) {
 	start := time.Now()
+	end := start.Add(wait)
 	x.sharer.mu.Lock()
+	defer x.sharer.mu.Unlock()
 	x.waitingAfter, x.received = after, nil
-	x.sharer.mu.Unlock()
 	for {
-		x.sharer.mu.Lock()
-		received, confirmedAt, refusedAt, updated := x.received, x.confirmedAt, x.refusedAt, x.updated
-		x.received = nil
-		x.sharer.mu.Unlock()
-		if received != nil {
-			return *received, true
+		if x.received != nil {
+			c := *x.received
+			x.received = nil
+			x.copy.apply(after, c.Revision, c.Changes, x.confirmedAt)
+			return c, true
 		}
 		now := time.Now()
-		end := start.Add(wait)
-		deadline := confirmedAt.Add(_gathererTimeout)
-		if confirmedAt.Before(start) {
+		deadline := x.confirmedAt.Add(_gathererTimeout)
+		if x.confirmedAt.Before(start) {
 			deadline = start.Add(_gathererTimeout)
 		}
 		switch {
-		case !now.Before(deadline) || refusedAt.After(start) || ctx.Err() != nil:
+		case !now.Before(deadline) || x.refusedAt.After(start) || ctx.Err() != nil:
 			return reflector.Changes[[]byte]{}, false
 		case !now.Before(end):
-			return reflector.Changes[[]byte]{Revision: after}, confirmedAt.After(start)
+			return reflector.Changes[[]byte]{Revision: after}, x.confirmedAt.After(start)
 		}
-		t := time.NewTimer(min(end.Sub(now), deadline.Sub(now)))
-		select {
-		case <-updated:
-		case <-t.C:
-		case <-ctx.Done():
-		}
-		t.Stop()
+		x.awaitUpdate(ctx, min(end.Sub(now), deadline.Sub(now)))
+	}
+}
+
+// request returns what this process asks its gatherer about the kind. The caller holds
+// the sharer's lock.
+func (x *Source) request() *wire.Following {
+	f := &wire.Following{Kind: x.kind, AcceptsPacked: true}
+	if x.wantsList {
+		f.List = true
+	} else {
+		f.Revision = x.waitingAfter
 	}
+	return f
 }
 
-// receive records the gatherer's answer about this kind; the caller holds the sharer's
-// lock.
-func (x *Source) receive(f *wire.Following, now time.Time) {
-	age := time.Duration(f.GetAgeMs()) * time.Millisecond
-	switch {
-	case f.GetRevision() < x.waitingAfter:
-		// The gatherer has not read up to the reflector's revision yet.
-		return
-	case f.GetUnknown() || age > _maxGathererAge:
+// receive records the gatherer's answer to a request about this kind. The caller holds
+// the sharer's lock.
+func (x *Source) receive(request, answer *wire.Following, now time.Time) error {
+	if request.GetList() != x.wantsList || request.GetRevision() != x.waitingAfter && !x.wantsList {
+		// The reflector has begun to wait for something else since.
+		return nil
+	}
+	if answer.GetRevision() < request.GetRevision() || request.GetList() && answer.GetRevision() == 0 && !answer.GetUnknown() {
+		// The gatherer has not read that far yet.
+		return nil
+	}
+	defer func() {
+		close(x.updated)
+		x.updated = make(chan struct{})
+	}()
+	age := time.Duration(answer.GetAgeMs()) * time.Millisecond
+	if answer.GetUnknown() || age > _maxGathererAge {
 		x.refusedAt = now
-	default:
-		x.confirmedAt = now
-		if f.GetRevision() > x.waitingAfter || len(f.GetChanges()) > 0 {
-			x.received = &reflector.Changes[[]byte]{Revision: f.GetRevision(), Changes: decodeChanges(f.GetChanges())}
-		}
+		return nil
+	}
+	changes, err := changesOf(answer)
+	if err != nil {
+		x.refusedAt = now
+		return err
+	}
+	x.confirmedAt = now
+	if request.GetList() {
+		l := listingOf(answer.GetRevision(), changes)
+		x.history.reset(l.Revision, now.Add(-age))
+		x.copy.reset(l, now.Add(-age))
+		x.listing = &l
+		return nil
+	}
+	if answer.GetRevision() > x.waitingAfter || len(changes) > 0 {
+		x.received = &reflector.Changes[[]byte]{Revision: answer.GetRevision(), Changes: decodeChanges(changes)}
+	}
+	return nil
+}
+
+// listingOf returns the listing that an answer with all objects carries.
+func listingOf(revision uint64, objects []*wire.ObjectChange) reflector.Listing[[]byte] {
+	l := reflector.Listing[[]byte]{Values: make(map[string][]byte, len(objects)), Revision: revision}
+	for _, o := range objects {
+		l.Values[o.GetName()] = o.GetValue()
 	}
-	close(x.updated)
-	x.updated = make(chan struct{})
+	return l
 }
