internal/enumerator, leaser: starts that cost the store little

Cause: the other calls of a start. A process wrote its object again although its earlier run had left the same one (three calls, with the conflict), read the secret of the peers, which never changes, at full price, and the lease twice, since all processes try to create it. It did not know its peers for two seconds, so that it read for itself meanwhile.

A process now counts the others at once, takes over its object where it says the same and is less than a minute old, and looks for the secret by cheap reads first. It reads the lease once it knows whether it follows a gatherer, and then by cheap reads; a missing lease is left to others until its next poll.

TestStoreCallsOfFollowers (20 instances start): calls before the first request and in calm. TestObjectOfEarlierRun: 3 writes before, 1 now. TestReceivedListIsNotRead now expects the one list of the start.

--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -30,6 +30,7 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/registrar"
 	"github.com/lycheebarrow/lycheebarrow/internal/relayer"
 	"github.com/lycheebarrow/lycheebarrow/internal/sharer"
+	"github.com/lycheebarrow/lycheebarrow/internal/storer"
 )
 
 // Names under which the services of an instance are registered.
@@ -72,6 +73,8 @@
 type Store interface {
 	leaser.Store
 	enumerator.Store
+	// Peek is like Get, but the object may be some seconds out of date.
+	Peek(ctx context.Context, key string) (storer.Object, error)
 }
 
 // Adapter connects an instance to a platform.
@@ -285,6 +288,8 @@
 	}
 	rl.Watchdog.OnSilence = cd.Suspect
 	k.run(func(ctx context.Context) {
+		// A process that follows a gatherer reads the lease seldom.
+		sh.AwaitRole(ctx)
 		lease.Run(ctx)
 		release, cancel := context.WithTimeout(context.WithoutCancel(ctx), _releaseTimeout)
 		defer cancel()
--- a/internal/composer/sharer.go
+++ b/internal/composer/sharer.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"crypto/rand"
+	crand "crypto/rand"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -25,6 +26,10 @@
 	_secretKey = "secret/peers"
 	// _secretRetryDelay is the delay before the secret is read again after a failure.
 	_secretRetryDelay = time.Second
+	// _secretPeeks is the number of cheap reads of the secret before one that is up to
+	// date, and _secretPeekPause the longest pause after each.
+	_secretPeeks     = 3
+	_secretPeekPause = 400 * time.Millisecond
 )
 
 // buildSharer builds the sharer, which exchanges loads, and changes of the configuration
@@ -102,6 +107,14 @@
 // peerSecret returns the secret shared by all instances, and creates it if there is none.
 // It retries failures, and returns false if ctx ends first.
 func peerSecret(ctx context.Context, s Store, log logger.Logger) (string, bool) {
+	// The secret never changes, so a read that may be out of date is enough to find it.
+	for range _secretPeeks {
+		if o, err := s.Peek(ctx, _secretKey); err == nil {
+			return string(o.Value), true
+		}
+		// Of processes that start together, one soon creates the secret.
+		pauser.Pause(ctx, rand.N(_secretPeekPause))
+	}
 	for ctx.Err() == nil {
 		o, err := s.Get(ctx, _secretKey)
 		if err == nil {
@@ -109,7 +122,7 @@
 		}
 		if errors.Is(err, storer.ErrNotFound) {
 			// The value is a JSON string, since the platform stores JSON.
-			_, err = s.Create(ctx, _secretKey, []byte(`"`+rand.Text()+`"`))
+			_, err = s.Create(ctx, _secretKey, []byte(`"`+crand.Text()+`"`))
 			if err == nil || errors.Is(err, storer.ErrConflict) {
 				continue
 			}
--- a/internal/enumerator/enumerator.go
+++ b/internal/enumerator/enumerator.go
@@ -21,9 +21,9 @@
 const Kind = "instance"
 
 const (
-	// _firstCountDelay is the time from the start to the first count. By then all
+	// _secondCountDelay is the time from the start to the second count. By then all
 	// processes that start together have written their objects.
-	_firstCountDelay = 2 * time.Second
+	_secondCountDelay = 2 * time.Second
 	// _countInterval is the time between two counts.
 	_countInterval = 4 * time.Second
 	// _receivedLifetime is how long a list that a peer has read makes a read by this
@@ -114,12 +114,17 @@
 // Counted reports whether the processes have been counted, by this process or a peer.
 func (e *Enumerator) Counted() bool { return e.members.Load() != nil }
 
-// Run renews this process's object and counts the processes until ctx ends, and then
+// Run counts the processes and renews this process's object until ctx ends, and then
 // removes the object.
 func (e *Enumerator) Run(ctx context.Context) {
 	e.observed = make(map[string]observation)
-	e.renew(ctx, time.Now())
-	for wait := _firstCountDelay; pauser.Pause(ctx, wait); wait = _countInterval {
+	now := time.Now()
+	// The first count also finds the object of an earlier run of this process.
+	e.countProcesses(ctx, now)
+	if e.version == 0 || now.Sub(e.renewed) >= _renewInterval {
+		e.renew(ctx, now)
+	}
+	for wait := _secondCountDelay; pauser.Pause(ctx, wait); wait = _countInterval {
 		now := time.Now()
 		if e.version == 0 || now.Sub(e.renewed) >= _renewInterval || e.loadChanged() {
 			e.renew(ctx, now)
@@ -238,13 +243,31 @@
 			e.Log.Failure("instance-object", err, logger.Fields{"step": "read", "instance": name})
 		}
 		if name == e.Name {
+			e.adopt(o, r, now)
 			r.Load = e.requestRate()
 		}
 		total += r.Load
 		peers = append(peers, Peer{Name: name, DataCentre: r.DataCentre, Address: r.Address, ProcessorShare: r.ProcessorShare})
 	}
 	e.observed = next
+	if len(peers) == 0 {
+		// No process is registered yet.
+		return
+	}
 	e.readAt.Store(&now)
 	e.setMembers(NewMembers(peers), "store")
 	e.updateShare(total)
 }
+
+// adopt takes over the object that an earlier run of this process has left. If the object
+// says the same and was renewed lately, it need not be written again yet.
+func (e *Enumerator) adopt(o storer.Object, r record, now time.Time) {
+	if e.version != 0 {
+		return
+	}
+	e.version = o.Version
+	age := now.Sub(time.UnixMilli(r.Renewed))
+	if r.DataCentre == e.DataCentre && r.Address == e.Address && r.ProcessorShare == e.ProcessorShare && age.Abs() < _renewInterval {
+		e.renewed, e.writtenLoad = now.Add(-age.Abs()), r.Load
+	}
+}
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -86,6 +86,8 @@
 	version uint64
 	// versionSeenAt is when this process first saw that version.
 	versionSeenAt time.Time
+	// missed says that a slow poll has found no lease yet.
+	missed bool
 	// uncertain says that it is unknown whether the last write took effect.
 	uncertain bool
 	// sentRenewals is the renewal count in the last write that was sent, and
@@ -214,7 +216,7 @@
 		return _retryDelay
 	case isHolder:
 		return l.duration() / _renewalsPerDuration
-	case l.PollsSlowly != nil && l.PollsSlowly():
+	case l.pollsSlowly():
 		return _slowPollFactor*l.duration() + rand.N(l.duration())
 	case l.Jitter:
 		return l.duration() + rand.N(l.duration()/_jitterDivisor)
@@ -223,6 +225,13 @@
 	}
 }
 
+func (l *Leaser) pollsSlowly() bool { return l.PollsSlowly != nil && l.PollsSlowly() }
+
+// isEarlierRun reports whether a holder is an earlier start of this process.
+func (l *Leaser) isEarlierRun(holder string) bool {
+	return l.Name != "" && holder != l.holder && strings.HasPrefix(holder, l.Name+"/")
+}
+
 func (l *Leaser) duration() time.Duration {
 	if l.Duration > 0 {
 		return l.Duration
@@ -263,8 +272,8 @@
 		return l.write(ctx, sentAt, o.Version, found.GetTerm())
 	}
 	l.recordLoss()
-	if l.Name != "" && strings.HasPrefix(found.GetHolder(), l.Name+"/") {
-		// The holder is an earlier start of this process, which no longer runs.
+	if l.isEarlierRun(found.GetHolder()) {
+		// The holder no longer runs.
 		return l.write(ctx, sentAt, o.Version, found.GetTerm()+1)
 	}
 	if sentAt.Sub(l.versionSeenAt) < time.Duration(found.GetDurationMs())*time.Millisecond {
@@ -275,22 +284,29 @@
 
 // renewedByOther reports whether Peek shows a renewal by another process, so that no Get
 // is needed. Peek's result may be out of date, and so is never a reason to take the
-// lease over.
+// lease over. A process that polls slowly takes the first version that it sees for a
+// renewal, and leaves a missing lease to others until its next poll.
 func (l *Leaser) renewedByOther(ctx context.Context, sentAt time.Time) bool {
 	p, ok := l.store.(peeker)
-	if !ok || l.uncertain || l.lease == nil || l.lease.GetHolder() == l.holder {
+	if !ok || l.uncertain || l.lease == nil && !l.pollsSlowly() || l.lease.GetHolder() == l.holder {
 		return false
 	}
 	o, err := p.Peek(ctx, l.key)
+	if err != nil && l.lease == nil && !l.missed {
+		// Processes that poll more often are about to create the lease.
+		l.missed = true
+		return true
+	}
 	if err != nil || o.Version <= l.version {
 		return false
 	}
 	var found wire.Lease
-	if err := protojson.Unmarshal(o.Value, &found); err != nil || found.GetHolder() == "" {
-		// The lease was released, or can't be decoded; Get decides which.
+	if err := protojson.Unmarshal(o.Value, &found); err != nil || found.GetHolder() == "" || found.GetHolder() == l.holder || l.isEarlierRun(found.GetHolder()) {
+		// The lease was released, is that of a run of this process or can't be decoded;
+		// Get decides which.
 		return false
 	}
-	l.version, l.versionSeenAt = o.Version, sentAt
+	l.lease, l.version, l.versionSeenAt = &found, o.Version, sentAt
 	return true
 }
 
--- a/internal/leaser/leaser_test.go
+++ b/internal/leaser/leaser_test.go
@@ -29,6 +29,13 @@
 	s.unavailable, s.loseResponses = unavailable, loseResponses
 }
 
+// readCount returns the number of calls of Get.
+func (s *store) readCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
 func (s *store) Get(context.Context, string) (storer.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
