--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -59,6 +59,10 @@
 // ErrRefused means that an upstream refused an order, which had no effect.
 var ErrRefused = errors.New("order refused")
 
+// ErrFenced means that an upstream refused an order, since it has seen one of a later
+// lease term. It wraps ErrRefused.
+var ErrFenced = fmt.Errorf("%w: the upstream has seen a later fencing token", ErrRefused)
+
 // Command is an order that is conditional on the number of orders that the upstream
 // has accepted.
 type Command struct {
@@ -66,6 +70,9 @@
 	// ExpectedOrders is the number of orders that the upstream is expected to have
 	// accepted since it last started. With another number it refuses the order.
 	ExpectedOrders uint64
+	// FencingToken is the term of the lease under which the order is given. Where
+	// upstreams check it, they refuse a lower one than they have seen.
+	FencingToken uint64
 }
 
 // UpstreamClient reads reports of upstreams and sends orders to them.
@@ -88,6 +95,9 @@
 	WasLastHolder() bool
 	// Term returns the term of the lease as this process last wrote it.
 	Term() uint64
+	// RenewedAt returns when this process sent the last write by which it took or renewed
+	// the lease.
+	RenewedAt() time.Time
 }
 
 // Catalogue holds the configuration and the fleet.
@@ -131,9 +141,11 @@
 	listUnavailableAt time.Time
 	// leaseHeldAt is when this process was last found to hold the lease.
 	leaseHeldAt time.Time
-	results     chan func(now time.Time) // that Run's goroutine calls
-	tasks       sync.WaitGroup           // checks and orders in flight
-	leading     bool                     // whether this process gives orders
+	// fencedAt is when an upstream last refused an order because of its fencing token.
+	fencedAt time.Time
+	results  chan func(now time.Time) // that Run's goroutine calls
+	tasks    sync.WaitGroup           // checks and orders in flight
+	leading  bool                     // whether this process gives orders
 	// mu guards suspects, which Run sets.
 	mu sync.Mutex
 }
@@ -218,11 +230,11 @@
 			return listed || member
 		})
 	}
-	leading := c.Lease.Held(now)
+	leading := c.Lease.Held(now) && !c.isFenced()
 	if leading {
 		c.leaseHeldAt = now
 	}
-	mayContinue := !leading && c.mayKeepLeading()
+	mayContinue := !leading && !c.isFenced() && c.mayKeepLeading()
 	leading = leading || mayContinue && now.Sub(c.leaseHeldAt) >= _expiredLeaseDelay
 	if leading != c.leading {
 		c.leading = leading
@@ -264,6 +276,12 @@
 	}
 }
 
+// isFenced reports whether an upstream has refused an order because of its fencing token
+// and the lease has not been renewed since. Another process may hold it then.
+func (c *Conductor) isFenced() bool {
+	return !c.fencedAt.IsZero() && !c.Lease.RenewedAt().After(c.fencedAt)
+}
+
 // checkFleet starts the checks of the members of a service's groups that are due, and
 // returns the fleet, corrected by what the upstreams report.
 func (c *Conductor) checkFleet(ctx context.Context, now time.Time, fleet *cataloguer.Fleet, service string) *cataloguer.Fleet {
@@ -274,12 +292,16 @@
 
 // sendOrder sends one order on a goroutine of its own, and records its outcome.
 func (c *Conductor) sendOrder(ctx context.Context, g *grouper.Grouper, fleet *cataloguer.Fleet, o grouper.Order) {
-	u := fleet.Upstreams[o.Upstream]
+	u, term := fleet.Upstreams[o.Upstream], c.Lease.Term()
 	c.tasks.Go(func() {
 		sentAt := time.Now()
-		outcome, err := c.sendIfUnchanged(ctx, u, o)
+		outcome, err := c.sendIfUnchanged(ctx, u, Command{Order: o, FencingToken: term})
 		c.postResult(ctx, func(now time.Time) {
 			g.RecordOutcome(now, o, outcome)
+			if errors.Is(err, ErrFenced) {
+				c.fencedAt = now
+				c.Log.Failure("fenced", err, logger.Fields{"upstream": o.Upstream, "term": term, "outcome": "no orders until the lease is renewed"})
+			}
 			if k := c.checks[o.Upstream]; k != nil && c.isListStale(now) {
 				k.nextAt = now
 			}
@@ -301,7 +323,7 @@
 
 // sendIfUnchanged reads the upstream's report, and sends the order if the upstream
 // still has the membership on which the order was decided.
-func (c *Conductor) sendIfUnchanged(ctx context.Context, u cataloguer.Upstream, o grouper.Order) (grouper.Outcome, error) {
+func (c *Conductor) sendIfUnchanged(ctx context.Context, u cataloguer.Upstream, o Command) (grouper.Outcome, error) {
 	r, err := c.report(ctx, u)
 	if err != nil {
 		return grouper.OutcomeUnsent, fmt.Errorf("conductor: %s on %s: report: %w", o.Operation, u.ID, err)
@@ -322,17 +344,17 @@
 	if leaves := o.Operation == grouper.OperationJoin || o.Operation == grouper.OperationLeave; leaves && r.Group.IsServingHead() {
 		return grouper.OutcomeRefused, fmt.Errorf("conductor: %s on %s: the upstream is the head of group %q, which is now %s", o.Operation, u.ID, r.Group.Name, r.Group.State)
 	}
-	if err := c.checkMayLeave(u, o, r); err != nil {
+	if err := c.checkMayLeave(u, o.Order, r); err != nil {
 		return grouper.OutcomeUnsent, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, _orderTimeout)
 	defer cancel()
-	expectedOrders := c.orderCounts.expected(u.ID, r)
-	begun, err := c.Upstreams.Order(ctx, u, Command{Order: o, ExpectedOrders: expectedOrders})
+	o.ExpectedOrders = c.orderCounts.expected(u.ID, r)
+	begun, err := c.Upstreams.Order(ctx, u, o)
 	switch {
 	case err == nil:
 		if begun {
-			c.orderCounts.recordBegun(u.ID, r.StartedMs, expectedOrders+1)
+			c.orderCounts.recordBegun(u.ID, r.StartedMs, o.ExpectedOrders+1)
 		}
 		return grouper.OutcomeAccepted, nil
 	case errors.Is(err, ErrRefused):
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -1,6 +1,7 @@
 package conductor_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -213,3 +214,35 @@
 		}
 	})
 }
+
+// A holder whose order was refused because of its fencing token gives no more orders,
+// until it has renewed its lease.
+func TestFencedHolderStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ready := func(rank int) cataloguer.Membership {
+			return cataloguer.Membership{Name: "g", Epoch: 5, Rank: rank, State: cataloguer.MemberReady, Model: "m"}
+		}
+		u := &upstreams{reports: make(map[string]cataloguer.Report), fenced: true}
+		var list []cataloguer.Upstream
+		for rank, id := range []string{"a", "b", "c"} {
+			u.reports[id] = cataloguer.Report{Group: ready(rank)}
+			list = append(list, cataloguer.Upstream{ID: id, Group: ready(rank)})
+		}
+		l := lease{renewedAt: &atomic.Pointer[time.Time]{}}
+		var changes []bool
+		go func() {
+			time.Sleep(20 * time.Second)
+			u.setFenced(false)
+			now := time.Now()
+			l.renewedAt.Store(&now)
+		}()
+		start := time.Now()
+		runWithLease(30*time.Second, u, l, func(leading bool) { changes = append(changes, leading) }, list...)
+		opens := u.ordersTo(grouper.OperationOpen, "a")
+		assert.GreaterOrEqual(t, len(opens), 2)
+		assert.Less(t, u.times[0].Sub(start), 2*time.Second)
+		assert.GreaterOrEqual(t, u.times[1].Sub(start), 20*time.Second)
+		assert.Equal(t, uint64(7), opens[0].FencingToken)
+		assert.Equal(t, []bool{true, false, true}, changes)
+	})
+}
--- a/internal/conductor/upstreams_test.go
+++ b/internal/conductor/upstreams_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
@@ -13,12 +14,23 @@
 
 // lease is a lease of term 7 that this process holds, or held last if it has expired.
 // The epochs of term 7 start at 7<<20.
-type lease struct{ expired bool }
+type lease struct {
+	expired bool
+	// renewedAt is when the lease was last renewed; nil means never.
+	renewedAt *atomic.Pointer[time.Time]
+}
 
 func (l lease) Held(time.Time) bool { return !l.expired }
 func (lease) WasLastHolder() bool   { return true }
 func (lease) Term() uint64          { return 7 }
 
+func (l lease) RenewedAt() time.Time {
+	if l.renewedAt == nil || l.renewedAt.Load() == nil {
+		return time.Time{}
+	}
+	return *l.renewedAt.Load()
+}
+
 // upstreams is an UpstreamClient that answers reports from a table and records orders.
 type upstreams struct {
 	mu      sync.Mutex
@@ -37,6 +49,8 @@
 	answerDelays map[string]time.Duration
 	// lost holds the upstreams that never answer.
 	lost map[string]bool
+	// fenced makes all upstreams refuse orders because of their fencing token.
+	fenced bool
 }
 
 // isUnreachable reports whether an upstream can't be reached now.
@@ -70,6 +84,9 @@
 	defer u.mu.Unlock()
 	u.orders = append(u.orders, c)
 	u.times = append(u.times, time.Now())
+	if u.fenced {
+		return false, conductor.ErrFenced
+	}
 	return true, nil
 }
 
@@ -86,6 +103,14 @@
 	return out
 }
 
+// setFenced makes all upstreams refuse orders because of their fencing token, or accept
+// them.
+func (u *upstreams) setFenced(fenced bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.fenced = fenced
+}
+
 // lose makes an upstream stop answering for good.
 func (u *upstreams) lose(id string) {
 	u.mu.Lock()
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -104,6 +104,8 @@
 	// heldSince is when the lease was acquired; zero where this process is not its last
 	// known holder.
 	heldSince time.Time
+	// renewedAt is when the last write that took or renewed the lease was sent.
+	renewedAt time.Time
 }
 
 // New returns a Leaser for the lease of that name. holder identifies this start of the
@@ -156,6 +158,14 @@
 	return l.term
 }
 
+// RenewedAt returns when this process sent the last write by which it took or renewed the
+// lease.
+func (l *Leaser) RenewedAt() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.renewedAt
+}
+
 // Run acquires and renews the lease until ctx ends.
 func (l *Leaser) Run(ctx context.Context) {
 	failures := 0
@@ -362,6 +372,6 @@
 		l.heldSince = sentAt
 		l.log.Event("lease-taken", logger.Fields{"lease": l.key, "term": term})
 	}
-	l.term = term
+	l.term, l.renewedAt = term, sentAt
 	l.validUntil = sentAt.Add(l.duration() - l.duration()/_marginDivisor)
 }
