internal/sharer: one gatherer reads the platform for all others

The first gatherer by their order is the reader; the others follow it in the exchanges that they have with it anyway, and pass on what it tells. The reader polls the lease quickly by cheap reads, so that it mostly holds it and its watch serves both, and gatherers that are told all changes poll it seldom. Only the list of upstreams is read directly by the holder. A gatherer that did not answer, or that says that it can't read the platform, is not the reader.

--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -154,9 +154,11 @@
 			return k.readerState(c, sh, e).configurationDelay()
 		},
 	}
+	upstreamSource := sh.Source("upstreams", a.Upstreams)
+	upstreamSource.ReadsDirectly = c.Leading
 	upstreams := &reflector.Reflector[cataloguer.Upstream]{
 		Kind: "upstreams", Log: k.log,
-		Source:       reflector.DecodingSource[cataloguer.Upstream]{Source: sh.Source("upstreams", a.Upstreams), Decode: a.DecodeUpstream},
+		Source:       reflector.DecodingSource[cataloguer.Upstream]{Source: upstreamSource, Decode: a.DecodeUpstream},
 		RemovalGrace: _removalGrace, OnOutage: c.SetListUnavailable, OnAnswer: c.SetListReadAt,
 		BatchDelay: func() time.Duration { return k.readerState(c, sh, e).listDelay() },
 		Publish: func(revision uint64, values map[string]cataloguer.Upstream) {
@@ -281,14 +283,15 @@
 		return f.err
 	}
 	lease := leaser.New(a.Store, _leaseName, k.settings.Name()+"/"+uuid.NewString(), k.log)
-	lease.Duration, lease.Jitter, lease.Name, lease.PollsSlowly = _leaseDuration, true, k.settings.Name(), sh.FollowsGatherer
-	sh.OnGathererChange = lease.Wake
+	lease.Duration, lease.Jitter, lease.Name = _leaseDuration, true, k.settings.Name()
+	lease.PollsSlowly, lease.PollsQuickly = sh.IsRelieved, sh.IsReader
+	sh.OnRoleChange = lease.Wake
 	cd := &conductor.Conductor{
 		OnLeadingChange: c.SetLeading, Lease: lease, Catalogue: c, Upstreams: a.Orders, Log: k.log, TrafficStarted: rl.TrafficStarted,
 	}
 	rl.Watchdog.OnSilence = cd.Suspect
 	k.run(func(ctx context.Context) {
-		// A process that follows a gatherer reads the lease seldom.
+		// A process that follows a peer reads the lease seldom.
 		sh.AwaitRole(ctx)
 		lease.Run(ctx)
 		release, cancel := context.WithTimeout(context.WithoutCancel(ctx), _releaseTimeout)
--- a/internal/composer/sharer.go
+++ b/internal/composer/sharer.go
@@ -9,7 +9,6 @@
 	"net"
 	"time"
 
-	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
 	"github.com/lycheebarrow/lycheebarrow/internal/enumerator"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 	"github.com/lycheebarrow/lycheebarrow/internal/pauser"
@@ -59,12 +58,11 @@
 	f := &finder{kernel: k}
 	a := find[Adapter](f, NameAdapter)
 	sh := find[*sharer.Sharer](f, NameSharer)
-	c := find[*cataloguer.Catalogue](f, NameCatalogue)
 	rl := find[*relayer.Relayer](f, NameRelayer)
 	if f.err != nil {
 		return f.err
 	}
-	sh.OwnLoad, sh.ReadsDirectly, sh.Publish = rl.OwnLoad, c.Leading, rl.SetTotalLoad
+	sh.OwnLoad, sh.Publish = rl.OwnLoad, rl.SetTotalLoad
 	if k.settings.PeerListen() == "" {
 		return nil
 	}
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -35,6 +35,9 @@
 	// _jitterDivisor sets the jitter: reads by processes that do not hold the lease are
 	// delayed by up to duration/_jitterDivisor.
 	_jitterDivisor = 3
+	// _quickPollsPerDuration is the number of reads in a lease's duration by a process that
+	// polls quickly.
+	_quickPollsPerDuration = 5
 	// _slowPollFactor is the number of durations between two reads by a process that
 	// polls slowly, before jitter.
 	_slowPollFactor = 4
@@ -69,6 +72,9 @@
 	// PollsSlowly reports whether this process reads the lease less often, since it need
 	// not be among the first to see an expiry; nil means false. Set it before Run.
 	PollsSlowly func() bool
+	// PollsQuickly reports whether this process reads the lease more often, so that it is
+	// the first to see an expiry; nil means false. Set it before Run.
+	PollsQuickly func() bool
 
 	store  Store
 	log    logger.Logger
@@ -226,6 +232,8 @@
 		return _retryDelay
 	case isHolder:
 		return l.duration() / _renewalsPerDuration
+	case l.PollsQuickly != nil && l.PollsQuickly():
+		return l.duration() / _quickPollsPerDuration
 	case l.pollsSlowly():
 		return _slowPollFactor*l.duration() + rand.N(l.duration())
 	case l.Jitter:
--- a/internal/leaser/takeover_test.go
+++ b/internal/leaser/takeover_test.go
@@ -65,6 +65,39 @@
 	}
 }
 
+// timeToTakeOver returns how long after the holder has stopped a second process holds the
+// lease.
+func timeToTakeOver(t *testing.T, quick bool) (after time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{}
+		_, stop := start(s, "a/1")
+		time.Sleep(time.Second)
+		next := leaser.New(peekableStore{s}, "dc", "b/1", logger.Logger{})
+		next.PollsQuickly = func() bool { return quick }
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go next.Run(ctx)
+		time.Sleep(10 * time.Second)
+		stop()
+		for !next.Held(time.Now()) {
+			time.Sleep(10 * time.Millisecond)
+			after += 10 * time.Millisecond
+		}
+	})
+	return after
+}
+
+// A process that polls quickly takes over a lease sooner than another would.
+func TestQuickPollsTakeOverSooner(t *testing.T) {
+	const runs = 20
+	var quick, usual time.Duration
+	for range runs {
+		quick += timeToTakeOver(t, true)
+		usual += timeToTakeOver(t, false)
+	}
+	assert.Less(t, quick/runs, usual/runs)
+}
+
 // A released lease is acquired at the next read, also by a process that uses Peek. Wake
 // makes a process read at once.
 func TestAcquireReleasedLease(t *testing.T) {
--- a/internal/sharer/answer.go
+++ b/internal/sharer/answer.go
@@ -57,9 +57,12 @@
 // The caller holds the sharer's lock.
 func (x *Source) answer(request *wire.Following, now time.Time) *wire.Following {
 	out := &wire.Following{Kind: x.kind, List: request.GetList()}
-	if request.GetList() {
+	switch {
+	case x.unavailable && !x.follows():
+		out.Unavailable, out.Unknown, out.Revision = true, true, x.history.revision
+	case request.GetList():
 		x.answerListing(out, request, now)
-	} else {
+	default:
 		x.answerChanges(out, request, now)
 	}
 	return out
--- a/internal/sharer/copy.go
+++ b/internal/sharer/copy.go
@@ -39,6 +39,13 @@
 	c.revision, c.asOf = max(after, to), asOf
 }
 
+// confirm records that there was no change up to and including a revision at a time.
+func (c *objectCopy) confirm(revision uint64, at time.Time) {
+	if c.values != nil && revision == c.revision && at.After(c.asOf) {
+		c.asOf = at
+	}
+}
+
 // listing returns all objects; false if they are not known, or only as of a time that is
 // more than maxAge ago.
 func (c *objectCopy) listing(now time.Time, maxAge time.Duration) (reflector.Listing[[]byte], bool) {
--- a/internal/sharer/history.go
+++ b/internal/sharer/history.go
@@ -49,6 +49,13 @@
 	}
 }
 
+// confirm records that there was no change up to and including a revision at a time.
+func (h *history) confirm(revision uint64, at time.Time) {
+	if revision == h.revision && at.After(h.readAt) {
+		h.readAt = at
+	}
+}
+
 // changesSince returns the last change of each object after revision, with the revision up
 // to which they are complete and when that was read. Where they are more than maxBytes, the
 // changes of later batches are left out. The result is false where changes are not in the
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -25,6 +25,9 @@
 	// _startTimeout is how long a process waits after its start for its gatherer, before
 	// it reads all objects from the platform itself.
 	_startTimeout = 3 * time.Second
+	// _steadyLimit is the time since a peer last told all changes above which this process
+	// no longer counts on it.
+	_steadyLimit = 1500 * time.Millisecond
 	// _startPollInterval is how often a process checks after its start whether the list of
 	// processes is known.
 	_startPollInterval = 50 * time.Millisecond
@@ -67,15 +70,12 @@
 	Membership Membership
 	// OwnLoad returns the load of this process.
 	OwnLoad func() Load
-	// ReadsDirectly reports whether this process reads the platform itself even where
-	// another process is the gatherer.
-	ReadsDirectly func() bool
 	// Publish is called with the most recent total load, from Run's goroutine.
 	Publish func(TotalLoad)
-	// OnGathererChange is called when another process than before becomes the gatherer of
-	// this data centre; it must not block.
-	OnGathererChange func()
-	Log              logger.Logger
+	// OnRoleChange is called when this process follows another peer than before, or none;
+	// it must not block.
+	OnRoleChange func()
+	Log          logger.Logger
 
 	sources []*Source
 
@@ -95,6 +95,9 @@
 	// gatherer is the name of the gatherer of this data centre; empty where this
 	// process is the gatherer.
 	gatherer string
+	// reader is the name of the gatherer that reads the platform for this one; empty
+	// where this process is no gatherer or reads itself.
+	reader string
 }
 
 // IsRunning reports whether Run has started, so that peers may depend on this process.
@@ -104,19 +107,41 @@
 	return s.running
 }
 
-// FollowsGatherer reports whether this process learns of changes through a gatherer
-// rather than from the platform.
-func (s *Sharer) FollowsGatherer() bool {
+// FollowsPeer reports whether this process learns of changes through a peer rather than
+// from the platform.
+func (s *Sharer) FollowsPeer() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.gatherer != "" && !s.ReadsDirectly()
+	return s.followsPeer()
 }
 
-// IsGatherer reports whether this process is the gatherer of its data centre.
-func (s *Sharer) IsGatherer() bool {
+// followsPeer is FollowsPeer; the caller holds the lock.
+func (s *Sharer) followsPeer() bool { return s.gatherer != "" || s.reader != "" }
+
+// IsRelieved reports whether other processes look after the platform in place of this one:
+// its gatherer, or for a gatherer a reader that has lately told it all changes.
+func (s *Sharer) IsRelieved() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gatherer != "" || s.reader != "" && s.isInformed()
+}
+
+// isInformed reports whether a peer has lately told this process all changes; the caller
+// holds the lock.
+func (s *Sharer) isInformed() bool {
+	for _, x := range s.sources {
+		if time.Since(x.confirmedAt) > _steadyLimit {
+			return false
+		}
+	}
+	return true
+}
+
+// IsReader reports whether this process reads the platform for its peers.
+func (s *Sharer) IsReader() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.gatherer == ""
+	return s.running && s.selected && s.gatherer == "" && s.reader == ""
 }
 
 // Run exchanges messages with peers until ctx ends.
@@ -154,13 +179,13 @@
 	}
 }
 
-// AwaitRole waits until this process knows whether it is the gatherer of its data centre,
-// at most for the time in which that is usual after a start.
+// AwaitRole waits until this process knows that it reads the platform, or a peer has told
+// it all that the peer has read, at most for the time in which that is usual after a start.
 func (s *Sharer) AwaitRole(ctx context.Context) {
 	isKnown := func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return s.Peerless || s.selected
+		return s.Peerless || s.selected && (!s.followsPeer() || s.isInformed())
 	}
 	for deadline := time.Now().Add(_startTimeout); !isKnown() && time.Now().Before(deadline); {
 		if !pauser.Pause(ctx, _rolePollInterval) {
@@ -178,8 +203,15 @@
 	gatherers := s.selector.gatherers(s.Membership.Members().Peers(), s.Name, now)
 	gatherer, ok := gatherers[s.DataCentre]
 	isGatherer := !ok || gatherer.Name == s.Name
-	s.setGatherer(gatherer, isGatherer)
+	first := !s.selected
+	changed := s.setGatherer(gatherer, isGatherer)
+	reader := s.selector.reader(gatherers, now)
+	changed = s.setReader(reader, isGatherer && reader.Name != "" && reader.Name != s.Name) || changed
+	s.selected = true
 	s.mu.Unlock()
+	if changed && !first && s.OnRoleChange != nil {
+		s.OnRoleChange()
+	}
 	if isGatherer {
 		s.exchangeWithGatherers(ctx, now, own, gatherers)
 	} else {
@@ -187,23 +219,40 @@
 	}
 }
 
-// setGatherer records the gatherer of this data centre; the caller holds the lock.
-func (s *Sharer) setGatherer(gatherer enumerator.Peer, isGatherer bool) {
-	before, first := s.gatherer, !s.selected
-	s.gatherer, s.selected = gatherer.Name, true
+// setGatherer records the gatherer of this data centre, and reports whether it has
+// changed; the caller holds the lock.
+func (s *Sharer) setGatherer(gatherer enumerator.Peer, isGatherer bool) bool {
+	before := s.gatherer
+	s.gatherer = gatherer.Name
 	if isGatherer {
 		s.gatherer = ""
 	}
-	if s.gatherer != before {
-		s.Log.Event("gatherer", logger.Fields{"gatherer": gatherer.Name, "before": before, "self": isGatherer, "data_centre": s.DataCentre})
-		if s.OnGathererChange != nil && !first {
-			s.OnGathererChange()
-		}
+	if s.gatherer == before {
+		return false
+	}
+	s.Log.Event("gatherer", logger.Fields{"gatherer": gatherer.Name, "before": before, "self": isGatherer, "data_centre": s.DataCentre})
+	return true
+}
+
+// setReader records the gatherer that reads the platform for this one, if this process is
+// a gatherer that follows one, and reports whether it has changed; the caller holds the
+// lock.
+func (s *Sharer) setReader(reader enumerator.Peer, follows bool) bool {
+	before := s.reader
+	s.reader = ""
+	if follows {
+		s.reader = reader.Name
+	}
+	if s.reader == before {
+		return false
 	}
+	s.Log.Event("reader", logger.Fields{"reader": reader.Name, "before": before, "self": !follows, "data_centre": s.DataCentre})
+	return true
 }
 
 // exchangeWithGatherers sends the load of this data centre to the gatherers of the
-// others, and publishes the sum with their loads.
+// others, and publishes the sum with their loads. It also receives the changes of the
+// platform's objects from the one of them that is the reader.
 func (s *Sharer) exchangeWithGatherers(ctx context.Context, now time.Time, own Load, gatherers map[string]enumerator.Peer) {
 	s.mu.Lock()
 	sum := s.local.sum(own, now)
@@ -216,13 +265,15 @@
 		group.Go(func() {
 			r := s.encode(sum)
 			r.Gathers = true
-			answer, ok := s.exchange(ctx, p, r, _answerTimeout)
+			timeout := s.addRequests(r, p)
+			answer, ok := s.exchange(ctx, p, r, timeout)
 			if !ok {
 				return
 			}
 			s.mu.Lock()
 			s.remote.record(centre, decode(answer), time.Now())
 			s.mu.Unlock()
+			s.deliver(answer, r, p)
 		})
 	}
 	group.Wait()
@@ -236,27 +287,14 @@
 // load and the changes in its answer.
 func (s *Sharer) reportToGatherer(ctx context.Context, now time.Time, own Load, gatherer enumerator.Peer) {
 	r := s.encode(own)
-	timeout := _answerTimeout
-	s.mu.Lock()
-	for _, x := range s.sources {
-		f := x.request()
-		r.Following = append(r.Following, f)
-		if f.GetList() {
-			timeout = _listTimeout
-		}
-	}
-	s.mu.Unlock()
+	timeout := s.addRequests(r, gatherer)
 	r.MembersVersion = s.Membership.Members().Version()
 	answer, ok := s.exchange(ctx, gatherer, r, timeout)
 	if !ok {
 		return
 	}
 	s.receiveMembers(answer, time.Now())
-	for _, f := range answer.GetFollowing() {
-		if err := s.deliver(f, r); err != nil {
-			s.Log.Failure("peer-unreadable", err, logger.Fields{"peer": gatherer.Name, "kind": f.GetKind()})
-		}
-	}
+	s.deliver(answer, r, gatherer)
 	s.Publish(TotalLoad{Load: decode(answer), OwnLoad: own, At: now})
 }
 
@@ -270,17 +308,48 @@
 	}
 }
 
-// deliver passes the gatherer's answer about one kind of objects to the source of that
-// kind.
-func (s *Sharer) deliver(answer *wire.Following, request *wire.Round) error {
+// addRequests adds to a message what this process asks about the platform's objects, if it
+// follows that peer, and returns how long to wait for the answer.
+func (s *Sharer) addRequests(r *wire.Round, p enumerator.Peer) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i, x := range s.sources {
-		if x.kind == answer.GetKind() {
-			return x.receive(request.GetFollowing()[i], answer, time.Now())
+	if p.Name != s.gatherer && p.Name != s.reader {
+		return _answerTimeout
+	}
+	timeout := _answerTimeout
+	for _, x := range s.sources {
+		f := x.request()
+		r.Following = append(r.Following, f)
+		if f.GetList() {
+			timeout = _listTimeout
 		}
 	}
-	return nil
+	return timeout
+}
+
+// deliver passes what a peer answers about the platform's objects to their sources.
+func (s *Sharer) deliver(answer, request *wire.Round, p enumerator.Peer) {
+	for _, a := range answer.GetFollowing() {
+		for i, f := range request.GetFollowing() {
+			if f.GetKind() != a.GetKind() {
+				continue
+			}
+			if err := s.receive(s.sources[i], f, a, p); err != nil {
+				s.Log.Failure("peer-unreadable", err, logger.Fields{"peer": p.Name, "kind": f.GetKind()})
+			}
+		}
+	}
+}
+
+// receive passes a peer's answer about one kind of objects to its source.
+func (s *Sharer) receive(x *Source, request, answer *wire.Following, p enumerator.Peer) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if p.Name == s.reader && !isTrusted(answer) {
+		s.selector.recordUnavailable(p.Name, now)
+	}
+	return x.receive(request, answer, now)
 }
 
 // exchange sends a message to a peer and returns the peer's answer; false where the peer
@@ -317,13 +386,13 @@
 	defer s.mu.Unlock()
 	if r.GetGathers() {
 		s.remote.record(r.GetDataCentre(), load, now)
-		return s.encode(s.local.sum(own, now)), nil
+		answer := s.encode(s.local.sum(own, now))
+		s.addAnswers(answer, r, now)
+		return answer, nil
 	}
 	s.local.record(r.GetSender(), load, now)
 	answer := s.encodeSum(own, now)
-	for _, f := range r.GetFollowing() {
-		answer.Following = append(answer.Following, s.answerFollowing(f, now))
-	}
+	s.addAnswers(answer, r, now)
 	if s.Membership.HasReadList(now) {
 		members := s.Membership.Members()
 		answer.MembersVersion = members.Version()
@@ -347,6 +416,14 @@
 	}
 }
 
+// addAnswers adds to an answer what a peer asks about the platform's objects; the caller
+// holds the lock.
+func (s *Sharer) addAnswers(answer, r *wire.Round, now time.Time) {
+	for _, f := range r.GetFollowing() {
+		answer.Following = append(answer.Following, s.answerFollowing(f, now))
+	}
+}
+
 // answerFollowing returns the answer to what a peer asks about one kind of objects; the
 // caller holds the lock.
 func (s *Sharer) answerFollowing(f *wire.Following, now time.Time) *wire.Following {
--- a/internal/sharer/source.go
+++ b/internal/sharer/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/reflector"
@@ -10,9 +11,9 @@
 
 const (
 	// _maxDirectWait is the longest wait of one watch on the platform. A gatherer tells
-	// its peers the time since its last answer from the platform, which must stay below
-	// _maxGathererAge.
-	_maxDirectWait = time.Second
+	// its peers the time since the platform's last answer, which must stay below
+	// _maxGathererAge, also where it has learned of that through another gatherer.
+	_maxDirectWait = 500 * time.Millisecond
 	// _maxGathererAge is the time since a gatherer's last answer from the platform above
 	// which its peers read the platform themselves.
 	_maxGathererAge = 1300 * time.Millisecond
@@ -27,6 +28,10 @@
 // Source reads the objects of one kind, and learns of them and of their changes through
 // the gatherer where another process is the gatherer. It is a reflector.Source.
 type Source struct {
+	// ReadsDirectly reports whether this process reads the kind from the platform itself
+	// even where it could follow a peer; nil means never. Set it before Run.
+	ReadsDirectly func() bool
+
 	sharer *Sharer
 	kind   string
 	direct reflector.Source[[]byte]
@@ -35,6 +40,8 @@
 	history history
 	copy    objectCopy
 	packed  packedAnswers
+	// unavailable is true if the last read from the platform has failed.
+	unavailable bool
 	// wantsList is true while the reflector waits for all objects.
 	wantsList bool
 	// listing holds the objects that the gatherer sent; nil once the reflector has them.
@@ -43,8 +50,9 @@
 	waitingAfter uint64
 	// received holds the changes that the gatherer sent; nil once the reflector has them.
 	received *reflector.Changes[[]byte]
-	// confirmedAt is when the gatherer last answered with an up-to-date state.
-	confirmedAt time.Time
+	// confirmedAt is when the gatherer last answered with an up-to-date state, and
+	// confirmedAsOf is when that state was read from the platform.
+	confirmedAt, confirmedAsOf time.Time
 	// refusedAt is when the gatherer last answered that it does not know the objects or
 	// their changes, or with a state that was too old.
 	refusedAt time.Time
@@ -67,12 +75,13 @@
 		return l, nil
 	}
 	l, err := x.direct.List(ctx)
+	x.sharer.mu.Lock()
+	defer x.sharer.mu.Unlock()
+	x.unavailable = err != nil
 	if err == nil {
 		now := time.Now()
-		x.sharer.mu.Lock()
 		x.history.reset(l.Revision, now)
 		x.copy.reset(l, now)
-		x.sharer.mu.Unlock()
 	}
 	return l, err
 }
@@ -97,13 +106,19 @@
 			l := *x.listing
 			x.listing = nil
 			return l, true
-		case s.Peerless, s.selected && (s.gatherer == "" || s.ReadsDirectly()), x.refusedAt.After(start), !now.Before(deadline), ctx.Err() != nil:
+		case s.Peerless, s.selected && !x.follows(), x.refusedAt.After(start), !now.Before(deadline), ctx.Err() != nil:
 			return reflector.Listing[[]byte]{}, false
 		}
 		x.awaitUpdate(ctx, min(_rolePollInterval, deadline.Sub(now)))
 	}
 }
 
+// follows reports whether this process learns of the kind's changes through a peer. The
+// caller holds the sharer's lock.
+func (x *Source) follows() bool {
+	return x.sharer.followsPeer() && (x.ReadsDirectly == nil || !x.ReadsDirectly())
+}
+
 // awaitUpdate waits for an answer of the gatherer, at most for d. The caller holds the
 // sharer's lock, which is released meanwhile.
 func (x *Source) awaitUpdate(ctx context.Context, d time.Duration) {
@@ -122,7 +137,10 @@
 // Watch waits up to wait for changes after revision after. It reads the platform itself
 // where the gatherer does not provide them.
 func (x *Source) Watch(ctx context.Context, after uint64, wait time.Duration) (reflector.Changes[[]byte], error) {
-	if x.sharer.FollowsGatherer() {
+	x.sharer.mu.Lock()
+	follows := x.follows()
+	x.sharer.mu.Unlock()
+	if follows {
 		if c, ok := x.awaitChanges(ctx, after, wait); ok {
 			return c, nil
 		}
@@ -132,12 +150,13 @@
 		wait = min(wait, _maxDirectWait)
 	}
 	c, err := x.direct.Watch(ctx, after, wait)
+	x.sharer.mu.Lock()
+	defer x.sharer.mu.Unlock()
+	x.unavailable = err != nil && !errors.Is(err, reflector.ErrCompacted)
 	if err == nil {
 		now := time.Now()
-		x.sharer.mu.Lock()
 		x.history.add(after, c.Revision, c.Changes, now)
 		x.copy.apply(after, c.Revision, c.Changes, now)
-		x.sharer.mu.Unlock()
 	}
 	return c, err
 }
@@ -155,7 +174,10 @@
 		if x.received != nil {
 			c := *x.received
 			x.received = nil
-			x.copy.apply(after, c.Revision, c.Changes, x.confirmedAt)
+			x.copy.apply(after, c.Revision, c.Changes, x.confirmedAsOf)
+			if x.sharer.gatherer == "" {
+				x.history.add(after, c.Revision, c.Changes, x.confirmedAsOf)
+			}
 			return c, true
 		}
 		now := time.Now()
@@ -164,7 +186,7 @@
 			deadline = start.Add(_gathererTimeout)
 		}
 		switch {
-		case !now.Before(deadline) || x.refusedAt.After(start) || ctx.Err() != nil:
+		case !now.Before(deadline) || x.refusedAt.After(start) || ctx.Err() != nil || !x.follows():
 			return reflector.Changes[[]byte]{}, false
 		case !now.Before(end):
 			return reflector.Changes[[]byte]{Revision: after}, x.confirmedAt.After(start)
@@ -185,6 +207,11 @@
 	return f
 }
 
+// isTrusted reports whether an answer is of a process that reads the platform at present.
+func isTrusted(answer *wire.Following) bool {
+	return !answer.GetUnavailable() && time.Duration(answer.GetAgeMs())*time.Millisecond <= _maxGathererAge
+}
+
 // receive records the gatherer's answer to a request about this kind. The caller holds
 // the sharer's lock.
 func (x *Source) receive(request, answer *wire.Following, now time.Time) error {
@@ -200,26 +227,28 @@
 		close(x.updated)
 		x.updated = make(chan struct{})
 	}()
-	age := time.Duration(answer.GetAgeMs()) * time.Millisecond
-	if answer.GetUnknown() || age > _maxGathererAge {
+	if answer.GetUnknown() || !isTrusted(answer) {
 		x.refusedAt = now
 		return nil
 	}
+	age := time.Duration(answer.GetAgeMs()) * time.Millisecond
 	changes, err := changesOf(answer)
 	if err != nil {
 		x.refusedAt = now
 		return err
 	}
-	x.confirmedAt = now
-	if request.GetList() {
+	x.confirmedAt, x.confirmedAsOf = now, now.Add(-age)
+	switch {
+	case request.GetList():
 		l := listingOf(answer.GetRevision(), changes)
-		x.history.reset(l.Revision, now.Add(-age))
-		x.copy.reset(l, now.Add(-age))
+		x.history.reset(l.Revision, x.confirmedAsOf)
+		x.copy.reset(l, x.confirmedAsOf)
 		x.listing = &l
-		return nil
-	}
-	if answer.GetRevision() > x.waitingAfter || len(changes) > 0 {
+	case answer.GetRevision() > x.waitingAfter || len(changes) > 0:
 		x.received = &reflector.Changes[[]byte]{Revision: answer.GetRevision(), Changes: decodeChanges(changes)}
+	default:
+		x.history.confirm(x.waitingAfter, x.confirmedAsOf)
+		x.copy.confirm(x.waitingAfter, x.confirmedAsOf)
 	}
 	return nil
 }
