internal/relayer: requests wait a moment for a process that starts

While a process starts, a request now waits up to 0.4 s for both. After the time in which a start should be over, or when they don't come, it is refused at once as before. A process that waits for the list of its gatherer asks 25 times a second in place of 5.

--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -64,6 +64,9 @@
 	_memoryLimitFraction = 0.6
 	// _initialInstanceCount is the assumed number of instances until the first count.
 	_initialInstanceCount = 8
+	// _startTime is how long an instance takes at most, where peers or the store answer, to
+	// know the configuration and the list of upstreams.
+	_startTime = 3 * time.Second
 	// _cleanUpInterval is the time between two checks for connections to close and data
 	// to remove.
 	_cleanUpInterval = time.Second
@@ -210,6 +213,7 @@
 		Log:    k.log, Meter: m, DataCentre: k.settings.DataCentre(), Watchdog: &relayer.Watchdog{Balancer: b, Log: k.log},
 	}
 	rl.CallerShare = func() float64 { return callerShare(e) }
+	rl.StartsUntil = time.Now().Add(_startTime)
 	if k.settings.PeerListen() == "" {
 		e.RequestRate = rl.RequestRate
 	}
--- a/internal/relayer/protocol.go
+++ b/internal/relayer/protocol.go
@@ -81,4 +81,6 @@
 	Fleet() *cataloguer.Fleet
 	// ListAge returns the time since the list of upstreams was read.
 	ListAge(now time.Time) time.Duration
+	// Changed returns a channel that is closed at the next change.
+	Changed() <-chan struct{}
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -53,6 +53,9 @@
 	Meter      Meter
 	DataCentre string
 	Watchdog   *Watchdog
+	// StartsUntil is when this process should know the configuration and the list of
+	// upstreams. Until then a request waits for them for a moment.
+	StartsUntil time.Time
 	// CallerShare returns the fraction of all callers that this process serves, from
 	// 0 to 1. It may be nil if there are no other processes.
 	CallerShare func() float64
@@ -226,7 +229,7 @@
 // prepare finds the route and the caller's organisation, and reads the body. It
 // returns false if it has responded with an error.
 func (c *call) prepare() bool {
-	configuration := c.Catalogue.Configuration()
+	configuration := c.awaitCatalogue()
 	if configuration == nil {
 		c.refuse(http.StatusServiceUnavailable, "no-configuration")
 		return false
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -14,6 +14,9 @@
 const (
 	// _roundInterval is the pause between two exchanges with peers.
 	_roundInterval = 200 * time.Millisecond
+	// _listInterval is the pause between two exchanges while this process waits for all
+	// objects of a kind.
+	_listInterval = 40 * time.Millisecond
 	// _answerTimeout bounds one exchange; the round trip to a peer takes milliseconds.
 	_answerTimeout = 350 * time.Millisecond
 	// _sumLifetime is how long one sum of all loads serves the answers to peers. Loads
@@ -30,7 +33,7 @@
 	_steadyLimit = 1500 * time.Millisecond
 	// _startPollInterval is how often a process checks after its start whether the list of
 	// processes is known.
-	_startPollInterval = 50 * time.Millisecond
+	_startPollInterval = 20 * time.Millisecond
 )
 
 // Exchanger sends a message to the peer at address and returns the peer's answer; both
@@ -155,10 +158,23 @@
 	}
 	for ctx.Err() == nil {
 		s.round(ctx)
-		pause(ctx, _roundInterval, wake)
+		pause(ctx, s.roundInterval(), wake)
 	}
 }
 
+// roundInterval returns the pause until the next round. It is short while this process
+// waits for all objects, which it has at its start.
+func (s *Sharer) roundInterval() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, x := range s.sources {
+		if x.wantsList && s.followsPeer() {
+			return _listInterval
+		}
+	}
+	return _roundInterval
+}
+
 // pause waits for d, or until wake has a value or ctx ends.
 func pause(ctx context.Context, d time.Duration, wake <-chan struct{}) {
 	t := time.NewTimer(d)
