internal/balancer: a data centre that is cut off is passed over as one

Cause: in the first seconds of a cut between data centres requests went to upstreams behind it one after the other, each for 0.4 s, until each of those (220 heads on the large site) was known as silent.

Gatherers exchange messages with each other five times a second: a data centre of which no process answers is told to all. Together with two silent upstreams there it counts as cut off, its upstreams are not chosen and their slots don't count for admission, until one of its processes answers or no silence is left. Neither sign alone is enough: processes restart, and fabric domains go dark.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -64,6 +64,8 @@
 	// peerLoads is the number of requests that peers have in flight at each
 	// upstream, as last reported; nil if unknown.
 	peerLoads map[string]int
+	// unanswered holds the data centres of which no process answers this one's.
+	unanswered map[string]bool
 }
 
 // SetPeerLoads sets the number of requests that peers have in flight at each
@@ -75,14 +77,15 @@
 	b.peerLoads = loads
 }
 
-// Usable returns the number of candidates that are neither draining nor silent,
+// Usable returns the number of candidates that are neither draining, silent nor cut off,
 // and the number of requests that all processes have in flight there.
 func (b *Balancer) Usable(candidates []cataloguer.Upstream, now time.Time) (count, inFlight int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	cutOff := b.cutOffDataCentres(candidates, now)
 	for i := range candidates {
 		s := b.stateOf(candidates[i].ID)
-		if candidates[i].Draining || s.isSilent(&candidates[i], now) {
+		if candidates[i].Draining || s.isSilent(&candidates[i], now) || cutOff[candidates[i].DataCentre] {
 			continue
 		}
 		count++
@@ -167,6 +170,7 @@
 	var usable []int
 	var costs []float64
 	reason := ReasonNone
+	cutOff := b.cutOffDataCentres(candidates, q.Now)
 	for i := range candidates {
 		u := &candidates[i]
 		if u.Draining || isExcluded(q.Exclude, u.ID) {
@@ -174,7 +178,7 @@
 		}
 		s := b.stateOf(u.ID)
 		switch {
-		case s.isSilent(u, q.Now):
+		case s.isSilent(u, q.Now) || cutOff[u.DataCentre]:
 			if reason == ReasonNone {
 				reason = ReasonSilent
 			}
--- a/internal/relayer/total_load.go
+++ b/internal/relayer/total_load.go
@@ -86,6 +86,7 @@
 		others[id] = max(n-total.OwnLoad.InFlight[id], 0)
 	}
 	s.Balancer.SetPeerLoads(others)
+	s.Balancer.SetUnanswered(total.UnansweredDataCentres)
 	now := time.Now()
 	for head, n := range total.SilentHeads {
 		if n <= total.OwnLoad.SilentHeads[head] || !s.Balancer.MarkSilentByPeer(head.Upstream, head.Epoch, now) {
@@ -113,6 +114,7 @@
 func (s *Relayer) ExpireTotalLoad(now time.Time) {
 	if s.freshTotalLoad(now) == nil {
 		s.Balancer.SetPeerLoads(nil)
+		s.Balancer.SetUnanswered(nil)
 	}
 }
 
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -59,7 +61,10 @@
 	Load
 	// OwnLoad is the part of Load that belongs to this process, as of At.
 	OwnLoad Load
-	At      time.Time
+	// UnansweredDataCentres are those whose processes did not answer the last attempt of
+	// this data centre's gatherer to reach one.
+	UnansweredDataCentres []string
+	At                    time.Time
 }
 
 // Sharer exchanges loads and changes with peers. Set its fields before Run.
@@ -86,6 +91,9 @@
 	// local holds the loads of processes of the same data centre by process name, and
 	// remote those of other data centres by data centre.
 	local, remote loadTable
+	// unanswered holds the data centres of which no process has answered since the last
+	// attempt to reach one.
+	unanswered map[string]bool
 	// summed is the encoded sum of all loads as of summedAt. It is not changed later.
 	summed   *wire.Round
 	summedAt time.Time
@@ -283,6 +291,7 @@
 			r.Gathers = true
 			timeout := s.addRequests(r, p)
 			answer, ok := s.exchange(ctx, p, r, timeout)
+			s.setUnanswered(centre, !ok)
 			if !ok {
 				return
 			}
@@ -295,8 +304,30 @@
 	group.Wait()
 	s.mu.Lock()
 	all := s.remote.sum(sum, now)
+	unanswered := s.unansweredDataCentres()
 	s.mu.Unlock()
-	s.Publish(TotalLoad{Load: all, OwnLoad: own, At: now})
+	s.Publish(TotalLoad{Load: all, OwnLoad: own, UnansweredDataCentres: unanswered, At: now})
+}
+
+// setUnanswered records whether the last attempt to reach a process of a data centre has
+// failed.
+func (s *Sharer) setUnanswered(centre string, failed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.unanswered == nil {
+		s.unanswered = make(map[string]bool)
+	}
+	if failed {
+		s.unanswered[centre] = true
+	} else {
+		delete(s.unanswered, centre)
+	}
+}
+
+// unansweredDataCentres returns the data centres of which no process has answered since
+// the last attempt; the caller holds the lock.
+func (s *Sharer) unansweredDataCentres() []string {
+	return slices.Sorted(maps.Keys(s.unanswered))
 }
 
 // reportToGatherer sends this process's load to the gatherer, and publishes the total
@@ -311,7 +342,7 @@
 	}
 	s.receiveMembers(answer, time.Now())
 	s.deliver(answer, r, gatherer)
-	s.Publish(TotalLoad{Load: decode(answer), OwnLoad: own, At: now})
+	s.Publish(TotalLoad{Load: decode(answer), OwnLoad: own, UnansweredDataCentres: answer.GetUnansweredDataCentres(), At: now})
 }
 
 // receiveMembers takes the list of processes in the gatherer's answer, if it has one.
@@ -408,6 +439,7 @@
 	}
 	s.local.record(r.GetSender(), load, now)
 	answer := s.encodeSum(own, now)
+	answer.UnansweredDataCentres = s.unansweredDataCentres()
 	s.addAnswers(answer, r, now)
 	if s.Membership.HasReadList(now) {
 		members := s.Membership.Members()
--- a/internal/sharer/sharer_test.go
+++ b/internal/sharer/sharer_test.go
@@ -193,8 +193,14 @@
 func TestChangesWhileReaderIsCutOff(t *testing.T) {
 	runSystem(t, 4, func(s *system) {
 		time.Sleep(3 * time.Second)
+		assert.Empty(t, s.processes["b3"].totalLoad().UnansweredDataCentres)
 		s.partition()
-		time.Sleep(3 * time.Second)
+		time.Sleep(time.Second)
+		for name, p := range s.processes {
+			other := map[string]string{"a": "b", "b": "a"}[p.DataCentre]
+			assert.Equal(t, []string{other}, p.totalLoad().UnansweredDataCentres, name)
+		}
+		time.Sleep(2 * time.Second)
 		for i := range 40 {
 			s.platform.put(strconv.Itoa(i%7), strconv.Itoa(i))
 			time.Sleep(450 * time.Millisecond)
