internal/sharer: gatherers list the objects themselves at their start

A gatherer now lists the objects itself at its start, five lists in place of one, and follows the reader from then on.

--- a/internal/sharer/source.go
+++ b/internal/sharer/source.go
@@ -87,13 +87,15 @@
 }
 
 // awaitListing waits for the gatherer to send all objects. It returns false where this
-// process is the gatherer, or the gatherer does not send them in time.
+// process reads the platform, or the gatherer does not send them in time. At its start a
+// gatherer lists the objects itself, since all processes of its data centre wait for it.
 func (x *Source) awaitListing(ctx context.Context) (reflector.Listing[[]byte], bool) {
 	s, start := x.sharer, time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	deadline := start.Add(_gathererTimeout)
-	if x.confirmedAt.IsZero() && x.history.readAt.IsZero() {
+	isFirst := x.confirmedAt.IsZero() && x.history.readAt.IsZero()
+	if isFirst {
 		deadline = start.Add(_startTimeout)
 	}
 	x.wantsList, x.listing = true, nil
@@ -106,7 +108,7 @@
 			l := *x.listing
 			x.listing = nil
 			return l, true
-		case s.Peerless, s.selected && !x.follows(), x.refusedAt.After(start), !now.Before(deadline), ctx.Err() != nil:
+		case s.Peerless, s.selected && !x.follows(), s.selected && s.gatherer == "" && isFirst, x.refusedAt.After(start), !now.Before(deadline), ctx.Err() != nil:
 			return reflector.Listing[[]byte]{}, false
 		}
 		x.awaitUpdate(ctx, min(_rolePollInterval, deadline.Sub(now)))
