internal/grouper: groups of all models in each data centre

Cause: before traffic groups were formed domain by domain, by the demand over all data centres.

The number of groups that a model has now counts half by data centre and half by the even part of all, so that each data centre can serve all models and the total still keeps to the demand.

--- a/internal/grouper/form.go
+++ b/internal/grouper/form.go
@@ -40,21 +40,6 @@
 	}
 }
 
-// countGroups returns the number of groups of each model that are complete or are
-// being formed.
-func (d *decision) countGroups() map[string]int {
-	counts := make(map[string]int)
-	for _, x := range d.groups {
-		if d.plans[x.key.epoch] == nil && x.isComplete() && x.drainingCount == 0 {
-			counts[x.model.Name]++
-		}
-	}
-	for _, p := range d.plans {
-		counts[p.model.Name]++
-	}
-	return counts
-}
-
 // domainsWithFreeUpstreams returns the fabric domains that have free upstreams, those
 // with the most first.
 func (d *decision) domainsWithFreeUpstreams() []string {
@@ -79,8 +64,12 @@
 // formGroup plans one group in a domain, and reports whether it did. Once there is
 // traffic, it prefers the model that needs the fewest loads. Before that, and among
 // equals, it prefers the model with the highest demand per group.
-func (d *decision) formGroup(domain string, groups map[string]int) bool {
+func (d *decision) formGroup(domain string, groups groupCounts) bool {
 	candidates := d.candidates(domain)
+	if len(candidates) == 0 {
+		return false
+	}
+	dataCentre := candidates[0].DataCentre
 	var best *plan
 	bestLoads, bestDemand := 0, 0.0
 	for _, m := range d.snapshot.Engine.Models {
@@ -98,20 +87,20 @@
 			continue
 		}
 		// The demand per group falls as the model gets more groups.
-		demandPerGroup := demand(m) / float64(groups[m.Name]+1)
+		demandPerGroup := demand(m) / (groups.of(m, dataCentre) + 1)
 		better := best == nil || demandPerGroup > bestDemand
 		if d.snapshot.TrafficStarted && best != nil && loads != bestLoads {
 			better = loads < bestLoads
 		}
 		if better {
-			best, bestLoads, bestDemand = d.newPlan(domain, m, members), loads, demandPerGroup
+			best, bestLoads, bestDemand = d.newPlan(domain, dataCentre, m, members), loads, demandPerGroup
 		}
 	}
 	if best == nil {
 		return false
 	}
 	d.startPlan(best)
-	groups[best.model.Name]++
+	groups.add(best.model, dataCentre)
 	return true
 }
 
@@ -246,9 +235,9 @@
 	return list[:m.GroupSize]
 }
 
-func (d *decision) newPlan(domain string, m cataloguer.Model, members []cataloguer.Upstream) *plan {
+func (d *decision) newPlan(domain, dataCentre string, m cataloguer.Model, members []cataloguer.Upstream) *plan {
 	p := &plan{
-		domain: domain, model: m, startedAt: d.now, accepted: make(map[string]bool),
+		domain: domain, dataCentre: dataCentre, model: m, startedAt: d.now, accepted: make(map[string]bool),
 		observed: make(map[string]cataloguer.Membership),
 	}
 	for _, u := range members {
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -175,12 +175,13 @@
 
 // plan is a group that this process is forming.
 type plan struct {
-	key       groupKey
-	domain    string
-	model     cataloguer.Model
-	members   []string // ids, the head first
-	startedAt time.Time
-	accepted  map[string]bool // members that have begun to join or have joined, by id
+	key        groupKey
+	domain     string
+	dataCentre string
+	model      cataloguer.Model
+	members    []string // ids, the head first
+	startedAt  time.Time
+	accepted   map[string]bool // members that have begun to join or have joined, by id
 	// refusedJoins is the number of the plan's joins that were refused.
 	refusedJoins int
 	// observed holds the members' memberships when the plan was made, by id.
--- a/internal/grouper/grouper_test.go
+++ b/internal/grouper/grouper_test.go
@@ -18,7 +18,8 @@
 // simulation.find explains SELECTOR.
 //
 //	sizes LARGE SMALL     set the group size of each model
-//	add DOMAIN N          add N upstreams without a model
+//	add DOMAIN N          add N upstreams without a model; a data centre may precede the
+//	                      domain's name, with a slash
 //	busy                  callers begin to send requests
 //	run DURATION          advance the time
 //	kill SELECTOR         an upstream is lost for good
@@ -31,7 +32,7 @@
 //	lose DURATION         orders get no answer, and are carried out after DURATION
 //	keep                  orders are answered again
 //	staged N [MODEL]      check that N spares have staged MODEL, or any model
-//	expect MODEL N        check that N complete groups of MODEL are open
+//	expect MODEL N [DC]   check that N complete groups of MODEL are open, in data centre DC or in all
 //	within DURATION MODEL N   check that N such groups open within DURATION
 func TestScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
@@ -90,15 +91,16 @@
 	case "keep":
 		s.loseAnswers = false
 	case "expect":
-		assert.Equal(t, parseNumber(t, words[2]), s.openGroups(words[1]), "line %d: open groups of %s", line, words[1])
+		dataCentre := strings.Join(words[3:], "")
+		assert.Equal(t, parseNumber(t, words[2]), s.openGroups(words[1], dataCentre), "line %d: open groups of %s %s", line, words[1], dataCentre)
 	case "within":
 		end := s.now.Add(parseDuration(t, words[1]))
 		// The first step makes the effect of the previous command visible.
 		s.run(_step)
-		for s.now.Before(end) && s.openGroups(words[2]) != parseNumber(t, words[3]) {
+		for s.now.Before(end) && s.openGroups(words[2], "") != parseNumber(t, words[3]) {
 			s.run(_step)
 		}
-		assert.Equal(t, parseNumber(t, words[3]), s.openGroups(words[2]), "line %d: open groups of %s", line, words[2])
+		assert.Equal(t, parseNumber(t, words[3]), s.openGroups(words[2], ""), "line %d: open groups of %s", line, words[2])
 	default:
 		t.Fatalf("line %d: unknown command %s", line, words[0])
 	}
--- a/internal/grouper/simulation_test.go
+++ b/internal/grouper/simulation_test.go
@@ -85,7 +85,8 @@
 func (s *simulation) add(domain string, n int) {
 	for range n {
 		id := fmt.Sprintf("%s-u%02d", domain, len(s.ids))
-		s.upstreams[id] = &upstream{Upstream: cataloguer.Upstream{ID: id, Service: _service, Domain: domain, Slots: 26, Address: "10.0.0.1:1"}}
+		dataCentre, _, _ := strings.Cut(domain, "/")
+		s.upstreams[id] = &upstream{Upstream: cataloguer.Upstream{ID: id, Service: _service, DataCentre: dataCentre, Domain: domain, Slots: 26, Address: "10.0.0.1:1"}}
 		s.ids = append(s.ids, id)
 	}
 }
@@ -332,10 +333,14 @@
 	}
 }
 
-// openGroups returns the number of complete open groups of a model.
-func (s *simulation) openGroups(model string) int {
+// openGroups returns the number of complete open groups of a model, in one data centre or,
+// if dataCentre is empty, in all.
+func (s *simulation) openGroups(model, dataCentre string) int {
 	n := 0
 	for _, u := range s.upstreams {
+		if dataCentre != "" && u.DataCentre != dataCentre {
+			continue
+		}
 		if !u.dead && u.Group.Rank == 0 && u.Group.State == cataloguer.MemberOpen && u.Group.Model == model && u.incompleteSince.IsZero() {
 			n++
 		}
