internal/grouper: a group with a draining member serves on

Cause: a group was closed as soon as one of its members drained, also where no spare had its model, so that 5 or 15 sound engines stood idle for the 12 to 16 s that a load takes. A release that replaces a third of the engines closed nearly all groups at once.

A member that drains stays while its group has requests, up to ten seconds, and requests go to the head only. So an open group whose head does not drain now serves on until spares can take the places of all its draining members, but 7 s at most; the rest is for requests in progress.

TestModelsUnderLosses plays losses, new upstreams and a release against the grouper, with engines that keep to the platform's rules; its targets are stated there.

--- a/internal/grouper/decision.go
+++ b/internal/grouper/decision.go
@@ -174,6 +174,8 @@
 		// The group is not open and will not be, so its members are free for other groups.
 	case x.isComplete() && mayLoseMembers:
 		d.closeGroup(x, false, "members may leave")
+	case x.isComplete() && x.drainingCount > 0 && d.mayKeepServing(x):
+		d.reserve(x)
 	case x.isComplete() && x.drainingCount > 0:
 		d.closeGroup(x, false, "member leaves")
 	case x.isComplete() && x.allIn(cataloguer.MemberReady, cataloguer.MemberOpen):
--- a/internal/grouper/simulation_test.go
+++ b/internal/grouper/simulation_test.go
@@ -67,6 +67,8 @@
 	lastOrderTerm   uint64
 	highestEpoch    uint64    // of the groups that it has joined
 	incompleteSince time.Time // when its open group first lacked a member, or zero
+	// drainsSince is when it began to drain, if it leaves by itself.
+	drainsSince time.Time
 }
 
 func newSimulation() *simulation {
@@ -292,6 +294,20 @@
 			u.Group.State, u.Group.Model, u.StagedModels = cataloguer.MemberReady, u.lastModel, []string{u.lastModel}
 		}
 		s.updateStall(u)
+		s.endDrained(u)
+	}
+}
+
+// endDrained ends a draining upstream that leaves by itself: after two seconds, or while
+// the head of its group is open, after ten.
+func (s *simulation) endDrained(u *upstream) {
+	const usual, longest = 2 * time.Second, 10 * time.Second
+	if u.drainsSince.IsZero() || s.now.Sub(u.drainsSince) < usual {
+		return
+	}
+	h := s.headOf(u)
+	if h == nil || h.Group.State != cataloguer.MemberOpen || s.now.Sub(u.drainsSince) >= longest {
+		u.dead = true
 	}
 }
 
