internal/session: a script waits for the replicas of its group

Cause: the command await counted the serving replicas of all groups, so a script went on before its own group served.

--- a/internal/session/commands_test.go
+++ b/internal/session/commands_test.go
@@ -19,6 +19,7 @@
 	"github.com/lycheebarrow/lycheebarrow"
 	"github.com/lycheebarrow/lycheebarrow/internal/loader"
 	"github.com/lycheebarrow/lycheebarrow/internal/standin"
+	"github.com/lycheebarrow/lycheebarrow/internal/wire"
 )
 
 // _requestInterval is the virtual time between the starts of two requests.
@@ -38,9 +39,7 @@
 //	                                 configuration number BASE; print the new number
 //	                                 or the refusal
 //	sleep DURATION                   sleep in virtual time
-//	await GROUP N ENTRY              wait until ENTRY can route to N replicas, counted
-//	                                 over all groups; GROUP is for the failure message
-//	                                 only
+//	await GROUP N ENTRY              wait until ENTRY can route to N replicas of a group
 //	chat REQUEST ENTRY KEY TOKENS PROMPT
 //	                                 start a draft that is streamed; REQUEST names the
 //	                                 request for join
@@ -196,9 +195,8 @@
 	return out
 }
 
-// awaitCommand waits until the entry's placements have enough serving replicas,
-// whatever their group, and the entry has probed their members. It fails after 2
-// minutes.
+// awaitCommand waits until the entry's placements have enough serving replicas of a
+// group, and the entry has probed their members. It fails after 2 minutes.
 func awaitCommand(ts *testscript.TestScript, d *deployment, a []string) {
 	want, err := strconv.Atoi(a[1])
 	ts.Check(err)
@@ -206,7 +204,7 @@
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(101 * time.Millisecond) {
 		c := lycheebarrow.Client{Address: d.hosts[a[2]].ip + _operatorPort, Token: _operatorToken, HTTP: d.client}
 		text, err := c.Read(context.Background(), "placements")
-		if err == nil && strings.Count(string(text), `"state":"REPLICA_STATE_SERVING"`) >= want {
+		if err == nil && servingReplicas(ts, text, a[0]) >= want {
 			// The entry routes to a replica only once it has probed every member.
 			time.Sleep(300 * time.Millisecond)
 			return
@@ -215,6 +213,24 @@
 	ts.Fatalf("%s: fewer than %d serving replicas after %s", a[0], want, limit)
 }
 
+// servingReplicas counts the serving replicas of a group in an operator page of placements.
+func servingReplicas(ts *testscript.TestScript, page []byte, group string) (count int) {
+	var list struct {
+		Placements []struct {
+			Replicas []struct{ Group, State string }
+		}
+	}
+	ts.Check(json.Unmarshal(page, &list))
+	for _, p := range list.Placements {
+		for _, r := range p.Replicas {
+			if r.Group == group && r.State == wire.ReplicaState_REPLICA_STATE_SERVING.String() {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 func (d *deployment) startRequest(name string, f func() string) {
 	done := make(chan string, 1)
 	d.results[name] = done
