internal/admitter: forget the routes that are gone

Cause: the record of first attempts is kept by the route's name, for ever; a configuration that changes often, with new names, grows it.

Ruled out: a record in the route of the configuration itself, which would forget the waits at each change.

Conclusion: bounded by the routes with requests in the last minute.

--- a/internal/admitter/attempts.go
+++ b/internal/admitter/attempts.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -15,24 +16,50 @@
 	_attemptWindow = 30 * time.Second
 )
 
-// Attempts tells first attempts from returning requests on one route, whose callers
-// wait for much the same time. The routes of a model differ in that time, so each has
-// its own Attempts. The zero value is ready for use. It is safe for concurrent use.
-type Attempts struct {
+// RouteAttempts tells first attempts from returning requests. The callers of one route
+// wait for much the same time, and those of another for a different one, so each route
+// has its own record. The zero value is ready for use. It is safe for concurrent use.
+type RouteAttempts struct {
 	mu sync.Mutex
+	// byRoute has the routes with requests in the last two windows, and some before.
+	byRoute map[string]*attempts
+}
+
+// IsReturning reports whether a request on a route, whose caller waits for left, is
+// returning. It records left.
+func (a *RouteAttempts) IsReturning(route string, now time.Time, left time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.byRoute == nil {
+		a.byRoute = make(map[string]*attempts)
+	}
+	of := a.byRoute[route]
+	if of == nil {
+		of = &attempts{}
+		maps.DeleteFunc(a.byRoute, func(_ string, o *attempts) bool { return o.isForgotten(now) })
+		a.byRoute[route] = of
+	}
+	return of.isReturning(now, left)
+}
+
+// Routes returns how many routes are recorded.
+func (a *RouteAttempts) Routes() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.byRoute)
+}
+
+// attempts is the record of one route.
+type attempts struct {
 	// longest is the longest wait since windowStart, and previous that of the window
 	// before.
 	longest, previous time.Duration
 	windowStart       time.Time
 }
 
-// IsReturning reports whether a request whose caller waits for left is returning. It
-// records left.
-func (a *Attempts) IsReturning(now time.Time, left time.Duration) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
+func (a *attempts) isReturning(now time.Time, left time.Duration) bool {
 	switch passed := now.Sub(a.windowStart); {
-	case passed >= 2*_attemptWindow:
+	case a.isForgotten(now):
 		a.longest, a.previous, a.windowStart = 0, 0, now
 	case passed >= _attemptWindow:
 		a.longest, a.previous, a.windowStart = 0, a.longest, now
@@ -40,3 +67,6 @@
 	a.longest = max(a.longest, left)
 	return float64(left) < _firstAttemptFraction*float64(max(a.longest, a.previous))
 }
+
+// isForgotten returns true if nothing recorded counts any more.
+func (a *attempts) isForgotten(now time.Time) bool { return now.Sub(a.windowStart) >= 2*_attemptWindow }
--- a/internal/relayer/admission.go
+++ b/internal/relayer/admission.go
@@ -20,7 +20,7 @@
 	m := value.(*modelState)
 	m.arrivals.count(now)
 	c.model, c.admitter = m, &m.admitter
-	c.returning = c.attempts().IsReturning(now, c.timeout())
+	c.returning = c.attempts.IsReturning(c.route.Name, now, c.timeout())
 	ended := func() { m.recordEnd(now, time.Now()) }
 	c.capacity = c.modelCapacity()
 	if c.capacity.Slots == 0 {
@@ -45,15 +45,6 @@
 	return nil, false
 }
 
-// attempts returns what tells the first attempts on the request's route.
-func (c *call) attempts() *admitter.Attempts {
-	value, ok := c.routeAttempts.Load(c.route.Name)
-	if !ok {
-		value, _ = c.routeAttempts.LoadOrStore(c.route.Name, &admitter.Attempts{})
-	}
-	return value.(*admitter.Attempts)
-}
-
 // logRefused logs a request that was not admitted, with the values that decided it.
 func (c *call) logRefused(now time.Time, d admitter.Decision) {
 	fields := logger.Fields{
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -61,10 +61,9 @@
 	CallerShare func() float64
 
 	// models maps each sharer.ModelKey to its *modelState.
-	models sync.Map
-	// routeAttempts maps each route's name to its *admitter.Attempts.
-	routeAttempts sync.Map
-	totalLoad     atomic.Pointer[sharer.TotalLoad]
+	models    sync.Map
+	attempts  admitter.RouteAttempts
+	totalLoad atomic.Pointer[sharer.TotalLoad]
 
 	// requests counts the requests that were read whole and passed authentication.
 	requests atomic.Int64
