--- a/internal/composer/export_test.go
+++ b/internal/composer/export_test.go
@@ -1,6 +1,9 @@
 package composer
 
-import "time"
+import (
+	"net/http"
+	"time"
+)
 
 // Evidence exports evidence for tests.
 type Evidence = evidence
@@ -30,3 +33,6 @@
 
 // RetrySlack exports retrySlack to the tests.
 func RetrySlack(total float64, c Counter) float64 { return retrySlack(total, c) }
+
+// NewServer exports newServer to the tests.
+func NewServer(h http.Handler) *http.Server { return newServer(h) }
--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -340,15 +340,16 @@
 // RunInstance runs an instance's command line, as RunDaemon does, and reloads the settings
 // on SIGHUP or when their file has changed.
 func RunInstance(args []string, adapt AdapterFunc, output, errOutput io.Writer) int {
+	// A SIGHUP during the start must not end the process.
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	defer signal.Stop(hangUps)
 	s, code, run := readSettings(loader.RoleInstance, args, output, errOutput)
 	if !run {
 		return code
 	}
 	log := logger.NewBuffer(output)
 	defer func() { _ = log.Close() }() // Close never fails
-	hangUps := make(chan os.Signal, 1)
-	signal.Notify(hangUps, syscall.SIGHUP)
-	defer signal.Stop(hangUps)
 	r := &Reloader{
 		Load:    func() (loader.Settings, error) { return loader.Load(loader.RoleInstance, args, io.Discard) },
 		File:    s.File(),
--- a/internal/composer/kernel.go
+++ b/internal/composer/kernel.go
@@ -34,8 +34,12 @@
 	NameSchedules        = "turns"
 )
 
-// _headerTimeout limits the time to read a request's headers.
-const _headerTimeout = 10 * time.Second
+const (
+	// _headerTimeout limits the time to read a request's headers.
+	_headerTimeout = 10 * time.Second
+	// _maxHeaderBytes limits the headers of a request, in bytes.
+	_maxHeaderBytes = 64 << 10
+)
 
 // kernel holds the settings and resources that services are built from, and starts and
 // stops their loops and servers.
@@ -138,7 +142,7 @@
 // beforeShutdown unless that is nil, and waits until no request is in flight or the drain
 // limit has passed.
 func (k *kernel) serve(name string, l net.Listener, h http.Handler, beforeShutdown func()) {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: _headerTimeout, MaxHeaderBytes: 64 << 10}
+	s := newServer(h)
 	k.lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			k.running.Go(func() {
@@ -163,3 +167,9 @@
 		},
 	})
 }
+
+// newServer returns a server that bounds the headers of requests and the time that
+// callers may take to send them.
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: _headerTimeout, MaxHeaderBytes: _maxHeaderBytes}
+}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -180,6 +180,43 @@
 	assert.Zero(t, runs.Load())
 }
 
+// A caller whose body never ends is refused and disconnected, and nothing is sent to an
+// upstream.
+func TestEndlessBody(t *testing.T) {
+	testCases := []struct {
+		name, start, more string
+		status            int
+	}{
+		{name: "chunk size", more: "0", status: http.StatusBadRequest},
+		{name: "chunk extension", start: "1;", more: "x", status: http.StatusBadRequest},
+		{name: "chunk extensions", more: "1;" + strings.Repeat("x", 2000) + "\r\ny\r\n", status: http.StatusBadRequest},
+		{name: "chunks", more: "1000\r\n" + strings.Repeat("x", 0x1000) + "\r\n", status: http.StatusRequestEntityTooLarge},
+		{name: "trailer", start: "0\r\n", more: "A: b\r\n", status: http.StatusBadRequest},
+		{name: "trailer line", start: "0\r\nA: ", more: "x", status: http.StatusBadRequest},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			var runs atomic.Int32
+			s := startRelayer(t, cataloguer.KindUnsafe, false, []string{"ok"}, &runs)
+			c, err := net.Dial("tcp", s.Listener.Addr().String())
+			require.NoError(t, err)
+			defer c.Close()
+			go func() {
+				_, err := io.WriteString(c, "POST /a/x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: 1\r\nKey: k\r\nTransfer-Encoding: chunked\r\n\r\n"+tc.start)
+				for err == nil {
+					_, err = io.WriteString(c, strings.Repeat(tc.more, 100))
+				}
+			}()
+			res, err := http.ReadResponse(bufio.NewReader(c), nil)
+			require.NoError(t, err)
+			defer res.Body.Close()
+			assert.Equal(t, tc.status, res.StatusCode)
+			assert.True(t, res.Close)
+			assert.Zero(t, runs.Load())
+		})
+	}
+}
+
 func TestRouteAndKey(t *testing.T) {
 	var runs atomic.Int32
 	s := startRelayer(t, cataloguer.KindSafe, false, []string{"ok"}, &runs)
