internal/leaser: a late read is no sign of an expiry

A process whose connection to the store was interrupted for four seconds took a lease that its holder renewed twice a second: the age of the version that it had read counted from when the read began, 1.9 s before its response. A second one took it 0.1 s later. Both had a fifth of a core and the checks of 875 members before them; 97 sound members counted as lost in a second, and their groups were closed.

Test: TestLateReadIsNoExpiry, which failed first: the second process held the lease in all of the ten seconds. The age counts from the response now. Ruled out: a holder that did not renew (no failed write in its log), a released lease (none in any log).

The holders' own terms are unchanged: they count from when the write was sent, so that no two can hold at a time; that was broken here by the reader only.

--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -264,9 +264,10 @@
 	if l.lease.GetHolder() == l.holder && l.version != 0 {
 		return l.write(ctx, sentAt, l.version, l.lease.GetTerm())
 	}
-	if l.renewedByOther(ctx, sentAt) {
+	if l.renewedByOther(ctx) {
 		return nil
 	}
+	sentAt = time.Now()
 	o, err := l.store.Get(ctx, l.key)
 	switch {
 	case errors.Is(err, storer.ErrNotFound):
@@ -279,7 +280,8 @@
 		return fmt.Errorf("leaser: decode %s: %w", l.key, err)
 	}
 	if l.version != o.Version {
-		l.version, l.versionSeenAt = o.Version, sentAt
+		// The holder may have written this version at any time until the response.
+		l.version, l.versionSeenAt = o.Version, time.Now()
 	}
 	l.lease = &found
 	if found.GetHolder() == l.holder {
@@ -304,7 +306,7 @@
 // is needed. Peek's result may be out of date, and so is never a reason to take the
 // lease over. A process that polls slowly takes the first version that it sees for a
 // renewal, and leaves a missing lease to others until its next poll.
-func (l *Leaser) renewedByOther(ctx context.Context, sentAt time.Time) bool {
+func (l *Leaser) renewedByOther(ctx context.Context) bool {
 	p, ok := l.store.(peeker)
 	if !ok || l.uncertain || l.lease == nil && !l.pollsSlowly() || l.lease.GetHolder() == l.holder {
 		return false
@@ -324,7 +326,7 @@
 		// Get decides which.
 		return false
 	}
-	l.lease, l.version, l.versionSeenAt = &found, o.Version, sentAt
+	l.lease, l.version, l.versionSeenAt = &found, o.Version, time.Now()
 	return true
 }
 
--- a/internal/leaser/takeover_test.go
+++ b/internal/leaser/takeover_test.go
@@ -128,3 +128,39 @@
 		assert.True(t, second.Held(time.Now()))
 	})
 }
+
+// delayedStore is a store whose calls of Get arrive late until the given time, as on a
+// connection that is interrupted for a while.
+type delayedStore struct {
+	*store
+	until time.Time
+}
+
+func (s delayedStore) Get(ctx context.Context, key string) (storer.Object, error) {
+	time.Sleep(time.Until(s.until))
+	return s.store.Get(ctx, key)
+}
+
+// A lease that its holder renews is not taken over by a process whose first read took
+// longer than the lease lasts, since that read shows the lease as it was at its end.
+func TestLateReadIsNoExpiry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{}
+		first, stopFirst := start(s, "a/1")
+		defer stopFirst()
+		time.Sleep(time.Second)
+		late := leaser.New(delayedStore{s, time.Now().Add(5 * time.Second)}, "dc", "b/1", logger.Logger{})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go late.Run(ctx)
+		time.Sleep(time.Second)
+		// The next read begins as soon as the late one has ended.
+		late.Wake()
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			assert.False(t, late.Held(time.Now()))
+			assert.True(t, first.Held(time.Now()))
+		}
+		assert.EqualValues(t, 1, max(first.Term(), late.Term()))
+	})
+}
