internal/conductor: a group that sends data is not closed

Cause: a member that this process alone can't reach counted as lost after two failed checks, and its group was closed with its requests, although a group sends nothing without one of its members. The operators' trouble of the machine that is only silent for a while: single members on a bad path, and all of them where the holder itself is slow.

The exchange of loads now says how long ago each upstream last sent data, and a failed check does not count where the group has sent data since the first of the failures began.

Ruled out: more failures until a member counts as lost, which delays the repair of all true losses; asking the head, whose report says nothing about its members.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -64,6 +64,8 @@
 	// peerLoads is the number of requests that peers have in flight at each
 	// upstream, as last reported; nil if unknown.
 	peerLoads map[string]int
+	// peerActivity is when each upstream last sent data to a peer, as last reported.
+	peerActivity map[string]time.Time
 	// unanswered holds the data centres of which no process answers this one's.
 	unanswered map[string]bool
 }
@@ -77,6 +79,26 @@
 	b.peerLoads = loads
 }
 
+// SetPeerActivity sets when each upstream last sent data to a peer. The balancer keeps
+// the map, so the caller must not change it.
+func (b *Balancer) SetPeerActivity(activity map[string]time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.peerActivity = activity
+}
+
+// LastActivityOfAll returns when an upstream last sent data to this process or, as far
+// as is known, to a peer.
+func (b *Balancer) LastActivityOfAll(id string) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	latest := b.peerActivity[id]
+	if s := b.states[id]; s != nil && s.activeAt.After(latest) {
+		latest = s.activeAt
+	}
+	return latest
+}
+
 // Usable returns the number of candidates that are neither draining, silent nor cut off,
 // and the number of requests that all processes have in flight there.
 func (b *Balancer) Usable(candidates []cataloguer.Upstream, now time.Time) (count, inFlight int) {
@@ -94,6 +116,20 @@
 	return count, inFlight
 }
 
+// Activity returns the time since each upstream with requests of this process in flight
+// last sent data to it. It lacks upstreams that have sent none.
+func (b *Balancer) Activity(now time.Time) map[string]time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]time.Duration)
+	for id, s := range b.states {
+		if s.inFlight > 0 && !s.activeAt.IsZero() {
+			out[id] = now.Sub(s.activeAt)
+		}
+	}
+	return out
+}
+
 // InFlightByUpstream returns the number of requests that this process has in
 // flight at each upstream.
 func (b *Balancer) InFlightByUpstream() map[string]int {
--- a/internal/conductor/checks.go
+++ b/internal/conductor/checks.go
@@ -151,6 +151,13 @@
 		k.failures = _failuresUntilLost
 	}
 	k.nextAt = now.Add(_recheckDelay)
+	if k.failures == _failuresUntilLost && c.groupSentDataSince(u, k.failingSince.Add(_activityMargin)) {
+		// A group sends nothing without one of its members, so only this process can't
+		// reach the member.
+		c.Log.Failure("member-unreachable", err, logger.Fields{"upstream": u.ID, "group": u.Group.Name, "epoch": u.Group.Epoch, "outcome": "kept, since its group sends data"})
+		k.failures, k.failingSince, k.nextAt = _failuresUntilLost-1, startedAt, now.Add(c.checkInterval())
+		return
+	}
 	if k.failures == _failuresUntilLost {
 		c.Log.Failure("member-lost", err, logger.Fields{"upstream": u.ID, "group": u.Group.Name, "epoch": u.Group.Epoch, "checks": k.failures})
 	}
@@ -159,6 +166,20 @@
 	}
 }
 
+// groupSentDataSince reports whether the group of a member has sent data to callers
+// since the given time.
+func (c *Conductor) groupSentDataSince(member cataloguer.Upstream, since time.Time) bool {
+	if c.LastActivity == nil || member.Group.Name == "" {
+		return false
+	}
+	for id, m := range c.members {
+		if m.Group.Name == member.Group.Name && m.Group.Epoch == member.Group.Epoch && m.Group.Rank == 0 && c.LastActivity(id).After(since) {
+			return true
+		}
+	}
+	return false
+}
+
 // checkInterval returns the time between two periodic checks of a member.
 func (c *Conductor) checkInterval() time.Duration {
 	return max(_checkInterval, time.Duration(len(c.checks))*time.Second/_maxChecksPerSecond)
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -38,6 +38,9 @@
 	// _failuresUntilLost is the number of failed checks in a row after which a
 	// member counts as lost.
 	_failuresUntilLost = 2
+	// _activityMargin is how long after a member has stopped the events that its group
+	// sent before may still arrive at callers.
+	_activityMargin = 100 * time.Millisecond
 	// _openVisibleDelay is the time until an order to open shows in the state that a
 	// head reports: the engine's time to form the group and the lag of reports.
 	_openVisibleDelay = 1200 * time.Millisecond
@@ -119,6 +122,9 @@
 	Log       logger.Logger
 	// TrafficStarted reports whether callers have sent requests.
 	TrafficStarted func() bool
+	// LastActivity returns when an upstream last sent data to the callers of any process,
+	// as far as is known. It may be nil.
+	LastActivity func(upstream string) time.Time
 	// OnLeadingChange is called when this process starts or stops giving orders. It
 	// may be nil.
 	OnLeadingChange func(leading bool)
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
 	"github.com/lycheebarrow/lycheebarrow/internal/conductor"
@@ -65,6 +66,33 @@
 	})
 }
 
+// A group that sends data to callers is not closed because the lease holder can't reach
+// one of its members. It is closed soon after it has stopped.
+func TestGroupThatSendsDataStaysOpen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstreams{failureDelays: map[string]time.Duration{"b": 300 * time.Millisecond}}
+		u.lose("b")
+		stopsAt := time.Now().Add(20 * time.Second)
+		setup := func(c *conductor.Conductor) {
+			// The activity is known half a second late.
+			c.LastActivity = func(string) time.Time {
+				if at := time.Now().Add(-500 * time.Millisecond); at.Before(stopsAt) {
+					return at
+				}
+				return stopsAt
+			}
+		}
+		u.reports = make(map[string]cataloguer.Report)
+		for _, x := range threeUpstreams() {
+			u.reports[x.ID] = cataloguer.Report{Group: x.Group}
+		}
+		runWithSetup(&cataloguer.Catalogue{}, 30*time.Second, u, lease{}, func(bool) {}, setup, threeUpstreams()...)
+		closes := u.timesOf(grouper.OperationClose, "a")
+		require.NotEmpty(t, closes)
+		assert.WithinRange(t, closes[0], stopsAt, stopsAt.Add(4*time.Second))
+	})
+}
+
 // A group that could reach neither the store nor the lease holder, so that its entries
 // expired, is not closed when the entries come back one after the other. It is closed
 // if a member was lost meanwhile.
--- a/internal/conductor/upstreams_test.go
+++ b/internal/conductor/upstreams_test.go
@@ -103,6 +103,19 @@
 	return out
 }
 
+// timesOf returns when an upstream was given the orders of an operation.
+func (u *upstreams) timesOf(operation grouper.Operation, id string) []time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var out []time.Time
+	for i, c := range u.orders {
+		if c.Operation == operation && c.Upstream == id {
+			out = append(out, u.times[i])
+		}
+	}
+	return out
+}
+
 // setFenced makes all upstreams refuse orders because of their fencing token, or accept
 // them.
 func (u *upstreams) setFenced(fenced bool) {
--- a/internal/relayer/total_load.go
+++ b/internal/relayer/total_load.go
@@ -64,7 +64,10 @@
 // OwnLoad returns the load of this process.
 func (s *Relayer) OwnLoad() sharer.Load {
 	now := time.Now()
-	out := sharer.Load{InFlight: s.Balancer.InFlightByUpstream(), Demand: make(map[sharer.ModelKey]sharer.Demand), SilentHeads: make(map[sharer.SilentHead]int)}
+	out := sharer.Load{
+		InFlight: s.Balancer.InFlightByUpstream(), Activity: s.Balancer.Activity(now),
+		Demand: make(map[sharer.ModelKey]sharer.Demand), SilentHeads: make(map[sharer.SilentHead]int),
+	}
 	for id, epoch := range s.Balancer.SilentEpochs(now) {
 		out.SilentHeads[sharer.SilentHead{Upstream: id, Epoch: epoch}] = 1
 	}
@@ -86,6 +89,11 @@
 		others[id] = max(n-total.OwnLoad.InFlight[id], 0)
 	}
 	s.Balancer.SetPeerLoads(others)
+	activity := make(map[string]time.Time, len(total.Activity))
+	for id, since := range total.Activity {
+		activity[id] = total.At.Add(-since)
+	}
+	s.Balancer.SetPeerActivity(activity)
 	s.Balancer.SetUnanswered(total.UnansweredDataCentres)
 	now := time.Now()
 	for head, n := range total.SilentHeads {
--- a/internal/sharer/codec.go
+++ b/internal/sharer/codec.go
@@ -1,6 +1,8 @@
 package sharer
 
 import (
+	"time"
+
 	"github.com/lycheebarrow/lycheebarrow/internal/enumerator"
 	"github.com/lycheebarrow/lycheebarrow/internal/reflector"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
@@ -11,7 +13,7 @@
 	r := &wire.Round{Sender: s.Name, DataCentre: s.DataCentre, Processes: uint32(l.Processes)}
 	for id, n := range l.InFlight {
 		if n > 0 {
-			r.Loads = append(r.Loads, &wire.UpstreamLoad{Upstream: id, InFlight: uint32(n)})
+			r.Loads = append(r.Loads, &wire.UpstreamLoad{Upstream: id, InFlight: uint32(n), ActiveMs: encodeActivity(l, id)})
 		}
 	}
 	for k, d := range l.Demand {
@@ -23,14 +25,27 @@
 	return r
 }
 
+// encodeActivity returns the activity of an upstream as a message carries it.
+func encodeActivity(l Load, upstream string) uint32 {
+	since, ok := l.Activity[upstream]
+	if !ok || since > _loadLifetime {
+		return 0
+	}
+	return uint32(max(since.Milliseconds(), 0)) + 1
+}
+
 // decode returns the load that a message carries.
 func decode(r *wire.Round) Load {
 	l := Load{
 		InFlight: make(map[string]int, len(r.GetLoads())), Demand: make(map[ModelKey]Demand, len(r.GetDemands())),
 		SilentHeads: make(map[SilentHead]int, len(r.GetSilences())), Processes: int(r.GetProcesses()),
+		Activity: make(map[string]time.Duration),
 	}
 	for _, x := range r.GetLoads() {
 		l.InFlight[x.GetUpstream()] += int(x.GetInFlight())
+		if ms := x.GetActiveMs(); ms > 0 {
+			l.Activity[x.GetUpstream()] = time.Duration(ms-1) * time.Millisecond
+		}
 	}
 	for _, x := range r.GetDemands() {
 		l.Demand[ModelKey{Service: x.GetService(), Model: x.GetModel()}] = Demand{ArrivalRate: x.GetAsked(), CompletionRate: x.GetEnded(), Returning: int(x.GetLate())}
--- a/internal/sharer/load.go
+++ b/internal/sharer/load.go
@@ -28,6 +28,9 @@
 	// InFlight is the number of requests at each upstream.
 	InFlight map[string]int
 	Demand   map[ModelKey]Demand
+	// Activity holds, for upstreams with requests in flight, the time since they last
+	// sent data to any of the processes. It lacks those that have sent none lately.
+	Activity map[string]time.Duration
 	// SilentHeads holds, for each silent head, the number of processes that see it as
 	// silent.
 	SilentHeads map[SilentHead]int
@@ -64,16 +67,17 @@
 // sum returns own plus the reported loads that are younger than _loadLifetime, and
 // deletes the older ones.
 func (l *loadTable) sum(own Load, now time.Time) Load {
-	out := Load{InFlight: make(map[string]int, len(own.InFlight)), Demand: make(map[ModelKey]Demand, len(own.Demand)), SilentHeads: make(map[SilentHead]int)}
-	out.add(own)
+	out := Load{InFlight: make(map[string]int, len(own.InFlight)), Demand: make(map[ModelKey]Demand, len(own.Demand)), SilentHeads: make(map[SilentHead]int), Activity: make(map[string]time.Duration)}
+	out.add(own, 0)
 	maps.DeleteFunc(l.entries, func(_ string, r reportedLoad) bool { return now.Sub(r.at) > _loadLifetime })
 	for _, r := range l.entries {
-		out.add(r.load)
+		out.add(r.load, now.Sub(r.at))
 	}
 	return out
 }
 
-func (l *Load) add(o Load) {
+// add adds a load that was received the given time ago.
+func (l *Load) add(o Load, age time.Duration) {
 	for id, n := range o.InFlight {
 		l.InFlight[id] += n
 	}
@@ -81,6 +85,11 @@
 		sum := l.Demand[k]
 		l.Demand[k] = Demand{ArrivalRate: sum.ArrivalRate + d.ArrivalRate, CompletionRate: sum.CompletionRate + d.CompletionRate, Returning: sum.Returning + d.Returning}
 	}
+	for id, since := range o.Activity {
+		if known, ok := l.Activity[id]; !ok || since+age < known {
+			l.Activity[id] = since + age
+		}
+	}
 	for x, n := range o.SilentHeads {
 		l.SilentHeads[x] += n
 	}
--- a/internal/sharer/sharer_test.go
+++ b/internal/sharer/sharer_test.go
@@ -211,7 +211,8 @@
 	})
 }
 
-// Every process receives the total load; a dead process no longer counts in it.
+// Every process receives the total load, with the latest activity that any process has
+// seen; a dead process no longer counts in it.
 func TestTotalLoad(t *testing.T) {
 	runSystem(t, 3, func(s *system) {
 		time.Sleep(3 * time.Second)
@@ -219,12 +220,16 @@
 			assert.Equal(t, 12, p.totalLoad().InFlight["u"], name)
 			assert.Equal(t, 6, p.totalLoad().Processes, name)
 			assert.Equal(t, 6, p.totalLoad().SilentHeads[sharer.SilentHead{Upstream: "h", Epoch: 3}], name)
+			since := p.totalLoad().Activity["u"]
+			assert.GreaterOrEqual(t, since, 10*time.Millisecond, name)
+			assert.Less(t, since, time.Second, name)
 		}
 		s.kill("b1")
 		time.Sleep(3 * time.Second)
 		for name, p := range s.processes {
 			if name != "b1" {
 				assert.Equal(t, 10, p.totalLoad().InFlight["u"], name)
+				assert.NotContains(t, p.totalLoad().Activity, "u", name)
 			}
 		}
 	})
--- a/internal/sharer/system_test.go
+++ b/internal/sharer/system_test.go
@@ -239,7 +239,11 @@
 	x := &process{Sharer: &sharer.Sharer{
 		Name: p.Name, DataCentre: p.DataCentre, Exchanger: s, Membership: &membership{read: s.peers},
 		OwnLoad: func() sharer.Load {
-			return sharer.Load{InFlight: map[string]int{"u": 2}, SilentHeads: map[sharer.SilentHead]int{{Upstream: "h", Epoch: 3}: 1}}
+			l := sharer.Load{InFlight: map[string]int{"u": 2}, SilentHeads: map[sharer.SilentHead]int{{Upstream: "h", Epoch: 3}: 1}}
+			if p.Name == "b1" {
+				l.Activity = map[string]time.Duration{"u": 10 * time.Millisecond}
+			}
+			return l
 		},
 	}}
 	x.Publish = func(c sharer.TotalLoad) {
