internal/conductor: a new holder spreads its first checks

Cause: a process that takes the lease checked all members at once, 875 on the large site.

At most 1,500 checks a second and core begin, a tenth of a second's number at once, and never fewer than the periodic 300 a second. Checks on a suspicion, after a failure or after a return go first, then those that have waited longest.

Ruled out: failures that this process learns of late (its timers were on time, the answers were not).

--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -292,7 +292,7 @@
 	sh.OnRoleChange = lease.Wake
 	cd := &conductor.Conductor{
 		OnLeadingChange: c.SetLeading, Lease: lease, Catalogue: c, Upstreams: a.Orders, Log: k.log, TrafficStarted: rl.TrafficStarted,
-		LastActivity: rl.Balancer.LastActivityOfAll,
+		LastActivity: rl.Balancer.LastActivityOfAll, ProcessorShare: k.settings.ProcessorShare(),
 	}
 	rl.Watchdog.OnSilence = cd.Suspect
 	k.run(func(ctx context.Context) {
--- a/internal/conductor/checks.go
+++ b/internal/conductor/checks.go
@@ -1,7 +1,9 @@
 package conductor
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
@@ -68,6 +70,7 @@
 			delete(c.checks, id)
 		}
 	}
+	var due []cataloguer.Upstream
 	for _, u := range fleet.OfService(service) {
 		if u.Group.Name == "" && c.checks[u.ID] == nil && !c.isListStale(now) {
 			continue
@@ -77,14 +80,33 @@
 			k = &check{nextAt: now}
 			c.checks[u.ID] = k
 		}
-		if k.inFlight || now.Before(k.nextAt) {
-			continue
+		if !k.inFlight && !now.Before(k.nextAt) {
+			due = append(due, u)
+		}
+	}
+	slices.SortFunc(due, func(a, b cataloguer.Upstream) int { return c.checks[a.ID].compareUrgency(c.checks[b.ID]) })
+	for _, u := range due {
+		if !c.checkLimiter.AllowN(now, 1) {
+			return
 		}
+		k := c.checks[u.ID]
 		k.inFlight = true
 		c.checkMember(ctx, u, k)
 	}
 }
 
+// compareUrgency compares two checks that are due: those on a suspicion or after a failure
+// are more urgent, and then those that have waited longer.
+func (k *check) compareUrgency(other *check) int {
+	urgent := func(x *check) int {
+		if x.failures > 0 || x.suspectedAt.Equal(x.nextAt) || !x.recheckSince.IsZero() {
+			return 0
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(urgent(k), urgent(other)), k.nextAt.Compare(other.nextAt))
+}
+
 // awaitsFirstChecks reports whether the platform's list is stale and the first check of
 // an upstream of the service is still under way. Until then some memberships come from
 // the old list and some from reports, so a complete group may look incomplete.
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -1,12 +1,15 @@
 package conductor
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
 	"github.com/lycheebarrow/lycheebarrow/internal/grouper"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
@@ -33,6 +36,11 @@
 	// members. Callers' requests show sooner than a periodic check that a busy group
 	// has lost a member.
 	_maxChecksPerSecond = 300
+	// _maxChecksPerCore is the largest number of checks that begin per second and core of
+	// this process, and _checkBurst is how much of a second's number may begin at once. A
+	// process that checks more answers and learns too late that members have answered.
+	_maxChecksPerCore = 1500
+	_checkBurst       = 0.1
 	// _recheckDelay is the time from a failed check to the next one.
 	_recheckDelay = 200 * time.Millisecond
 	// _failuresUntilLost is the number of failed checks in a row after which a
@@ -125,14 +133,19 @@
 	// LastActivity returns when an upstream last sent data to the callers of any process,
 	// as far as is known. It may be nil.
 	LastActivity func(upstream string) time.Time
+	// ProcessorShare is the number of processor cores, or the share of one, that this
+	// process may use; 0 means one.
+	ProcessorShare float64
 	// OnLeadingChange is called when this process starts or stops giving orders. It
 	// may be nil.
 	OnLeadingChange func(leading bool)
 
-	suspects    chan string                 // ids of the upstreams that Suspect queues
-	groupers    map[string]*grouper.Grouper // by service
-	checks      map[string]*check           // by the upstream's id
-	orderCounts orderCounts
+	suspects chan string                 // ids of the upstreams that Suspect queues
+	groupers map[string]*grouper.Grouper // by service
+	checks   map[string]*check           // by the upstream's id
+	// checkLimiter limits the checks that begin.
+	checkLimiter *rate.Limiter
+	orderCounts  orderCounts
 	// countsPrunedAt is when orderCounts was last rid of upstreams that are gone.
 	countsPrunedAt time.Time
 	// members holds the members of groups, by id: those in the platform's list, and
@@ -161,6 +174,8 @@
 func (c *Conductor) Run(ctx context.Context) {
 	c.groupers, c.checks = make(map[string]*grouper.Grouper), make(map[string]*check)
 	c.members, c.reports = make(map[string]member), make(map[string]cataloguer.Report)
+	checksPerSecond := max(_maxChecksPerCore*cmp.Or(c.ProcessorShare, 1), _maxChecksPerSecond)
+	c.checkLimiter = rate.NewLimiter(rate.Limit(checksPerSecond), int(checksPerSecond*_checkBurst))
 	c.results = make(chan func(time.Time))
 	c.mu.Lock()
 	c.suspects = make(chan string, _maxSuspects)
--- a/internal/conductor/upstreams_test.go
+++ b/internal/conductor/upstreams_test.go
@@ -103,6 +103,13 @@
 	return out
 }
 
+// countReports returns how many reports were asked for.
+func (u *upstreams) countReports() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.reportCount
+}
+
 // timesOf returns when an upstream was given the orders of an operation.
 func (u *upstreams) timesOf(operation grouper.Operation, id string) []time.Time {
 	u.mu.Lock()
