internal/grouper, conductor, cataloguer: what each data centre has of each model

Observability for the larger model without groups.

The holder logs event=groups, for each data centre and model: open, forming, staged spares, free upstreams; on a change, at most once a second. Every process has the gauge models_without_group. Script census checks the counts through a loss. No decision changes.

--- a/internal/cataloguer/catalogue.go
+++ b/internal/cataloguer/catalogue.go
@@ -94,3 +94,24 @@
 		c.changed = nil
 	}
 }
+
+// ModelsWithoutGroup returns the number of models that no open group serves, in the
+// current configuration and fleet. It is 0 while one of them is unknown.
+func (c *Catalogue) ModelsWithoutGroup() int64 {
+	configuration, fleet := c.Configuration(), c.Fleet()
+	if configuration == nil || fleet == nil {
+		return 0
+	}
+	n := int64(0)
+	for _, s := range configuration.Services {
+		if s.Engine == nil {
+			continue
+		}
+		for _, m := range s.Engine.Models {
+			if len(fleet.OpenHeads(s.Name, m.Name)) == 0 {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -207,6 +207,9 @@
 	if err := m.RegisterGauge("in_flight", "Requests that hold a slot at an upstream.", b.InFlight); err != nil {
 		return err
 	}
+	if err := m.RegisterGauge("models_without_group", "Models that no open group serves, in the latest fleet.", c.ModelsWithoutGroup); err != nil {
+		return err
+	}
 	rl := &relayer.Relayer{
 		Catalogue: c, Protocol: a.Protocol, Pool: &forwarder.Pool{Network: k.network}, Balancer: b,
 		Budget: &budgeter.Budget{SlackFrom: time.Now().Add(k.settings.RetryWindow())},
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -165,6 +165,8 @@
 	results  chan func(now time.Time) // that Run's goroutine calls
 	tasks    sync.WaitGroup           // checks and orders in flight
 	leading  bool                     // whether this process gives orders
+	// censuses holds what was last logged of the groups of each model.
+	censuses map[censusKey]loggedCensus
 	// mu guards suspects, which Run sets.
 	mu sync.Mutex
 }
@@ -272,6 +274,7 @@
 		clear(c.checks)
 		clear(c.members)
 		clear(c.reports)
+		clear(c.censuses)
 		return
 	}
 	for name, s := range configuration.Services {
@@ -294,6 +297,7 @@
 		for _, o := range orders {
 			c.sendOrder(ctx, g, fleet, o)
 		}
+		c.logCensus(now, name, g.Census())
 	}
 }
 
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -129,6 +129,8 @@
 	// uncertainLeaves holds the groups of which a member was ordered to leave with an
 	// unknown outcome, so that it may leave even much later.
 	uncertainLeaves map[groupKey]bool
+	// census holds the counts of the latest decision.
+	census []ModelCount
 }
 
 // domainSize is a number of upstreams and when it last changed.
@@ -242,6 +244,7 @@
 	d.formGroups()
 	d.stageSpares()
 	d.orderStandbys()
+	d.takeCensus()
 	g.prune(now, d)
 	return d.orders
 }
--- a/internal/grouper/grouper_test.go
+++ b/internal/grouper/grouper_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/grouper"
 )
 
 // TestScripts runs the scripts in testdata in a simulation, and checks that no
@@ -34,6 +36,7 @@
 //	staged N [MODEL]      check that N spares have staged MODEL, or any model
 //	expect MODEL N [DC]   check that N complete groups of MODEL are open, in data centre DC or in all
 //	within DURATION MODEL N   check that N such groups open within DURATION
+//	census DC MODEL OPEN FORMING STAGED FREE   check the counts of a model in a data centre
 func TestScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
 	require.NoError(t, err)
@@ -101,6 +104,12 @@
 			s.run(_step)
 		}
 		assert.Equal(t, parseNumber(t, words[3]), s.openGroups(words[2], ""), "line %d: open groups of %s", line, words[2])
+	case "census":
+		expected := grouper.ModelCount{
+			DataCentre: words[1], Model: words[2], Open: parseNumber(t, words[3]), Forming: parseNumber(t, words[4]),
+			StagedSpares: parseNumber(t, words[5]), Free: parseNumber(t, words[6]),
+		}
+		assert.Contains(t, s.grouper.Census(), expected, "line %d", line)
 	default:
 		t.Fatalf("line %d: unknown command %s", line, words[0])
 	}
