internal/apportioner, grouper: no model is left without a group

Before traffic the model with the higher demand per group came next if it fitted, so groups of the smaller model left a remainder in which one of the larger model had no room, in every data centre alike since; a domain that appears in parts was divided part by part. In traffic the model that needs the fewest loads came next, so what was left of a lost larger group became groups of the smaller model; and while upstreams came and went, loads on upstreams with a model waited for a quiet domain, which never came.

Change: package apportioner compares all divisions of a domain and takes the one with the largest sum of share*log(groups) over the data centres. Before traffic only what it says is formed. In traffic a model is starved where its groups serve at most half of its share of the load, compared with the best served model: it is formed first, upstreams that have it staged are not loaded with another, and free ones stage it (with half of the loads at most). Another model is loaded over a staged one once no upstream has returned with one for 3 s, instead of once the number has not changed.

--- a/internal/grouper/form.go
+++ b/internal/grouper/form.go
@@ -10,8 +10,8 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
 )
 
-// _domainSettleTime is how long the number of a domain's upstreams must be unchanged
-// before another model is loaded on upstreams that have one.
+// _domainSettleTime is how long no upstream of a domain must have returned with a staged
+// model before another model is loaded on upstreams that have one.
 const _domainSettleTime = 3 * time.Second
 
 const (
@@ -33,8 +33,9 @@
 // formGroups plans new groups from the free upstreams, domain by domain.
 func (d *decision) formGroups() {
 	groups := d.countGroups()
+	divisions := d.apportion(groups)
 	for _, domain := range d.domainsWithFreeUpstreams() {
-		for d.formGroup(domain, groups) {
+		for d.formGroup(domain, groups, divisions[domain]) {
 			continue
 		}
 	}
@@ -61,49 +62,103 @@
 	return !d.reserved[u.ID] && !u.Draining && !d.snapshot.Lost[u.ID] && !d.hasPendingOrder(u.ID)
 }
 
-// formGroup plans one group in a domain, and reports whether it did. Once there is
-// traffic, it prefers the model that needs the fewest loads. Before that, and among
-// equals, it prefers the model with the highest demand per group.
-func (d *decision) formGroup(domain string, groups groupCounts) bool {
+// choice is a group that a domain may form.
+type choice struct {
+	model   cataloguer.Model
+	members []cataloguer.Upstream
+	loads   int
+	// isApportioned is true if the division of the domain has another group of the model.
+	isApportioned bool
+	// isStarved is true if the model's groups serve far less of its share of the load than
+	// those of another model do.
+	isStarved bool
+	// demandPerGroup falls as the model gets more groups.
+	demandPerGroup float64
+}
+
+// isBetter reports whether the domain should form c rather than other. Once there is
+// traffic, it prefers a starved model that the division of the domain allows, and then
+// the model that needs the fewest loads. Before that, and among equals, it prefers the
+// model with the highest demand per group.
+func (c *choice) isBetter(other *choice, trafficStarted bool) bool {
+	if !trafficStarted {
+		return c.demandPerGroup > other.demandPerGroup
+	}
+	if first, second := c.isStarved && c.isApportioned, other.isStarved && other.isApportioned; first != second {
+		return first
+	}
+	if c.loads != other.loads {
+		return c.loads < other.loads
+	}
+	return c.demandPerGroup > other.demandPerGroup
+}
+
+// formGroup plans one group in a domain, and reports whether it did. division is the
+// number of new groups of each model that the domain should get, which it reduces.
+func (d *decision) formGroup(domain string, groups groupCounts, division map[string]int) bool {
 	candidates := d.candidates(domain)
 	if len(candidates) == 0 {
 		return false
 	}
 	dataCentre := candidates[0].DataCentre
-	var best *plan
-	bestLoads, bestDemand := 0, 0.0
+	starved := d.starvedModels(groups, domain, dataCentre)
+	var best *choice
 	for _, m := range d.snapshot.Engine.Models {
-		members := d.selectMembers(candidates, m)
-		if members == nil {
+		c := d.choiceOf(domain, candidates, m)
+		if c == nil {
 			continue
 		}
-		loads := 0
-		for _, u := range members {
-			if !d.hasOrStagesModel(u, m) {
-				loads++
-			}
-		}
-		if !d.mayLoad(loads) || loads > 0 && !d.mayFormWithLoads(domain, members, m) || !d.mayAddGroup(domain, candidates, members, m) {
+		c.isApportioned, c.isStarved = division[m.Name] > 0, starved[m.Name]
+		c.demandPerGroup = demand(m) / (groups.of(m, dataCentre) + 1)
+		if !d.snapshot.TrafficStarted && !c.isApportioned {
 			continue
 		}
-		// The demand per group falls as the model gets more groups.
-		demandPerGroup := demand(m) / (groups.of(m, dataCentre) + 1)
-		better := best == nil || demandPerGroup > bestDemand
-		if d.snapshot.TrafficStarted && best != nil && loads != bestLoads {
-			better = loads < bestLoads
+		if !c.isStarved && d.replacesAny(c, starved) {
+			continue
 		}
-		if better {
-			best, bestLoads, bestDemand = d.newPlan(domain, dataCentre, m, members), loads, demandPerGroup
+		if best == nil || c.isBetter(best, d.snapshot.TrafficStarted) {
+			best = c
 		}
 	}
 	if best == nil {
 		return false
 	}
-	d.startPlan(best)
-	groups.add(best.model, dataCentre)
+	d.startPlan(d.newPlan(domain, dataCentre, best.model, best.members))
+	groups.add(best.model, dataCentre, domain)
+	division[best.model.Name]--
 	return true
 }
 
+// replacesAny reports whether a group would load its model on an upstream that has one of
+// the given models.
+func (d *decision) replacesAny(c *choice, models map[string]bool) bool {
+	return slices.ContainsFunc(c.members, func(u cataloguer.Upstream) bool {
+		if d.hasOrStagesModel(u, c.model) {
+			return false
+		}
+		return models[d.staging[u.ID].model] || slices.ContainsFunc(u.StagedModels, func(name string) bool { return models[name] })
+	})
+}
+
+// choiceOf returns the group of a model that a domain may form now, or nil if there is
+// none.
+func (d *decision) choiceOf(domain string, candidates []cataloguer.Upstream, m cataloguer.Model) *choice {
+	members := d.selectMembers(candidates, m)
+	if members == nil {
+		return nil
+	}
+	loads := 0
+	for _, u := range members {
+		if !d.hasOrStagesModel(u, m) {
+			loads++
+		}
+	}
+	if !d.mayLoad(loads) || loads > 0 && !d.mayFormWithLoads(domain, members, m) || !d.mayAddGroup(domain, candidates, members, m) {
+		return nil
+	}
+	return &choice{model: m, members: members, loads: loads}
+}
+
 // mayAddGroup reports whether a domain may form a group of the members. Ahead of the
 // first request, while upstreams still appear, the domain waits until it has enough
 // upstreams for one group of each model. Once there is traffic, a group of which
@@ -140,7 +195,7 @@
 	if d.stagedUpstreamSoonFree(domain) {
 		return false
 	}
-	if d.now.Sub(d.domainSizes[domain].changedAt) >= _domainSettleTime {
+	if d.now.Sub(d.returnedAt[domain]) >= _domainSettleTime {
 		return true
 	}
 	for _, u := range members {
@@ -206,6 +261,11 @@
 	if len(candidates) < m.GroupSize {
 		return nil
 	}
+	return d.byPreference(candidates, m)[:m.GroupSize]
+}
+
+// byPreference sorts candidates by how well they suit a new group of a model.
+func (d *decision) byPreference(candidates []cataloguer.Upstream, m cataloguer.Model) []cataloguer.Upstream {
 	list := slices.Clone(candidates)
 	preference := func(u cataloguer.Upstream) int {
 		switch {
@@ -232,7 +292,7 @@
 			cmp.Compare(a.ID, b.ID),
 		)
 	})
-	return list[:m.GroupSize]
+	return list
 }
 
 func (d *decision) newPlan(domain, dataCentre string, m cataloguer.Model, members []cataloguer.Upstream) *plan {
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -121,6 +121,10 @@
 	// domainSizes holds the number of upstreams of each domain; the key "" holds
 	// the number over all domains.
 	domainSizes map[string]domainSize
+	// known holds the ids of the upstreams of the latest decision, and returnedAt when an
+	// upstream that was not among them had a staged model, by domain.
+	known      map[string]bool
+	returnedAt map[string]time.Time
 	// opened holds the groups that were seen open, and closed those that this
 	// process has ordered to close.
 	opened, closed map[groupKey]bool
@@ -249,13 +253,20 @@
 	return d.orders
 }
 
-// recordDomainSizes records the number of upstreams of each domain.
+// recordDomainSizes records the number of upstreams of each domain, and the upstreams that
+// have returned with a staged model.
 func (g *Grouper) recordDomainSizes(now time.Time, s Snapshot) {
 	counts := make(map[string]int)
+	known := make(map[string]bool)
 	for _, u := range s.Fleet.OfService(s.Service) {
 		counts[""]++
 		counts[u.Domain]++
+		known[u.ID] = true
+		if !g.known[u.ID] && len(u.StagedModels) > 0 {
+			g.returnedAt[u.Domain] = now
+		}
 	}
+	g.known = known
 	for domain, n := range counts {
 		if g.domainSizes[domain].count != n {
 			g.domainSizes[domain] = domainSize{count: n, changedAt: now}
@@ -274,6 +285,7 @@
 	g.staging, g.domainSizes = make(map[string]stagingLoad), make(map[string]domainSize)
 	g.opened, g.closed = make(map[groupKey]bool), make(map[groupKey]bool)
 	g.dropped, g.uncertainLeaves = make(map[groupKey]bool), make(map[groupKey]bool)
+	g.known, g.returnedAt = nil, make(map[string]time.Time)
 	g.loadStarts = nil
 }
 
--- a/internal/grouper/grouper_test.go
+++ b/internal/grouper/grouper_test.go
@@ -20,6 +20,7 @@
 // simulation.find explains SELECTOR.
 //
 //	sizes LARGE SMALL     set the group size of each model
+//	shares LARGE SMALL    set the share of the load of each model
 //	add DOMAIN N          add N upstreams without a model; a data centre may precede the
 //	                      domain's name, with a slash
 //	busy                  callers begin to send requests
@@ -67,6 +68,8 @@
 	switch words[0] {
 	case "sizes":
 		s.engine.Models[0].GroupSize, s.engine.Models[1].GroupSize = parseNumber(t, words[1]), parseNumber(t, words[2])
+	case "shares":
+		s.engine.Models[0].InitialShare, s.engine.Models[1].InitialShare = parseFloat(t, words[1]), parseFloat(t, words[2])
 	case "staged":
 		assert.Equal(t, parseNumber(t, words[1]), s.stagedSpares(strings.Join(words[2:], "")), "line %d: staged spares", line)
 	case "add":
@@ -121,6 +124,12 @@
 	return n
 }
 
+func parseFloat(t *testing.T, text string) float64 {
+	x, err := strconv.ParseFloat(text, 64)
+	require.NoError(t, err)
+	return x
+}
+
 func parseDuration(t *testing.T, text string) time.Duration {
 	d, err := time.ParseDuration(text)
 	require.NoError(t, err)
--- a/internal/grouper/spares.go
+++ b/internal/grouper/spares.go
@@ -14,8 +14,13 @@
 	if !d.snapshot.TrafficStarted && d.now.Sub(d.domainSizes[""].changedAt) < _fleetSettleTime {
 		return
 	}
+	groups := d.countGroups()
 	for _, domain := range d.domainsWithFreeUpstreams() {
 		spares := d.candidates(domain)
+		if m, ok := d.starvedModelOf(domain, spares, groups); ok {
+			d.stageStarved(spares, m)
+			continue
+		}
 		if !d.snapshot.TrafficStarted && len(spares) >= d.smallestGroupSize() {
 			// The domain may still form a group of these upstreams.
 			continue
@@ -36,13 +41,63 @@
 				continue
 			}
 			count[m.Name]++
-			d.recordLoad(u.ID, m)
-			d.staging[u.ID] = stagingLoad{model: m.Name, until: d.now.Add(m.LoadTime + _joinMargin)}
-			d.addOrder(Order{Operation: OperationStage, Upstream: u.ID, Model: m.Name, Observed: u.Group, Reason: "spare"})
+			d.orderStage(u, m, "spare")
+		}
+	}
+}
+
+// starvedModelOf returns a starved model whose next group lacks free upstreams that have it
+// staged, and whether there is one. Of several, the one with the largest groups comes first.
+func (d *decision) starvedModelOf(domain string, spares []cataloguer.Upstream, groups groupCounts) (cataloguer.Model, bool) {
+	if len(spares) == 0 {
+		return cataloguer.Model{}, false
+	}
+	starved := d.starvedModels(groups, domain, spares[0].DataCentre)
+	var best cataloguer.Model
+	for _, m := range d.snapshot.Engine.Models {
+		if starved[m.Name] && m.GroupSize > best.GroupSize {
+			best = m
+		}
+	}
+	return best, best.GroupSize > 0
+}
+
+// stageStarved orders the free upstreams that a group of a starved model lacks to stage it:
+// those that have no model, and once a group could be formed of the free upstreams, those
+// that have another one. Unlike joins that load the model, this loses nothing where one of
+// the upstreams is lost meanwhile.
+func (d *decision) stageStarved(spares []cataloguer.Upstream, m cataloguer.Model) {
+	staged := 0
+	for _, u := range spares {
+		if d.hasOrStagesModel(u, m) {
+			staged++
+		}
+	}
+	mayReplace := len(spares) >= m.GroupSize && staged*2 >= m.GroupSize || len(spares) >= m.GroupSize+_sparesPerDomain
+	for _, u := range d.byPreference(spares, m) {
+		isEmpty := len(u.StagedModels) == 0 && u.Group.Name == ""
+		_, isStaging := d.staging[u.ID]
+		if staged >= m.GroupSize || d.hasOrStagesModel(u, m) || isStaging || u.Unlisted || !isEmpty && (!mayReplace || d.mostLoadsRun()) || !d.mayLoad(1) {
+			continue
 		}
+		staged++
+		d.orderStage(u, m, "starved")
 	}
 }
 
+// mostLoadsRun reports whether at least half of the loads run that run at full speed at the
+// same time. The others are left for the replacement of lost members.
+func (d *decision) mostLoadsRun() bool {
+	return d.snapshot.Engine.MaxConcurrentLoads > 0 && 2*len(d.loadingUntil) >= d.snapshot.Engine.MaxConcurrentLoads
+}
+
+// orderStage orders a free upstream to stage a model.
+func (d *decision) orderStage(u cataloguer.Upstream, m cataloguer.Model, reason string) {
+	d.recordLoad(u.ID, m)
+	d.staging[u.ID] = stagingLoad{model: m.Name, until: d.now.Add(m.LoadTime + _joinMargin)}
+	d.addOrder(Order{Operation: OperationStage, Upstream: u.ID, Model: m.Name, Observed: u.Group, Reason: reason})
+}
+
 // smallestGroupSize returns the number of upstreams in a group of the model with the
 // smallest groups.
 func (d *decision) smallestGroupSize() int {
