internal/relayer, platform: the shared parts of a prompt are logged

Observability for prompts that crash upstreams: a send-ended line said that a response broke off, but nothing of the prompt, so that neither a part in common (hypothesis 1 of docs/incidents/2026-12-05-prompts-that-crash-upstreams.md) nor its absence could be seen. The platform's header lists the parts in order; all but the last may be shared by other requests, and send-ended names them. No decision changes.

--- a/internal/relayer/protocol.go
+++ b/internal/relayer/protocol.go
@@ -25,6 +25,8 @@
 	// LastEvent is the id of the last event that the caller received; 0 if it has
 	// received none.
 	LastEvent uint64
+	// SharedParts are the ids of the parts of the prompt that other requests may share.
+	SharedParts []string
 }
 
 // Forward holds the values that are sent to an upstream in addition to the
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/balancer"
@@ -61,6 +62,7 @@
 		}
 		c.Log.Event("send-ended", logger.Fields{
 			"request": c.request.ID, "upstream": u.ID, "send": c.sends, "reason": reason, "last_event": p.last, "events": p.events, "error": c.lastErr,
+			"parts": strings.Join(c.request.SharedParts, ","),
 		})
 	}
 	if !c.headWritten {
