internal/quarantiner, relayer, sharer: prompts that crash upstreams are not sent on

Cause, hypothesis 1: a response that breaks off counts as the upstream's fault alone. The request goes to the next upstream at once, and the next request with the same part is as new to each process as the first. Hypothesis 2 is a part of it: a request was sent to two upstreams, and once more to two by its caller.

Change: package quarantiner. A crash names suspects, the shared parts of the requests that waited for output there; output for a part clears it. A suspect of three crashes that no process has cleared within a second is quarantined for ten minutes: requests with it are refused at once (503, not run, with the time left). A crash counts if two responses broke off there or the upstream refused a connection, and if it sent nothing in that life afterwards. A request that waited is not sent again if a part of it is a suspect elsewhere too. Processes exchange evidence with their loads, and the quarantine reaches those that start later. Memory is bounded by counts and age.

--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -215,6 +215,9 @@
 		Budget: &budgeter.Budget{SlackFrom: time.Now().Add(k.settings.RetryWindow())},
 		Log:    k.log, Meter: m, DataCentre: k.settings.DataCentre(), Watchdog: &relayer.Watchdog{Balancer: b, Log: k.log},
 	}
+	if err := m.RegisterGauge("quarantined_parts", "Parts of prompts that are not sent, since upstreams crash under them.", rl.Quarantine.Count); err != nil {
+		return err
+	}
 	rl.CallerShare = func() float64 { return callerShare(e) }
 	rl.StartsUntil = time.Now().Add(_startTime)
 	if k.settings.PeerListen() == "" {
--- /dev/null
+++ b/internal/quarantiner/doc.go
@@ -0,0 +1,15 @@
+// Package quarantiner finds the parts of prompts under which upstreams crash, and keeps
+// requests with such a part from being sent.
+//
+// It is made for a part that crashes each upstream that begins to generate output for it,
+// and that arrives with many requests, at any process. Such a request looks like any other
+// until it runs; its caller and its other parts also belong to sound requests, so neither
+// may be refused for it.
+//
+// A crash names suspects: the parts of the requests that waited for their first output
+// there. Output for a part clears it. A part that is a suspect in several crashes, and that
+// no process has cleared, is quarantined. Processes exchange their evidence, since each
+// sees only some of the crashes.
+//
+// The package does no I/O and reads no clock.
+package quarantiner
--- /dev/null
+++ b/internal/quarantiner/evidence.go
@@ -0,0 +1,72 @@
+package quarantiner
+
+import (
+	"maps"
+	"time"
+)
+
+// Part is a part of the prompts of a service that several requests may share.
+type Part struct{ Service, ID string }
+
+// Life is an upstream as the head of a group, from the group's forming to its end: an
+// upstream crashes once in a life.
+type Life struct {
+	Upstream string
+	Epoch    uint64
+}
+
+// Crash is what processes saw of the end of a life.
+type Crash struct {
+	// Broken is the number of responses that broke off.
+	Broken int
+	// Refused is true if a connection to the upstream was refused afterwards.
+	Refused bool
+	// Survived is true if the upstream sent output in the same life afterwards, so that it
+	// did not crash: only responses broke off.
+	Survived bool
+	// Suspects are the parts of the requests that waited for their first output.
+	Suspects map[Part]bool
+}
+
+// isConfirmed reports whether the upstream itself ended, and not only one response.
+func (c Crash) isConfirmed() bool { return !c.Survived && (c.Refused || c.Broken > 1) }
+
+// Evidence is what one or more processes tell others.
+type Evidence struct {
+	Crashes map[Life]Crash
+	// Cleared are parts for which an upstream has generated output. Only suspects of
+	// several crashes are listed.
+	Cleared map[Part]bool
+	// Quarantined holds the time for which each quarantined part remains so.
+	Quarantined map[Part]time.Duration
+}
+
+// Add adds evidence that was received the given time ago.
+func (e *Evidence) Add(other Evidence, age time.Duration) {
+	for life, c := range other.Crashes {
+		if e.Crashes == nil {
+			e.Crashes = make(map[Life]Crash)
+		}
+		sum := e.Crashes[life]
+		suspects := maps.Clone(sum.Suspects)
+		if suspects == nil {
+			suspects = make(map[Part]bool)
+		}
+		maps.Copy(suspects, c.Suspects)
+		e.Crashes[life] = Crash{
+			Broken: sum.Broken + c.Broken, Refused: sum.Refused || c.Refused, Survived: sum.Survived || c.Survived, Suspects: suspects,
+		}
+	}
+	for p := range other.Cleared {
+		if e.Cleared == nil {
+			e.Cleared = make(map[Part]bool)
+		}
+		e.Cleared[p] = true
+	}
+	for p, left := range other.Quarantined {
+		if e.Quarantined == nil {
+			e.Quarantined = make(map[Part]time.Duration)
+		}
+		e.Quarantined[p] = max(e.Quarantined[p], left-age)
+	}
+}
--- /dev/null
+++ b/internal/quarantiner/quarantiner.go
@@ -0,0 +1,305 @@
+package quarantiner
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// _crashesUntilQuarantine is the number of crashes in which a part must be a suspect.
+	// Fewer may be chance: a sound part may wait where an upstream crashes by itself.
+	_crashesUntilQuarantine = 3
+	// _clearanceDelay is how long after the last of these crashes was known a part is
+	// quarantined, so that a process that has cleared it can say so.
+	_clearanceDelay = time.Second
+	// _quarantineTime is how long a part stays quarantined. It may then be tried again,
+	// since upstreams may have been mended.
+	_quarantineTime = 10 * time.Minute
+	// _memoryTime is how long crashes are remembered.
+	_memoryTime = 10 * time.Minute
+	// _shareTime is how long a crash is told to other processes, which remember it.
+	_shareTime = 3 * time.Second
+	// _survivalDelay is how long after a response broke off output shows that the upstream
+	// goes on. Output that was sent before it crashed may arrive until then.
+	_survivalDelay = 300 * time.Millisecond
+	// _extensionMargin is by how much a quarantine that another process tells of must
+	// outlast the known one to extend it. Times grow a little on their way, and would
+	// extend each other for ever.
+	_extensionMargin = 10 * time.Second
+	// _maxCrashes is the largest number of crashes that are remembered, _maxSuspects that
+	// of suspects of one crash, and _maxCleared that of cleared parts, twice.
+	_maxCrashes  = 256
+	_maxSuspects = 32
+	_maxCleared  = 4096
+)
+
+// Quarantiner holds the evidence of one process and what others have told it. The zero
+// value is ready for use. It is safe for concurrent use.
+type Quarantiner struct {
+	// crashCount is the number of crashes that are known.
+	crashCount atomic.Int32
+
+	mu sync.Mutex
+	// own holds the crashes that this process saw, and known those that any process did.
+	own, known map[Life]*record
+	// cleared holds the parts for which this process saw output: the newest ones, and
+	// those before them.
+	cleared, clearedBefore map[Part]bool
+	// clearedByOthers holds the suspects that other processes have cleared.
+	clearedByOthers map[Part]bool
+	// quarantinedUntil is when the quarantine of each part ends.
+	quarantinedUntil map[Part]time.Time
+}
+
+// record is a crash, and when this process first learned of it.
+type record struct {
+	Crash
+	at time.Time
+}
+
+// RecordOutput records that an upstream generates output for a prompt with the given parts.
+func (q *Quarantiner) RecordOutput(parts []Part) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, p := range parts {
+		if q.cleared[p] {
+			continue
+		}
+		if q.cleared == nil || len(q.cleared) >= _maxCleared {
+			q.cleared, q.clearedBefore = make(map[Part]bool), q.cleared
+		}
+		q.cleared[p] = true
+	}
+}
+
+// RecordActivity records that an upstream sends output in a life.
+func (q *Quarantiner) RecordActivity(life Life, now time.Time) {
+	if q.crashCount.Load() == 0 {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	r := q.known[life]
+	if r == nil || r.Survived || now.Sub(r.at) < _survivalDelay {
+		return
+	}
+	survived := Crash{Survived: true}
+	merge(q.own, life, survived, now)
+	merge(q.known, life, survived, now)
+	if own := q.own[life]; own != nil {
+		own.at = now // so that other processes are told
+	}
+}
+
+// RecordBroken records that a response broke off. waiting are the parts of its prompt if
+// no output had come; none otherwise.
+func (q *Quarantiner) RecordBroken(life Life, waiting []Part, now time.Time) {
+	c := Crash{Broken: 1, Suspects: make(map[Part]bool)}
+	for _, p := range waiting {
+		c.Suspects[p] = true
+	}
+	q.record(life, c, now)
+}
+
+// RecordRefused records that an upstream refused a connection.
+func (q *Quarantiner) RecordRefused(life Life, now time.Time) {
+	q.record(life, Crash{Refused: true}, now)
+}
+
+// record adds what this process saw of a crash.
+func (q *Quarantiner) record(life Life, c Crash, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.forget(now)
+	if c.Broken == 0 && q.known[life] == nil {
+		// Nothing broke off there, so the upstream may never have been reached.
+		return
+	}
+	if q.own == nil {
+		q.own, q.known = make(map[Life]*record), make(map[Life]*record)
+	}
+	merge(q.own, life, c, now)
+	merge(q.known, life, c, now)
+	q.crashCount.Store(int32(len(q.known)))
+}
+
+// merge adds a crash to those that are remembered.
+func merge(records map[Life]*record, life Life, c Crash, now time.Time) {
+	r := records[life]
+	if r == nil {
+		if len(records) >= _maxCrashes {
+			return
+		}
+		r = &record{at: now}
+		r.Suspects = make(map[Part]bool)
+		records[life] = r
+	}
+	r.Broken += c.Broken
+	r.Refused, r.Survived = r.Refused || c.Refused, r.Survived || c.Survived
+	r.addSuspects(c.Suspects)
+}
+
+func (c *Crash) addSuspects(suspects map[Part]bool) {
+	for p := range suspects {
+		if len(c.Suspects) < _maxSuspects {
+			c.Suspects[p] = true
+		}
+	}
+}
+
+// forget removes what is too old.
+func (q *Quarantiner) forget(now time.Time) {
+	isOld := func(_ Life, r *record) bool { return now.Sub(r.at) >= _memoryTime }
+	maps.DeleteFunc(q.own, isOld)
+	maps.DeleteFunc(q.known, isOld)
+	maps.DeleteFunc(q.quarantinedUntil, func(_ Part, until time.Time) bool { return !now.Before(until) })
+	if len(q.known) == 0 {
+		clear(q.clearedByOthers)
+	}
+	q.crashCount.Store(int32(len(q.known)))
+}
+
+// Share returns what this process tells others.
+func (q *Quarantiner) Share(now time.Time) Evidence {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.forget(now)
+	var e Evidence
+	for life, r := range q.own {
+		if now.Sub(r.at) < _shareTime {
+			e.Add(Evidence{Crashes: map[Life]Crash{life: r.Crash}}, 0)
+		}
+	}
+	for p, n := range q.suspicions(now) {
+		if n.confirmed > 1 && q.isClearedHere(p) {
+			e.Add(Evidence{Cleared: map[Part]bool{p: true}}, 0)
+		}
+	}
+	for p, until := range q.quarantinedUntil {
+		e.Add(Evidence{Quarantined: map[Part]time.Duration{p: until.Sub(now)}}, 0)
+	}
+	return e
+}
+
+// Receive takes the evidence of all processes, and returns the parts that are quarantined
+// from now on.
+func (q *Quarantiner) Receive(e Evidence, now time.Time) []Part {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.forget(now)
+	if q.known == nil {
+		q.own, q.known = make(map[Life]*record), make(map[Life]*record)
+	}
+	for life, c := range e.Crashes {
+		// The crash may include what this process told, and be told again.
+		if r := q.known[life]; r != nil {
+			c.Broken -= min(r.Broken, c.Broken)
+		}
+		merge(q.known, life, c, now)
+	}
+	q.crashCount.Store(int32(len(q.known)))
+	for p := range e.Cleared {
+		if q.clearedByOthers == nil {
+			q.clearedByOthers = make(map[Part]bool)
+		}
+		q.clearedByOthers[p] = true
+	}
+	var out []Part
+	for p, left := range e.Quarantined {
+		until := now.Add(min(left, _quarantineTime))
+		if until.Sub(q.quarantinedUntil[p]) > _extensionMargin && q.quarantine(p, until) {
+			out = append(out, p)
+		}
+	}
+	return append(out, q.convict(now)...)
+}
+
+// convict quarantines the parts that the evidence is sufficient for, and returns those.
+func (q *Quarantiner) convict(now time.Time) []Part {
+	var out []Part
+	for p, n := range q.suspicions(now) {
+		if n.settled >= _crashesUntilQuarantine && !q.isCleared(p) && q.quarantine(p, now.Add(_quarantineTime)) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// quarantine quarantines a part, and reports whether it was not quarantined.
+func (q *Quarantiner) quarantine(p Part, until time.Time) bool {
+	if q.quarantinedUntil == nil {
+		q.quarantinedUntil = make(map[Part]time.Time)
+	}
+	_, known := q.quarantinedUntil[p]
+	q.quarantinedUntil[p] = until
+	return !known
+}
+
+// suspicion is the number of confirmed crashes in which a part is a suspect: all, and those
+// that have been known for _clearanceDelay.
+type suspicion struct{ confirmed, settled int }
+
+// suspicions returns that of each suspect.
+func (q *Quarantiner) suspicions(now time.Time) map[Part]suspicion {
+	out := make(map[Part]suspicion)
+	for _, r := range q.known {
+		if !r.isConfirmed() {
+			continue
+		}
+		for p := range r.Suspects {
+			n := out[p]
+			n.confirmed++
+			if now.Sub(r.at) >= _clearanceDelay {
+				n.settled++
+			}
+			out[p] = n
+		}
+	}
+	return out
+}
+
+func (q *Quarantiner) isClearedHere(p Part) bool { return q.cleared[p] || q.clearedBefore[p] }
+
+func (q *Quarantiner) isCleared(p Part) bool { return q.isClearedHere(p) || q.clearedByOthers[p] }
+
+// QuarantinedFor returns for how long prompts with the given parts must not be sent, and
+// the part because of which, or 0 if they may be sent.
+func (q *Quarantiner) QuarantinedFor(parts []Part, now time.Time) (time.Duration, Part) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, p := range parts {
+		if left := q.quarantinedUntil[p].Sub(now); left > 0 {
+			return left, p
+		}
+	}
+	return 0, Part{}
+}
+
+// MayResend reports whether a request whose response broke off before its first output may
+// be sent to another upstream. It may not if one of its parts is a suspect in another
+// crash, since it may crash the next upstream too.
+func (q *Quarantiner) MayResend(parts []Part, broken Life, now time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.forget(now)
+	for life, r := range q.known {
+		if life == broken || r.Survived {
+			continue
+		}
+		for _, p := range parts {
+			if r.Suspects[p] && !q.isCleared(p) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Count returns the number of quarantined parts.
+func (q *Quarantiner) Count() int64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return int64(len(q.quarantinedUntil))
+}
--- /dev/null
+++ b/internal/relayer/quarantine.go
@@ -0,0 +1,81 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/forwarder"
+	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/quarantiner"
+)
+
+// _outputEvents is the number of events from which an upstream counts as generating
+// output for a prompt. One may still come from an upstream that crashes under it.
+const _outputEvents = 2
+
+// refuseQuarantined refuses the request if upstreams crash under a part of its prompt, and
+// reports whether it did. The request would not be served before the quarantine ends.
+func (c *call) refuseQuarantined() bool {
+	for _, id := range c.request.SharedParts {
+		c.parts = append(c.parts, quarantiner.Part{Service: c.service.Name, ID: id})
+	}
+	left, part := c.Quarantine.QuarantinedFor(c.parts, time.Now())
+	if left == 0 {
+		return false
+	}
+	c.Log.Event("quarantine", logger.Fields{"request": c.request.ID, "part": part.ID, "left_ms": left.Milliseconds(), "outcome": "refused"})
+	c.refuseFor(http.StatusServiceUnavailable, "prompt-quarantined", left)
+	return true
+}
+
+// mayCrashUpstreams reports whether the prompt may crash the next upstream: a part of it is
+// quarantined by now, or the latest send broke off and a part is a suspect in another
+// crash.
+func (c *call) mayCrashUpstreams() bool {
+	if c.sends == 0 || len(c.parts) == 0 {
+		return false
+	}
+	now := time.Now()
+	left, _ := c.Quarantine.QuarantinedFor(c.parts, now)
+	return left > 0 || c.brokenOff && !c.Quarantine.MayResend(c.parts, c.life, now)
+}
+
+// countOutput counts an event of the latest send.
+func (c *call) countOutput() {
+	c.sendEvents++
+	if c.sendEvents == _outputEvents {
+		c.Quarantine.RecordOutput(c.parts)
+	}
+}
+
+// recordFailedSend records for the quarantine that a send brought no response.
+func (c *call) recordFailedSend(ctx context.Context, err error) {
+	var f *forwarder.ExchangeError
+	switch {
+	case context.Cause(ctx) != nil || !errors.As(err, &f):
+	case f.Sent:
+		c.recordBroken()
+	default:
+		c.Quarantine.RecordRefused(c.life, time.Now())
+	}
+}
+
+// recordBroken records for the quarantine that the upstream broke the latest send off.
+func (c *call) recordBroken() {
+	c.brokenOff = c.sendEvents < _outputEvents
+	var waiting []quarantiner.Part
+	if c.brokenOff {
+		waiting = c.parts
+	}
+	c.Quarantine.RecordBroken(c.life, waiting, time.Now())
+}
+
+// receiveEvidence takes what all processes know of prompts that crash upstreams.
+func (s *Relayer) receiveEvidence(e quarantiner.Evidence, now time.Time) {
+	for _, p := range s.Quarantine.Receive(e, now) {
+		left, _ := s.Quarantine.QuarantinedFor([]quarantiner.Part{p}, now)
+		s.Log.Warn("quarantine", logger.Fields{"service": p.Service, "part": p.ID, "left_ms": left.Milliseconds(), "outcome": "requests with the part are refused"})
+	}
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -19,6 +19,7 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
 	"github.com/lycheebarrow/lycheebarrow/internal/forwarder"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/quarantiner"
 	"github.com/lycheebarrow/lycheebarrow/internal/sharer"
 )
 
@@ -60,6 +61,9 @@
 	// 0 to 1. It may be nil if there are no other processes.
 	CallerShare func() float64
 
+	// Quarantine keeps prompts that crash upstreams from being sent.
+	Quarantine quarantiner.Quarantiner
+
 	// models maps each sharer.ModelKey to its *modelState.
 	models    sync.Map
 	attempts  admitter.RouteAttempts
@@ -98,6 +102,9 @@
 	defer cancel()
 	c.ctx = ctx
 	if c.route.Kind == cataloguer.KindStream {
+		if c.refuseQuarantined() {
+			return
+		}
 		done, ok := c.admit()
 		if !ok {
 			return
@@ -132,6 +139,15 @@
 	body     []byte
 	deadline time.Time
 
+	// parts are the shared parts of the prompt.
+	parts []quarantiner.Part
+	// life is that of the latest send's upstream. brokenOff is true if that upstream broke
+	// the send off before its first output.
+	life      quarantiner.Life
+	brokenOff bool
+	// sendEvents counts the events of the latest send.
+	sendEvents int
+
 	// sends counts how often the request was sent to an upstream.
 	sends int
 	// sentAt is when the latest send began.
@@ -314,8 +330,11 @@
 
 // refuse responds that the request has not run and never will, and says after what
 // time the caller should retry.
-func (c *call) refuse(status int, reason string) {
-	c.Protocol.Refuse(c.w.Header(), c.request.ID, c.retryAfter())
+func (c *call) refuse(status int, reason string) { c.refuseFor(status, reason, c.retryAfter()) }
+
+// refuseFor is refuse for a caller who should retry after the given time.
+func (c *call) refuseFor(status int, reason string, after time.Duration) {
+	c.Protocol.Refuse(c.w.Header(), c.request.ID, after)
 	if c.Meter != nil {
 		c.Meter.CountRefusal(reason)
 	}
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -78,7 +78,7 @@
 // which a resumed stream continues; 0 if none is resumed.
 func (c *call) send(ctx context.Context, u cataloguer.Upstream, lastEvent uint64) (*forwarder.Exchange, Response, error) {
 	c.sends++
-	c.sentAt = time.Now()
+	c.sentAt, c.sendEvents, c.brokenOff = time.Now(), 0, false
 	c.tried = append(c.tried, u.ID)
 	h := c.Protocol.Forward(c.r.Header, Forward{
 		TimeLeft: time.Until(c.deadline), Upstream: u.ID, Organisation: c.organisation, LastEvent: lastEvent, Priority: c.priority(lastEvent > 0 || c.sends > 1),
@@ -114,6 +114,8 @@
 		return false, "over"
 	case c.mayHaveRun && !c.route.Repeatable():
 		return false, "may-have-run"
+	case c.mayCrashUpstreams():
+		return false, "may-crash-upstreams"
 	case c.sends > 0 && c.mayHaveRun && c.sends >= c.route.Attempts:
 		return false, "attempts"
 	case c.sends > max(c.route.Attempts, 2):
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -14,6 +14,7 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
 	"github.com/lycheebarrow/lycheebarrow/internal/forwarder"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/quarantiner"
 )
 
 // _streamBuffer is the size of one read of a stream, in bytes.
@@ -94,6 +95,7 @@
 	defer cancel(nil)
 	watch := c.Watchdog.Watch(Send{Upstream: u.ID, Epoch: u.Group.Epoch, ExpectedWait: c.admitter.FirstEventWait(), Cancel: func() { cancel(errSilent) }, CanReroute: c.rerouteCheck(u.ID)})
 	defer watch.Stop()
+	c.life = quarantiner.Life{Upstream: u.ID, Epoch: u.Group.Epoch}
 	resumed := uint64(0)
 	if p.events > 0 {
 		resumed = p.last
@@ -102,6 +104,7 @@
 	x, a, err := c.send(ctx, u, resumed)
 	if err != nil {
 		c.reportSilence(u, err)
+		c.recordFailedSend(ctx, err)
 		return false, "upstream-failed"
 	}
 	defer func() { _ = x.Close() }() // the connection is not reused if closing fails
@@ -123,7 +126,11 @@
 		c.lastErr = errors.New("relayer: upstream response has no signature or has a content encoding")
 		return false, "answer-broken"
 	}
-	return c.relayEvents(ctx, x, watch, p)
+	done, reason := c.relayEvents(ctx, x, watch, p)
+	if reason == "stream-broken" && context.Cause(ctx) == nil {
+		c.recordBroken()
+	}
+	return done, reason
 }
 
 // relayError passes on the error response of an upstream. It returns false and the
@@ -177,6 +184,9 @@
 		switch {
 		case errors.Is(err, io.EOF) && len(s.rest()) == 0:
 			c.status, c.outcome, c.lastErr = http.StatusOK, "answered", nil
+			if c.sendEvents > 0 {
+				c.Quarantine.RecordOutput(c.parts)
+			}
 			if !c.headWritten {
 				c.writeHead(x)
 			}
@@ -215,6 +225,7 @@
 		}
 		wrote = true
 		p.events++
+		c.countOutput()
 		if e.id != 0 {
 			p.last = e.id
 		}
@@ -223,6 +234,7 @@
 		return fault
 	}
 	c.recordPassed(time.Now())
+	c.Quarantine.RecordActivity(c.life, c.lastEventsAt)
 	if err := http.NewResponseController(c.w).Flush(); err != nil {
 		c.lastErr = err
 		return "caller-left"
--- a/internal/relayer/total_load.go
+++ b/internal/relayer/total_load.go
@@ -67,6 +67,7 @@
 	out := sharer.Load{
 		InFlight: s.Balancer.InFlightByUpstream(), Activity: s.Balancer.Activity(now),
 		Demand: make(map[sharer.ModelKey]sharer.Demand), SilentHeads: make(map[sharer.SilentHead]int),
+		Evidence: s.Quarantine.Share(now),
 	}
 	for id, epoch := range s.Balancer.SilentEpochs(now) {
 		out.SilentHeads[sharer.SilentHead{Upstream: id, Epoch: epoch}] = 1
@@ -96,6 +97,7 @@
 	s.Balancer.SetPeerActivity(activity)
 	s.Balancer.SetUnanswered(total.UnansweredDataCentres)
 	now := time.Now()
+	s.receiveEvidence(total.Evidence, now)
 	for head, n := range total.SilentHeads {
 		if n <= total.OwnLoad.SilentHeads[head] || !s.Balancer.MarkSilentByPeer(head.Upstream, head.Epoch, now) {
 			continue
@@ -118,11 +120,13 @@
 }
 
 // ExpireTotalLoad removes the loads of the other processes from the balancer if the
-// total load is unknown or too old.
+// total load is unknown or too old. This process then goes by its own evidence of prompts
+// that crash upstreams.
 func (s *Relayer) ExpireTotalLoad(now time.Time) {
 	if s.freshTotalLoad(now) == nil {
 		s.Balancer.SetPeerLoads(nil)
 		s.Balancer.SetUnanswered(nil)
+		s.receiveEvidence(s.Quarantine.Share(now), now)
 	}
 }
 
--- a/internal/sharer/codec.go
+++ b/internal/sharer/codec.go
@@ -22,6 +22,7 @@
 	for x, n := range l.SilentHeads {
 		r.Silences = append(r.Silences, &wire.Silence{Upstream: x.Upstream, Epoch: x.Epoch, Processes: uint32(n)})
 	}
+	r.Crashes, r.Verdicts = encodeCrashes(l.Evidence), encodeVerdicts(l.Evidence)
 	return r
 }
 
@@ -53,6 +54,7 @@
 	for _, x := range r.GetSilences() {
 		l.SilentHeads[SilentHead{Upstream: x.GetUpstream(), Epoch: x.GetEpoch()}] += int(x.GetProcesses())
 	}
+	l.Evidence = decodeEvidence(r)
 	return l
 }
 
--- /dev/null
+++ b/internal/sharer/evidence.go
@@ -0,0 +1,67 @@
+package sharer
+
+import (
+	"math"
+	"time"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/quarantiner"
+	"github.com/lycheebarrow/lycheebarrow/internal/wire"
+)
+
+// encodeCrashes returns the crashes of evidence as a message carries them.
+func encodeCrashes(e quarantiner.Evidence) []*wire.UpstreamCrash {
+	var out []*wire.UpstreamCrash
+	for life, c := range e.Crashes {
+		x := &wire.UpstreamCrash{Upstream: life.Upstream, Epoch: life.Epoch, Broken: uint32(c.Broken), Refused: c.Refused, Survived: c.Survived}
+		for p := range c.Suspects {
+			x.Suspects = append(x.Suspects, encodePart(p))
+		}
+		out = append(out, x)
+	}
+	return out
+}
+
+// encodeVerdicts returns what evidence says of parts as a message carries it.
+func encodeVerdicts(e quarantiner.Evidence) []*wire.PartVerdict {
+	var out []*wire.PartVerdict
+	for p := range e.Cleared {
+		out = append(out, &wire.PartVerdict{Part: encodePart(p), Cleared: true})
+	}
+	for p, left := range e.Quarantined {
+		if ms := left.Milliseconds(); ms > 0 {
+			out = append(out, &wire.PartVerdict{Part: encodePart(p), QuarantinedMs: uint32(min(ms, math.MaxUint32))})
+		}
+	}
+	return out
+}
+
+// decodeEvidence returns the evidence that a message carries.
+func decodeEvidence(r *wire.Round) quarantiner.Evidence {
+	var e quarantiner.Evidence
+	for _, x := range r.GetCrashes() {
+		c := quarantiner.Crash{Broken: int(x.GetBroken()), Refused: x.GetRefused(), Survived: x.GetSurvived(), Suspects: make(map[quarantiner.Part]bool)}
+		for _, p := range x.GetSuspects() {
+			c.Suspects[decodePart(p)] = true
+		}
+		life := quarantiner.Life{Upstream: x.GetUpstream(), Epoch: x.GetEpoch()}
+		e.Add(quarantiner.Evidence{Crashes: map[quarantiner.Life]quarantiner.Crash{life: c}}, 0)
+	}
+	for _, v := range r.GetVerdicts() {
+		p := decodePart(v.GetPart())
+		if v.GetCleared() {
+			e.Add(quarantiner.Evidence{Cleared: map[quarantiner.Part]bool{p: true}}, 0)
+		}
+		if ms := v.GetQuarantinedMs(); ms > 0 {
+			e.Add(quarantiner.Evidence{Quarantined: map[quarantiner.Part]time.Duration{p: time.Duration(ms) * time.Millisecond}}, 0)
+		}
+	}
+	return e
+}
+
+func encodePart(p quarantiner.Part) *wire.PromptPart {
+	return &wire.PromptPart{Service: p.Service, Id: p.ID}
+}
+
+func decodePart(p *wire.PromptPart) quarantiner.Part {
+	return quarantiner.Part{Service: p.GetService(), ID: p.GetId()}
+}
--- a/internal/sharer/load.go
+++ b/internal/sharer/load.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/quarantiner"
 )
 
 // _loadLifetime is how long the reported load of a process or a data centre counts.
@@ -34,6 +36,8 @@
 	// SilentHeads holds, for each silent head, the number of processes that see it as
 	// silent.
 	SilentHeads map[SilentHead]int
+	// Evidence is what the processes saw of upstreams that crashed.
+	Evidence quarantiner.Evidence
 	// Processes is the number of processes whose loads are summed.
 	Processes int
 }
@@ -93,5 +97,6 @@
 	for x, n := range o.SilentHeads {
 		l.SilentHeads[x] += n
 	}
+	l.Evidence.Add(o.Evidence, age)
 	l.Processes += o.Processes
 }
