internal/relayer: a stream without framing that ends before its first event is broken

One that ended before its first event was passed on as a whole answer of 200 with no body, and a resumed one as a whole stream that lacked its end.

Cause: the end of the connection at the end of an event counted as the end of the stream, also where nothing had come. A response without framing that brings no event has now broken off: the request goes on elsewhere as after any broken stream. One that ends between two events can't be told from a whole one; inside an event it already counted as broken.

Failing first: three cases of TestRelay (200 with an empty body for 502 and for a request sent again, a whole stream for a broken one); two more hold on both.

--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -57,7 +57,8 @@
 // a response), "unsigned" and "endless" (sends a body without end). For streams it is "N", the number of events, alone or
 // followed by "cut" (closes the connection after the last event), "torn" (closes the
 // connection in the middle of another event), "endless" (sends another event without
-// end) or "skip" (gives the last event an id that is one too high).
+// end), "skip" (gives the last event an id that is one too high) or "unframed" (sends
+// neither a length nor chunks and closes the connection), which may also be torn.
 func upstreamHandler(behaviour string, runs *atomic.Int32) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		word, ending, _ := strings.Cut(behaviour, " ")
@@ -88,6 +89,10 @@
 			return
 		}
 		from, _ := strconv.Atoi(r.Header.Get("Last"))
+		if strings.HasPrefix(ending, "unframed") {
+			sendUnframed(w, from, count, ending == "unframed torn")
+			return
+		}
 		for n := from + 1; n <= count; n++ {
 			if ending == "skip" && n == count {
 				n++
@@ -108,6 +113,24 @@
 	})
 }
 
+// sendUnframed sends the events after from up to count, on a connection that ends with
+// them. If torn is true, it ends in the middle of another event.
+func sendUnframed(w http.ResponseWriter, from, count int, torn bool) {
+	h := w.Header()
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nConnection: close\r\n\r\n", h.Get("Id"))
+	for n := from + 1; n <= count; n++ {
+		fmt.Fprintf(c, "id: %d\ndata: x\n\n", n)
+	}
+	if torn {
+		_, _ = io.WriteString(c, "id: 99\nda")
+	}
+}
+
 // sendEndless sends bytes without an end of a line until the connection is closed.
 func sendEndless(w http.ResponseWriter) {
 	block := []byte(strings.Repeat("x", 64<<10))
@@ -150,6 +173,11 @@
 		{name: "stream that may not be resumed", kind: cataloguer.KindStream, upstreams: []string{"2 cut", "4"}, want: "200 1 2 broken", runs: 1},
 		{name: "stream cut twice", kind: cataloguer.KindStream, resumable: true, upstreams: []string{"1 cut", "2 cut", "4"}, want: "200 1 2 broken", runs: 2},
 		{name: "stream with a missing event", kind: cataloguer.KindStream, upstreams: []string{"3 skip"}, want: "200 1 2 broken", runs: 1},
+		{name: "stream without framing", kind: cataloguer.KindStream, upstreams: []string{"3 unframed"}, want: "200 1 2 3", runs: 1},
+		{name: "stream without framing that ends in an event", kind: cataloguer.KindStream, resumable: true, upstreams: []string{"2 unframed torn", "4"}, want: "200 1 2 3 4", runs: 2},
+		{name: "stream without framing that ends before its first event", kind: cataloguer.KindStream, resumable: true, upstreams: []string{"0 unframed", "3"}, want: "200 1 2 3", runs: 2},
+		{name: "resumed stream without framing that ends before its next event", kind: cataloguer.KindStream, resumable: true, upstreams: []string{"2 cut", "2 unframed"}, want: "200 1 2 broken", runs: 2},
+		{name: "unrepeatable stream without framing or events", kind: cataloguer.KindStream, upstreams: []string{"0 unframed"}, want: "502", runs: 1},
 		{name: "stream refused", kind: cataloguer.KindStream, upstreams: []string{"not-run", "3"}, want: "200 1 2 3", runs: 1},
 	}
 	for _, tc := range testCases {
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -182,11 +182,12 @@
 			}
 		}
 		switch {
+		case errors.Is(err, io.EOF) && c.sendEvents == 0 && isUnframed(x.Response):
+			c.lastErr = errors.New("relayer: response without length or chunks ended before its first event")
+			return false, "stream-broken"
 		case errors.Is(err, io.EOF) && len(s.rest()) == 0:
 			c.status, c.outcome, c.lastErr = http.StatusOK, "answered", nil
-			if c.sendEvents > 0 {
-				c.Quarantine.RecordOutput(c.parts)
-			}
+			c.Quarantine.RecordOutput(c.parts)
 			if !c.headWritten {
 				c.writeHead(x)
 			}
@@ -202,6 +203,12 @@
 	}
 }
 
+// isUnframed reports whether a response has neither a length nor chunks, so that the end of
+// its connection is its end, whether it is complete or not.
+func isUnframed(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
 // passEvents passes on the events that have been received whole. It returns the reason
 // why the stream can't continue, or "" if it can.
 func (c *call) passEvents(x *forwarder.Exchange, s *splitter, p *position) string {
