--- a/internal/grouper/spares.go
+++ b/internal/grouper/spares.go
@@ -75,9 +75,11 @@
 	}
 	mayReplace := len(spares) >= m.GroupSize && staged*2 >= m.GroupSize || len(spares) >= m.GroupSize+_sparesPerDomain
 	for _, u := range d.byPreference(spares, m) {
+		if staged >= m.GroupSize || !d.mayLoad(1) {
+			return
+		}
 		isEmpty := len(u.StagedModels) == 0 && u.Group.Name == ""
-		_, isStaging := d.staging[u.ID]
-		if staged >= m.GroupSize || d.hasOrStagesModel(u, m) || isStaging || u.Unlisted || !isEmpty && (!mayReplace || d.mostLoadsRun()) || !d.mayLoad(1) {
+		if !d.mayStage(u, m) || !isEmpty && (!mayReplace || d.mostLoadsRun()) {
 			continue
 		}
 		staged++
@@ -85,6 +87,13 @@
 	}
 }
 
+// mayStage reports whether a free upstream lacks a model, stages no other one and can be
+// the member of any group.
+func (d *decision) mayStage(u cataloguer.Upstream, m cataloguer.Model) bool {
+	_, isStaging := d.staging[u.ID]
+	return !isStaging && !u.Unlisted && !d.hasOrStagesModel(u, m)
+}
+
 // mostLoadsRun reports whether at least half of the loads run that run at full speed at the
 // same time. The others are left for the replacement of lost members.
 func (d *decision) mostLoadsRun() bool {
