internal/sharer: a gatherer lists the objects at its start, whatever arrives first

Cause: a gatherer that starts waits for its role, and looks again every 50 ms. If its first round has sent it the reader's objects before that look, it took those and did not list, which asks of every gatherer; which of the two came first was up to the scheduler. The role now goes before what has arrived. The objects were the same, so callers saw nothing of it.

--- a/internal/sharer/source.go
+++ b/internal/sharer/source.go
@@ -104,11 +104,13 @@
 	for {
 		now := time.Now()
 		switch {
+		case s.selected && s.gatherer == "" && isFirst:
+			return reflector.Listing[[]byte]{}, false
 		case x.listing != nil:
 			l := *x.listing
 			x.listing = nil
 			return l, true
-		case s.Peerless, s.selected && !x.follows(), s.selected && s.gatherer == "" && isFirst, x.refusedAt.After(start), !now.Before(deadline), ctx.Err() != nil:
+		case s.Peerless, s.selected && !x.follows(), x.refusedAt.After(start), !now.Before(deadline), ctx.Err() != nil:
 			return reflector.Listing[[]byte]{}, false
 		}
 		x.awaitUpdate(ctx, min(_rolePollInterval, deadline.Sub(now)))
