--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -15,7 +15,7 @@
 	// quarantined, so that a process that has cleared it can say so.
 	_clearanceDelay = time.Second
 	// _quarantineTime is how long a part stays quarantined. It may then be tried again,
-	// since upstreams may have been mended.
+	// since upstreams may have been repaired.
 	_quarantineTime = 10 * time.Minute
 	// _memoryTime is how long crashes are remembered.
 	_memoryTime = 10 * time.Minute
