internal/quarantiner, grouper: a function's name and two comments

Found in the last reading of the diff: convict is quarantineSuspects now, a comment says that an upstream has not crashed, and the one on starved models that the bound itself counts.

--- a/internal/grouper/counts.go
+++ b/internal/grouper/counts.go
@@ -8,7 +8,7 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
 )
 
-// _starvedFraction is the fraction of the best served model's coverage below which a model
+// _starvedFraction is the fraction of the best served model's coverage up to which a model
 // is starved: its callers are refused while groups of the other model have free slots.
 const _starvedFraction = 0.5
 
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -22,7 +22,7 @@
 	// _shareTime is how long a crash is told to other processes, which remember it.
 	_shareTime = 3 * time.Second
 	// _survivalDelay is how long after a response broke off output shows that the upstream
-	// goes on. Output that was sent before it crashed may arrive until then.
+	// has not crashed. What it sent before a crash may arrive until then.
 	_survivalDelay = 300 * time.Millisecond
 	// _extensionMargin is by how much a quarantine that another process tells of must
 	// outlast the known one to extend it. Times grow a little on their way, and would
@@ -213,11 +213,11 @@
 			out = append(out, p)
 		}
 	}
-	return append(out, q.convict(now)...)
+	return append(out, q.quarantineSuspects(now)...)
 }
 
-// convict quarantines the parts that the evidence is sufficient for, and returns those.
-func (q *Quarantiner) convict(now time.Time) []Part {
+// quarantineSuspects quarantines the parts that the evidence is sufficient for, and returns those.
+func (q *Quarantiner) quarantineSuspects(now time.Time) []Part {
 	var out []Part
 	for p, n := range q.suspicions(now) {
 		if n.settled >= _crashesUntilQuarantine && !q.isCleared(p) && q.quarantine(p, now.Add(_quarantineTime)) {
