review/1: the memory is measured without the program's own pages

The stand-in of the platform counted pages of the program file too, which may not count there. Now it doesn't, and 40 clients come instead of 36.

--- a/review/standin/large_bodies.go
+++ b/review/standin/large_bodies.go
@@ -25,7 +25,7 @@
 		burst   = 12 * time.Second
 		// Clients that come at once at the one machine, and what each of them sends in
 		// each request and in how long.
-		uploaders = 36
+		uploaders = 40
 		large     = 4 << 20
 		upload    = 4 * time.Second
 		small     = 4 << 10
@@ -185,7 +185,8 @@
 	return x.peak, x.kills
 }
 
-// residentBytes returns the memory that a process uses, or 0 if it has ended.
+// residentBytes returns the memory that a process uses, without the pages of its program file,
+// or 0 if it has ended.
 func residentBytes(pid int) int64 {
 	if pid == 0 {
 		return 0
@@ -195,7 +196,7 @@
 		return 0
 	}
 	for line := range strings.Lines(string(text)) {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+		if rest, ok := strings.CutPrefix(line, "RssAnon:"); ok {
 			n, _ := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(rest), " kB"), 10, 64)
 			return n << 10
 		}
