--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,6 +27,7 @@
 	"large-bodies":  playLargeBodies,
 	"quiet-crashes": playQuietCrashes,
 	"leaving":       playLeaving,
+	"many-parts":    playManyParts,
 }
 
 func main() {
