internal/composer: log signals and parts of the retry slack

The logs could not tell a second SIGTERM (raw text without a time) from another end, nor by how many instances a process had divided the slack of its retry budget when it spent it. event=signal names each signal and what follows; event=retry-slack each change of the part. The logic is unchanged.

--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -232,8 +232,14 @@
 	}
 	k.run(rl.Watchdog.Run)
 	k.run(func(ctx context.Context) {
+		logged := -1.0
 		for next := settings.Load(); ; next = settings.Load() {
-			rl.Budget.Configure(next.RetryWindow(), next.RetryRatio(), retrySlack(next.RetrySlack(), e))
+			slack := retrySlack(next.RetrySlack(), e)
+			rl.Budget.Configure(next.RetryWindow(), next.RetryRatio(), slack)
+			if slack != logged {
+				k.log.Event("retry-slack", logger.Fields{"slack": slack, "before": max(logged, 0), "of": next.RetrySlack(), "instances": e.Count()})
+				logged = slack
+			}
 			if !pauser.Pause(ctx, _cleanUpInterval) {
 				return
 			}
@@ -362,7 +368,7 @@
 		File:    s.File(),
 		Signals: hangUps,
 	}
-	code = runApp(NewInstance(s, networker.System{}, adapt, r, log), log)
+	code = runApp(NewInstance(s, networker.System{}, adapt, r, log), logger.New(log, s.Name()), log)
 	fmt.Fprintf(log, "time=%q level=info event=stop code=%d process=%s\n", time.Now().Format(time.RFC3339Nano), code, s.Name())
 	return code
 }
--- a/internal/composer/program.go
+++ b/internal/composer/program.go
@@ -13,6 +13,7 @@
 	"go.uber.org/fx"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/loader"
+	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 	"github.com/lycheebarrow/lycheebarrow/internal/networker"
 )
 
@@ -36,7 +37,7 @@
 	if role == loader.RolePlacer {
 		app = NewPlacer
 	}
-	return runApp(app(s, networker.System{}, log), log)
+	return runApp(app(s, networker.System{}, log), logger.New(log, s.Name()), log)
 }
 
 // readSettings reads the settings of a command line, and handles the commands "check" and
@@ -65,15 +66,16 @@
 	return s, ExitOK, true
 }
 
-// runApp runs an application until SIGTERM or SIGINT, and returns the exit code.
-func runApp(app *fx.App, log io.Writer) int {
+// runApp runs an application until SIGTERM or SIGINT, and returns the exit code. It
+// writes errors to output.
+func runApp(app *fx.App, log logger.Logger, output io.Writer) int {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	if err := app.Start(context.Background()); err != nil {
-		fmt.Fprintln(log, err)
+		fmt.Fprintln(output, err)
 		return ExitFailed
 	}
-	<-signals
+	log.Event("signal", logger.Fields{"signal": <-signals, "outcome": "shutting down"})
 	stopped := make(chan error, 1)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
@@ -83,12 +85,12 @@
 	select {
 	case err := <-stopped:
 		if err != nil {
-			fmt.Fprintln(log, err)
+			fmt.Fprintln(output, err)
 			return ExitFailed
 		}
 		return ExitOK
-	case <-signals:
-		fmt.Fprintln(log, "a second signal ended the shutdown before all responses were complete")
+	case s := <-signals:
+		log.Warn("signal", logger.Fields{"signal": s, "outcome": "exiting before all responses are complete"})
 		return ExitForced
 	}
 }
