internal/composer: a repeated SIGTERM no longer cuts off responses

Callers saw streams break off and calls that a service had executed end without a response, around SIGTERM.

Cause: while a process shut down, any second signal made it exit at once with status 3. Supervisors and overlapping restarts repeat SIGTERM, and the second one fell into the time in which the process finishes its responses. Class of fault: a repeated request to stop taken for an order to give up.

Now only SIGINT ends a shutdown early; a repeated SIGTERM is logged and changes nothing. The supervisor bounds the time itself, with SIGKILL, and drain-limit does within the process. It holds for all daemons.

--- a/internal/composer/program.go
+++ b/internal/composer/program.go
@@ -22,12 +22,13 @@
 	ExitOK       = 0
 	ExitFailed   = 1
 	ExitSettings = 2 // the settings are invalid
-	ExitForced   = 3 // a second signal ended the shutdown early
+	ExitForced   = 3 // an interrupt ended the shutdown early
 )
 
 // RunDaemon runs a daemon's command line: "check" validates the settings, "settings"
-// prints a table of them, and anything else runs the daemon until SIGTERM or SIGINT. A
-// second signal ends the graceful shutdown at once. RunDaemon returns the exit code.
+// prints a table of them, and anything else runs the daemon until SIGTERM or SIGINT. SIGINT
+// ends a graceful shutdown at once; SIGTERM does not, since supervisors may repeat it.
+// RunDaemon returns the exit code.
 func RunDaemon(role loader.Role, args []string, output, log io.Writer) int {
 	s, code, run := readSettings(role, args, output, log)
 	if !run {
@@ -82,15 +83,20 @@
 		defer cancel()
 		stopped <- app.Stop(ctx)
 	}()
-	select {
-	case err := <-stopped:
-		if err != nil {
-			fmt.Fprintln(output, err)
-			return ExitFailed
+	for {
+		select {
+		case err := <-stopped:
+			if err != nil {
+				fmt.Fprintln(output, err)
+				return ExitFailed
+			}
+			return ExitOK
+		case s := <-signals:
+			if s == os.Interrupt {
+				log.Warn("signal", logger.Fields{"signal": s, "outcome": "exiting before all responses are complete"})
+				return ExitForced
+			}
+			log.Event("signal", logger.Fields{"signal": s, "outcome": "already shutting down"})
 		}
-		return ExitOK
-	case s := <-signals:
-		log.Warn("signal", logger.Fields{"signal": s, "outcome": "exiting before all responses are complete"})
-		return ExitForced
 	}
 }
