internal/composer: a process outlives the reader of its log, and hang-ups

Callers would see all connections of a process reset at once.

Cause: SIGPIPE and, for lbentry and lbplacer, SIGHUP kept their default action, which ends the process. A log collector that goes away first, as in a shutdown of a whole instance, makes the next log line of the process raise SIGPIPE.

Evidence: lbinstance with its output in a pipe whose reader had ended exited with 141 within 3 s; after, it went on and ended with 0 after SIGTERM.

--- a/internal/composer/program.go
+++ b/internal/composer/program.go
@@ -34,6 +34,8 @@
 	if !run {
 		return code
 	}
+	// Entries and placers have nothing to reload.
+	signal.Ignore(syscall.SIGHUP)
 	app := NewEntry
 	if role == loader.RolePlacer {
 		app = NewPlacer
@@ -70,6 +72,8 @@
 // runApp runs an application until SIGTERM or SIGINT, and returns the exit code. It
 // writes errors to output.
 func runApp(app *fx.App, log logger.Logger, output io.Writer) int {
+	// The process outlives the reader of its log.
+	signal.Ignore(syscall.SIGPIPE)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	if err := app.Start(context.Background()); err != nil {
