internal/drainer: requests that have arrived are answered while connections are closed

Callers saw connections closed without a response when the notice of a shutdown ended: idle ones on which a request waited unread, and ones that waited to be accepted.

Cause: http.Server.Shutdown closes an idle connection by what the server has read so far, and drops every request that it reads later, whole as it is. Closing the listener resets what waits in its queue in the same way. Class of fault: a decision on what has arrived made from what has been read.

Now a connection's own reader decides. The drainer first serves the connections that wait to be accepted, then wakes the reader of each connection that has been quiet for 0.5 s; the reader looks at the socket once more, and closes only if nothing has arrived. Requests that arrive meanwhile are served, with Connection: close. What is left is a request that crosses the close on the network. All servers of all daemons are closed like that.

Ruled out: the race between the close of an idle connection and its handler; net/http checks for the shutdown after it has read a request, and runs no handler then.

--- a/internal/composer/kernel.go
+++ b/internal/composer/kernel.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/fx"
 
+	"github.com/lycheebarrow/lycheebarrow/internal/drainer"
 	"github.com/lycheebarrow/lycheebarrow/internal/journaler"
 	"github.com/lycheebarrow/lycheebarrow/internal/loader"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
@@ -139,10 +140,12 @@
 }
 
 // serve serves h on l while the application runs. When the application stops, it calls
-// beforeShutdown unless that is nil, and waits until no request is in flight or the drain
+// beforeShutdown unless that is nil, and waits until no connection is left or the drain
 // limit has passed.
 func (k *kernel) serve(name string, l net.Listener, h http.Handler, beforeShutdown func()) {
 	s := newServer(h)
+	d := &drainer.Drainer{}
+	l = d.Attach(s, l)
 	k.lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			k.running.Go(func() {
@@ -159,11 +162,11 @@
 			}
 			ctx, cancel := k.drainContext(ctx)
 			defer cancel()
-			if err := s.Shutdown(ctx); err != nil {
+			k.log.Event("drain", logger.Fields{"service": name, "connections": d.Open()})
+			if err := d.Drain(ctx); err != nil {
 				k.log.Failure("drain-cut", err, logger.Fields{"service": name})
-				return s.Close()
 			}
-			return nil
+			return s.Close()
 		},
 	})
 }
--- /dev/null
+++ b/internal/drainer/conn.go
@@ -0,0 +1,124 @@
+package drainer
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// _lastReadWait is how long a connection that does not expose its socket waits for bytes
+// when it looks for the last time.
+const _lastReadWait = time.Millisecond
+
+// conn is a connection that its own reader closes when the Drainer asks for it, so that no
+// bytes can arrive between the last look and the decision.
+type conn struct {
+	net.Conn
+	drainer *Drainer
+
+	mu sync.Mutex
+	// quietSince is when the connection was accepted or its last response ended. It is the
+	// zero time while a request is read or served.
+	quietSince time.Time
+	// ending is true from the time at which the reader was woken to look for the last time.
+	ending bool
+}
+
+// setQuiet records that a response has ended.
+func (c *conn) setQuiet(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.quietSince = now
+}
+
+// endIfQuiet wakes the reader if the connection has been quiet since a time or longer.
+func (c *conn) endIfQuiet(since time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ending || c.quietSince.IsZero() || c.quietSince.After(since) {
+		return
+	}
+	c.ending = true
+	// An error means that the connection is closed.
+	_ = c.Conn.SetReadDeadline(time.Now())
+}
+
+// isEnding reports whether the reader was woken to look for the last time.
+func (c *conn) isEnding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ending
+}
+
+// SetReadDeadline sets the deadline for reading, unless the reader was woken.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ending {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Read reads bytes of a request. It returns io.EOF if the reader was woken and no bytes
+// have arrived.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := 0, os.ErrDeadlineExceeded
+	if !c.isEnding() {
+		n, err = c.Conn.Read(p)
+	}
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isEnding() {
+		n, err = c.lastRead(p)
+	}
+	if n > 0 {
+		c.mu.Lock()
+		c.quietSince, c.ending = time.Time{}, false
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
+// lastRead reads what has arrived, and returns io.EOF if that is nothing.
+func (c *conn) lastRead(p []byte) (int, error) {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		if err := c.Conn.SetReadDeadline(time.Now().Add(_lastReadWait)); err != nil {
+			return 0, err
+		}
+		n, err := c.Conn.Read(p)
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			err = io.EOF
+		}
+		return n, errors.Join(err, c.Conn.SetReadDeadline(time.Time{}))
+	}
+	if err := c.Conn.SetReadDeadline(time.Time{}); err != nil {
+		return 0, err
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	n := 0
+	err = raw.Read(func(fd uintptr) bool {
+		n, _, _ = syscall.Recvfrom(int(fd), p, syscall.MSG_DONTWAIT)
+		return true
+	})
+	if err != nil {
+		return 0, err
+	}
+	if n <= 0 {
+		// Nothing has arrived, the caller has closed the connection, or it has failed.
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.drainer.remove(c)
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/drainer/drainer.go
@@ -0,0 +1,103 @@
+package drainer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/pauser"
+)
+
+const (
+	// _quietTime is how long a connection is quiet before it is closed: a caller that has
+	// just connected or received a response may be about to send a request.
+	_quietTime = 500 * time.Millisecond
+	// _pollInterval is the time between two searches for quiet connections.
+	_pollInterval = 50 * time.Millisecond
+)
+
+// Drainer drains the connections of one HTTP server. The zero value is ready for use. It is
+// safe for concurrent use.
+type Drainer struct {
+	draining atomic.Bool
+
+	mu       sync.Mutex
+	listener *listener
+	conns    map[*conn]struct{}
+}
+
+// Attach prepares a server that will serve the connections of l, and returns the listener
+// to serve. Call it once.
+func (d *Drainer) Attach(s *http.Server, l net.Listener) net.Listener {
+	next := s.Handler
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		if x, ok := c.(*conn); ok && state == http.StateIdle {
+			x.setQuiet(time.Now())
+		}
+	}
+	d.listener = &listener{Listener: l, drainer: d, closed: make(chan struct{})}
+	return d.listener
+}
+
+// Open returns the number of open connections.
+func (d *Drainer) Open() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.conns)
+}
+
+// Drain stops accepting connections, and closes the others as they become quiet. It
+// returns when none is left, or an error with their number when ctx ends.
+func (d *Drainer) Drain(ctx context.Context) error {
+	d.draining.Store(true)
+	d.listener.drain(ctx)
+	for {
+		open := d.closeQuiet(time.Now())
+		if open == 0 {
+			return nil
+		}
+		if !pauser.Pause(ctx, _pollInterval) {
+			return fmt.Errorf("drainer: %d connections are open: %w", open, context.Cause(ctx))
+		}
+	}
+}
+
+// closeQuiet ends the connections that have been quiet for _quietTime, and returns the
+// number of open connections.
+func (d *Drainer) closeQuiet(now time.Time) int {
+	d.mu.Lock()
+	conns := make([]*conn, 0, len(d.conns))
+	for c := range d.conns {
+		conns = append(conns, c)
+	}
+	d.mu.Unlock()
+	for _, c := range conns {
+		c.endIfQuiet(now.Add(-_quietTime))
+	}
+	return len(conns)
+}
+
+func (d *Drainer) add(c *conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.conns == nil {
+		d.conns = make(map[*conn]struct{})
+	}
+	d.conns[c] = struct{}{}
+}
+
+func (d *Drainer) remove(c *conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.conns, c)
+}
--- /dev/null
+++ b/internal/drainer/listener.go
@@ -0,0 +1,99 @@
+package drainer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// _acceptWait is how long the listener waits for one more connection before it
+	// closes.
+	_acceptWait = 5 * time.Millisecond
+	// _emptyAccepts is how many waits in a row must end without a connection. A wait can
+	// end before the queue was looked at, if the process got no processor time in it.
+	_emptyAccepts = 3
+	// _maxAcceptTime bounds the time in which the waiting connections are accepted, where
+	// new ones keep coming.
+	_maxAcceptTime = 200 * time.Millisecond
+)
+
+// listener is a net.Listener whose connections belong to a Drainer. Accept returns
+// http.ErrServerClosed after the listener was drained.
+type listener struct {
+	net.Listener
+	drainer  *Drainer
+	draining atomic.Bool
+	closed   chan struct{} // closed once Accept has failed
+	close    sync.Once
+}
+
+// Close closes the listener. Later calls do nothing.
+func (l *listener) Close() error {
+	var err error
+	l.close.Do(func() { err = l.Listener.Close() })
+	return err
+}
+
+// Accept waits for the next connection.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil && l.draining.Load() {
+		c, err = l.acceptWaiting()
+	}
+	if err != nil {
+		return nil, err
+	}
+	x := &conn{Conn: c, drainer: l.drainer, quietSince: time.Now()}
+	l.drainer.add(x)
+	return x, nil
+}
+
+// deadliner is a listener whose Accept can be interrupted.
+type deadliner interface {
+	SetDeadline(t time.Time) error
+}
+
+// acceptWaiting accepts a connection that waits already. If there is none, it closes the
+// listener and returns http.ErrServerClosed.
+func (l *listener) acceptWaiting() (net.Conn, error) {
+	if d, ok := l.Listener.(deadliner); ok {
+		for range _emptyAccepts {
+			if err := d.SetDeadline(time.Now().Add(_acceptWait)); err != nil {
+				break
+			}
+			c, err := l.Listener.Accept()
+			if err == nil {
+				return c, nil
+			}
+			if !errors.Is(err, os.ErrDeadlineExceeded) {
+				break
+			}
+		}
+	}
+	_ = l.Close() // an error leaves nothing to accept from
+	close(l.closed)
+	return nil, http.ErrServerClosed
+}
+
+// drain returns once the waiting connections have been accepted and the listener is closed.
+func (l *listener) drain(ctx context.Context) {
+	l.draining.Store(true)
+	d, ok := l.Listener.(deadliner)
+	if !ok || d.SetDeadline(time.Now()) != nil {
+		_ = l.Close() // an error leaves nothing to accept from
+	}
+	limit := time.NewTimer(_maxAcceptTime)
+	defer limit.Stop()
+	select {
+	case <-l.closed:
+	case <-ctx.Done():
+	case <-limit.C:
+	}
+	_ = l.Close() // an error leaves nothing to accept from
+}
