internal/relayer: a request that a shutdown would cut off is refused at once

A caller whose request arrived late in a shutdown, on a connection that was open, could wait until the shutdown's limit and then be cut off without a response, although an upstream ran it.

Cause: a shutdown served every request that it read, whatever time was left. Before the drainer this was hidden: such requests were dropped unread, or read and dropped. Class of fault: work is taken on that is known not to fit into the time left.

Now a request that arrives after the notice, with a deadline later than the limit, is refused as not run, with Retry-After 0.1 s, since other processes can serve it at once; short ones are served.

--- a/internal/composer/kernel.go
+++ b/internal/composer/kernel.go
@@ -114,12 +114,21 @@
 	case limit == 0:
 		return context.WithCancel(ctx)
 	case k.settings.Role() == loader.RoleInstance:
-		return context.WithDeadline(ctx, k.stopBeganAt.Add(limit-_stopMargin))
+		return context.WithDeadline(ctx, k.drainDeadline())
 	default:
 		return context.WithTimeout(ctx, limit)
 	}
 }
 
+// drainDeadline returns when an instance that shuts down cuts responses off; the zero time
+// means never.
+func (k *kernel) drainDeadline() time.Time {
+	if k.settings.DrainLimit() == 0 {
+		return time.Time{}
+	}
+	return k.stopBeganAt.Add(k.settings.DrainLimit() - _stopMargin)
+}
+
 // run runs a service's loop while the application runs. The loop must return when its ctx
 // ends.
 func (k *kernel) run(loop func(ctx context.Context)) {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -72,8 +72,9 @@
 	// requests counts the requests that were read whole and passed authentication.
 	requests atomic.Int64
 	arrivals rateMeter
-	draining atomic.Bool
-	bodies   bodyReader
+	// drain is nil until the process shuts down.
+	drain  atomic.Pointer[drain]
+	bodies bodyReader
 }
 
 // TrafficStarted returns true once a request has been read whole and has passed
@@ -84,18 +85,14 @@
 // as a moving average with a time constant of 10 s.
 func (s *Relayer) RequestRate() float64 { return s.arrivals.rate(time.Now()) }
 
-// StartDraining makes each response close its connection, so that callers connect
-// to another process before this one ends.
-func (s *Relayer) StartDraining() { s.draining.Store(true) }
-
 // ServeHTTP serves one request.
 func (s *Relayer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := s.newCall(w, r)
 	defer c.logEnd()
-	if s.draining.Load() {
+	if s.drain.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	if !c.prepare() {
+	if !c.prepare() || c.refuseDraining() {
 		return
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), c.deadline, errTimeout)
