internal/budgeter: parts of the slack don't add up to more when instances come and go

Upstreams got more repeats in a window than allowed after instances had been stopped.

Cause: each process took the slack divided by the number of instances of that moment. When some were stopped, in series or several at once, the others took larger parts at once, while the ones that had left had spent theirs in the same window. A process that starts later than the others adds its part in the same way before they have counted it, and one that could not register took a part that nobody else allowed for. Class of fault: a limit divided by a number that changes, without the time that its use takes to leave the window.

Now a process divides by the largest number of the last window, and by one more, for one that starts; and takes no part until it is itself in the list. The decision is budgeter.Share.

Evidence: TestStopsInSeriesAddNoSlack with the parts as before: 134 retries of 132 allowed a second after six of seven stopped at once, 150 in series and with restarts in series (each case ends at the first window found); now none is over. TestUnregisteredProcessIsNotCounted failed before. What callers lose: with seven instances a part is 16.5 of 132 retries in 10 s, before 18.9.

--- a/internal/budgeter/budgeter_test.go
+++ b/internal/budgeter/budgeter_test.go
@@ -116,3 +116,66 @@
 		retries = nil
 	}
 }
+
+// Processes that stop and start, one after the other or several at once, and that learn of
+// it late, don't use more than the slack in any window.
+func TestStopsInSeriesAddNoSlack(t *testing.T) {
+	const (
+		processes = 7
+		slack     = 132
+		step      = 100 * time.Millisecond
+	)
+	testCases := []struct {
+		name string
+		// stops and starts are the times at which the processes stop and start.
+		stops, starts [processes]time.Duration
+	}{
+		{name: "six at once", stops: [processes]time.Duration{12 * time.Second, 12 * time.Second, 12 * time.Second, 12 * time.Second, 12 * time.Second, 12 * time.Second}},
+		{name: "in series", stops: [processes]time.Duration{12 * time.Second, 14 * time.Second, 16 * time.Second, 18 * time.Second, 20 * time.Second, 22 * time.Second}},
+		{
+			name:   "restarts in series",
+			stops:  [processes]time.Duration{12 * time.Second, 16 * time.Second, 20 * time.Second, 24 * time.Second, 28 * time.Second, 32 * time.Second},
+			starts: [processes]time.Duration{21 * time.Second, 25 * time.Second, 29 * time.Second, 33 * time.Second, 37 * time.Second, 41 * time.Second},
+		},
+		{name: "one starts late", stops: [processes]time.Duration{12 * time.Second}, starts: [processes]time.Duration{40 * time.Second}},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			start := time.Unix(1_800_000_000, 0)
+			running := func(i int, at time.Duration) bool {
+				return tc.stops[i] == 0 || at < tc.stops[i] || tc.starts[i] > 0 && at >= tc.starts[i]
+			}
+			var budgets [processes]*budgeter.Budget
+			var shares [processes]*budgeter.Share
+			var retries []time.Time
+			for at := time.Duration(0); at < 80*time.Second; at += step {
+				now := start.Add(at)
+				for i := range budgets {
+					if !running(i, at) {
+						budgets[i] = nil
+						continue
+					}
+					if budgets[i] == nil {
+						budgets[i], shares[i] = &budgeter.Budget{Window: _window}, &budgeter.Share{Window: _window}
+						if at > 0 {
+							budgets[i].SlackFrom = now.Add(_window)
+						}
+					}
+					// Each process counts the others some seconds late.
+					count := 1
+					for j := range budgets {
+						if j != i && running(j, max(at-time.Duration(j)*time.Second, 0)) {
+							count++
+						}
+					}
+					budgets[i].Configure(_window, 0, shares[i].Of(slack, count, now))
+					for budgets[i].Spend("s", now) {
+						retries = append(retries, now)
+					}
+				}
+				require.LessOrEqual(t, within(retries, now), slack, "at %s", at)
+			}
+			assert.Greater(t, len(retries), 3*slack)
+		})
+	}
+}
--- a/internal/composer/export_test.go
+++ b/internal/composer/export_test.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/budgeter"
 )
 
 // Evidence exports evidence for tests.
@@ -32,7 +34,9 @@
 type Counter = counter
 
 // RetrySlack exports retrySlack to the tests.
-func RetrySlack(total float64, c Counter) float64 { return retrySlack(total, c) }
+func RetrySlack(total float64, c Counter, s *budgeter.Share, now time.Time) float64 {
+	return retrySlack(total, c, s, now)
+}
 
 // NewServer exports newServer to the tests.
 func NewServer(h http.Handler) *http.Server { return newServer(h) }
--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -232,9 +232,10 @@
 	}
 	k.run(rl.Watchdog.Run)
 	k.run(func(ctx context.Context) {
-		logged := -1.0
+		share, logged := &budgeter.Share{}, -1.0
 		for next := settings.Load(); ; next = settings.Load() {
-			slack := retrySlack(next.RetrySlack(), e)
+			share.Window = next.RetryWindow()
+			slack := retrySlack(next.RetrySlack(), e, share, time.Now())
 			rl.Budget.Configure(next.RetryWindow(), next.RetryRatio(), slack)
 			if slack != logged {
 				k.log.Event("retry-slack", logger.Fields{"slack": slack, "before": max(logged, 0), "of": next.RetrySlack(), "instances": e.Count()})
@@ -260,11 +261,11 @@
 
 // retrySlack returns this instance's part of a slack that all instances share. Until the
 // instances have been counted it is 0, since an assumed number may be far too small.
-func retrySlack(total float64, c counter) float64 {
+func retrySlack(total float64, c counter, s *budgeter.Share, now time.Time) float64 {
 	if !c.Counted() {
 		return 0
 	}
-	return total / float64(c.Count())
+	return s.Of(total, c.Count(), now)
 }
 
 // callerShare returns the fraction of all callers that this process serves. Until the
--- a/internal/enumerator/enumerator.go
+++ b/internal/enumerator/enumerator.go
@@ -111,8 +111,11 @@
 	return int(e.count.Load())
 }
 
-// Counted reports whether the processes have been counted, by this process or a peer.
-func (e *Enumerator) Counted() bool { return e.members.Load() != nil }
+// Counted reports whether the processes have been counted, by this process or a peer, with
+// this one among them.
+func (e *Enumerator) Counted() bool {
+	return slices.ContainsFunc(e.Members().Peers(), func(p Peer) bool { return p.Name == e.Name })
+}
 
 // Run counts the processes and renews this process's object until ctx ends, and then
 // removes the object.
--- a/internal/enumerator/enumerator_test.go
+++ b/internal/enumerator/enumerator_test.go
@@ -174,3 +174,28 @@
 		cancel()
 	})
 }
+
+// readOnlyStore refuses to create objects.
+type readOnlyStore struct{ *store }
+
+func (readOnlyStore) Create(context.Context, string, []byte) (uint64, error) {
+	return 0, storer.ErrUnavailable
+}
+
+// A process that the others can't count does not take part in what they divide.
+func TestUnregisteredProcessIsNotCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{revisions: make(map[string]uint64), values: make(map[string][]byte)}
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		a := &enumerator.Enumerator{Store: s, Name: "a"}
+		b := &enumerator.Enumerator{Store: readOnlyStore{s}, Name: "b"}
+		group.Go(func() { a.Run(ctx) })
+		group.Go(func() { b.Run(ctx) })
+		time.Sleep(20 * time.Second)
+		assert.True(t, a.Counted())
+		assert.False(t, b.Counted())
+		cancel()
+		group.Wait()
+	})
+}
