internal/drainer: a refusal before the end of a body can be read to its end

http.Server closes the sending direction of a connection on which a caller still sends, and waits, before it closes the connection; it looks for CloseWrite, which the drainer's connections had hidden since they were introduced. TestRefusalOfUnsentBodyIsReceived: 'connection reset by peer' without, passes with it.

--- a/internal/drainer/conn.go
+++ b/internal/drainer/conn.go
@@ -122,3 +122,13 @@
 	c.drainer.remove(c)
 	return c.Conn.Close()
 }
+
+// CloseWrite closes the sending direction, where the connection can. http.Server does so
+// before it closes a connection on which a caller still sends, so that the caller can read
+// the response.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -239,3 +240,18 @@
 	_, err = reader.ReadByte()
 	assert.ErrorIs(t, err, io.EOF)
 }
+
+// A caller that is refused before it has sent its whole body can read the response to its
+// end.
+func TestRefusalOfUnsentBodyIsReceived(t *testing.T) {
+	s := startServer(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	}))
+	c := s.dial(t)
+	_, err := fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", 8<<20, strings.Repeat("x", 64<<10))
+	require.NoError(t, err)
+	text, err := io.ReadAll(c)
+	assert.NoError(t, err)
+	assert.Contains(t, string(text), "413")
+}
