internal/drainer: accept all waiting connections, however late the process gets to it

The time of 0.2 s within which the waiting connections were accepted was the same fault once more: without processor time in it, the listener closed on those that waited. Now up to 4096 are accepted, the longest queue by default, and the listener closes when it is empty.

--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -19,9 +19,12 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/drainer"
 )
 
+// _resumeDelay is how long after the first deadline of a listener its accepts resume.
+const _resumeDelay = 300 * time.Millisecond
+
 // starvation keeps a server's reads and accepts from what has arrived, as a processor that
 // is busy with other processes does. It begins with start. Reads then end only by their
-// deadline, and accepts resume once the listener has got a deadline or was closed.
+// deadline, and accepts resume some time after the listener has got a deadline, or was closed.
 type starvation struct {
 	mu      sync.Mutex
 	changed sync.Cond
@@ -67,7 +70,7 @@
 }
 
 func (l starvedListener) SetDeadline(t time.Time) error {
-	l.starvation.set(&l.starvation.accepts)
+	time.AfterFunc(_resumeDelay, func() { l.starvation.set(&l.starvation.accepts) })
 	return l.TCPListener.SetDeadline(t)
 }
 
--- a/internal/drainer/listener.go
+++ b/internal/drainer/listener.go
@@ -18,9 +18,10 @@
 	// _emptyAccepts is how many waits in a row must end without a connection. A wait can
 	// end before the queue was looked at, if the process got no processor time in it.
 	_emptyAccepts = 3
-	// _maxAcceptTime bounds the time in which the waiting connections are accepted, where
-	// new ones keep coming.
-	_maxAcceptTime = 200 * time.Millisecond
+	// _maxAccepts bounds the connections that are accepted before the listener closes, where
+	// new ones keep coming. It is the longest queue that Linux keeps by default, so those
+	// that waited at the beginning are among them.
+	_maxAccepts = 4096
 )
 
 // listener is a net.Listener whose connections belong to a Drainer. Accept returns
@@ -29,14 +30,20 @@
 	net.Listener
 	drainer  *Drainer
 	draining atomic.Bool
-	closed   chan struct{} // closed once Accept has failed
+	// accepted counts the connections that were accepted while draining. Only the caller of
+	// Accept uses it.
+	accepted int
 	close    sync.Once
+	closed   chan struct{} // closed by Close
 }
 
 // Close closes the listener. Later calls do nothing.
 func (l *listener) Close() error {
 	var err error
-	l.close.Do(func() { err = l.Listener.Close() })
+	l.close.Do(func() {
+		err = l.Listener.Close()
+		close(l.closed)
+	})
 	return err
 }
 
@@ -62,13 +69,14 @@
 // acceptWaiting accepts a connection that waits already. If there is none, it closes the
 // listener and returns http.ErrServerClosed.
 func (l *listener) acceptWaiting() (net.Conn, error) {
-	if d, ok := l.Listener.(deadliner); ok {
+	if d, ok := l.Listener.(deadliner); ok && l.accepted < _maxAccepts {
 		for range _emptyAccepts {
 			if err := d.SetDeadline(time.Now().Add(_acceptWait)); err != nil {
 				break
 			}
 			c, err := l.Listener.Accept()
 			if err == nil {
+				l.accepted++
 				return c, nil
 			}
 			if !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -77,7 +85,6 @@
 		}
 	}
 	_ = l.Close() // an error leaves nothing to accept from
-	close(l.closed)
 	return nil, http.ErrServerClosed
 }
 
@@ -88,12 +95,9 @@
 	if !ok || d.SetDeadline(time.Now()) != nil {
 		_ = l.Close() // an error leaves nothing to accept from
 	}
-	limit := time.NewTimer(_maxAcceptTime)
-	defer limit.Stop()
 	select {
 	case <-l.closed:
 	case <-ctx.Done():
-	case <-limit.C:
+		_ = l.Close() // an error leaves nothing to accept from
 	}
-	_ = l.Close() // an error leaves nothing to accept from
 }
