internal/drainer: a wait in which the process got no processor time does not count as empty

Cause: the process was paused while the drainer waited for connections; when it went on, the waits had passed their deadline without a look at the queue, counted as empty, and the listener closed on what had arrived in the pause. A wait that took over twice its time now starts the count again.

--- a/internal/drainer/listener.go
+++ b/internal/drainer/listener.go
@@ -15,8 +15,10 @@
 	// _acceptWait is how long the listener waits for one more connection before it
 	// closes.
 	_acceptWait = 5 * time.Millisecond
-	// _emptyAccepts is how many waits in a row must end without a connection. A wait can
-	// end before the queue was looked at, if the process got no processor time in it.
+	// _maxWait is how long a wait takes at most if the process got processor time in it. One
+	// that took longer may have ended before the queue was looked at.
+	_maxWait = 2 * _acceptWait
+	// _emptyAccepts is how many waits in a row must end without a connection.
 	_emptyAccepts = 3
 	// _maxAccepts bounds the connections that are accepted before the listener closes, where
 	// new ones keep coming. It is the longest queue that Linux keeps by default, so those
@@ -70,8 +72,9 @@
 // listener and returns http.ErrServerClosed.
 func (l *listener) acceptWaiting() (net.Conn, error) {
 	if d, ok := l.Listener.(deadliner); ok && l.accepted < _maxAccepts {
-		for range _emptyAccepts {
-			if err := d.SetDeadline(time.Now().Add(_acceptWait)); err != nil {
+		for empty := 0; empty < _emptyAccepts; {
+			begin := time.Now()
+			if err := d.SetDeadline(begin.Add(_acceptWait)); err != nil {
 				break
 			}
 			c, err := l.Listener.Accept()
@@ -82,6 +85,11 @@
 			if !errors.Is(err, os.ErrDeadlineExceeded) {
 				break
 			}
+			if time.Since(begin) <= _maxWait {
+				empty++
+			} else {
+				empty = 0
+			}
 		}
 	}
 	_ = l.Close() // an error leaves nothing to accept from
