--- a/internal/budgeter/counters.go
+++ b/internal/budgeter/counters.go
@@ -37,10 +37,10 @@
 	c.latest = max(c.latest, number)
 }
 
-// mostRequests returns the number of requests of a window that ends in a slice, of the one
-// before it or of the one half a window before it, whichever has most. It counts the slices
-// that are in the window wherever it ends in its last slice, which is not before the
-// current one.
+// mostRequests returns the number of requests of a window that ends in the slice last, of
+// the one before it or of the one half a window before it, whichever has most. The window
+// may end anywhere in that slice, so only slices that are in it in any case count. The slice
+// must not be before the current one.
 func (c *counters) mostRequests(last int64) int {
 	const half = _slicesPerWindow / 2
 	return max(
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -22,6 +22,9 @@
 // _resumeDelay is how long after the first deadline of a listener its accepts resume.
 const _resumeDelay = 300 * time.Millisecond
 
+// _blindDelay is how long an accept takes that ends without a look.
+const _blindDelay = 50 * time.Millisecond
+
 // starvation keeps a server's reads and accepts from what has arrived, as a processor that
 // is busy with other processes does. It begins with start. Reads then end only by their
 // deadline, and accepts resume some time after the listener has got a deadline, or was closed.
@@ -31,6 +34,8 @@
 	started bool
 	// accepts is true once accepts have resumed.
 	accepts bool
+	// blindAccepts is how many accepts then end late, by their deadline, without a look.
+	blindAccepts int
 }
 
 func newStarvation() *starvation {
@@ -61,7 +66,15 @@
 	for s.started && !s.accepts {
 		s.changed.Wait()
 	}
+	blind := s.started && s.blindAccepts > 0
+	if blind {
+		s.blindAccepts--
+	}
 	s.mu.Unlock()
+	if blind {
+		time.Sleep(_blindDelay)
+		return nil, os.ErrDeadlineExceeded
+	}
 	c, err := l.AcceptTCP()
 	if err != nil {
 		return nil, err
@@ -187,6 +200,7 @@
 // Requests on connections that wait to be accepted when the drain begins are answered.
 func TestUnacceptedConnectionsAreServed(t *testing.T) {
 	s := startServer(t, http.HandlerFunc(echo))
+	s.starvation.blindAccepts = 5
 	s.starvation.start()
 	conns := make([]net.Conn, 20)
 	for i := range conns {
