--- a/cmd/lbinstance/main.go
+++ b/cmd/lbinstance/main.go
@@ -35,6 +35,7 @@
 	return composer.Adapter{
 		Store: store, Configurations: store.Configurations(), DecodeConfiguration: platform.DecodeConfiguration,
 		Upstreams: store.Upstreams(), DecodeUpstream: platform.DecodeUpstream,
+		Evacuations: store.Evacuations(), DecodeEvacuation: platform.DecodeEvacuation,
 		Orders: platform.NewUpstreamClient(network), Protocol: platform.Protocol{}, ReadinessPath: platform.ReadinessPath,
 	}
 }
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -99,7 +99,7 @@
 	return latest
 }
 
-// Usable returns the number of candidates that are neither draining, silent nor cut off,
+// Usable returns the number of candidates that are neither silent nor cut off,
 // and the number of requests that all processes have in flight there.
 func (b *Balancer) Usable(candidates []cataloguer.Upstream, now time.Time) (count, inFlight int) {
 	b.mu.Lock()
@@ -107,7 +107,7 @@
 	cutOff := b.cutOffDataCentres(candidates, now)
 	for i := range candidates {
 		s := b.stateOf(candidates[i].ID)
-		if candidates[i].Draining || s.isSilent(&candidates[i], now) || cutOff[candidates[i].DataCentre] {
+		if s.isSilent(&candidates[i], now) || cutOff[candidates[i].DataCentre] {
 			continue
 		}
 		count++
@@ -209,7 +209,7 @@
 	cutOff := b.cutOffDataCentres(candidates, q.Now)
 	for i := range candidates {
 		u := &candidates[i]
-		if u.Draining || isExcluded(q.Exclude, u.ID) {
+		if isExcluded(q.Exclude, u.ID) {
 			continue
 		}
 		s := b.stateOf(u.ID)
--- a/internal/cataloguer/catalogue.go
+++ b/internal/cataloguer/catalogue.go
@@ -14,6 +14,9 @@
 	fleet           atomic.Pointer[Fleet]
 	leading         atomic.Bool
 	listUnavailable atomic.Bool
+	// followsEvacuations is true if the operators' evacuations are read, and
+	// evacuationsKnown once they have been.
+	followsEvacuations, evacuationsKnown atomic.Bool
 	// listReadAt is when the list of upstreams was last read; nil before the
 	// first read.
 	listReadAt atomic.Pointer[time.Time]
@@ -29,6 +32,32 @@
 // Fleet returns the newest fleet, or nil if none has been published.
 func (c *Catalogue) Fleet() *Fleet { return c.fleet.Load() }
 
+// FollowEvacuations states that the evacuations of data centres are read too. Call it before
+// anything is published.
+func (c *Catalogue) FollowEvacuations() { c.followsEvacuations.Store(true) }
+
+// SetEvacuationsKnown records that the evacuations of data centres have been read.
+func (c *Catalogue) SetEvacuationsKnown() {
+	if c.evacuationsKnown.Swap(true) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.notify()
+}
+
+// KnowsEvacuations reports whether the evacuations of data centres are known, or are not
+// read at all.
+func (c *Catalogue) KnowsEvacuations() bool {
+	return !c.followsEvacuations.Load() || c.evacuationsKnown.Load()
+}
+
+// IsComplete reports whether all that requests depend on is known: the configuration, the
+// fleet, and the evacuations where they are read.
+func (c *Catalogue) IsComplete() bool {
+	return c.Configuration() != nil && c.Fleet() != nil && c.KnowsEvacuations()
+}
+
 // SetListReadAt records that the list of upstreams was read at now.
 func (c *Catalogue) SetListReadAt(now time.Time) { c.listReadAt.Store(&now) }
 
--- a/internal/cataloguer/configuration.go
+++ b/internal/cataloguer/configuration.go
@@ -105,6 +105,10 @@
 	// MaxConnections is the number of connections that one upstream accepts
 	// from all callers together.
 	MaxConnections int
+	// ColdTime is how long an upstream is cold after its start, and ColdRate the requests
+	// per second that a cold one can take; a ColdRate of 0 means no limit.
+	ColdTime time.Duration
+	ColdRate float64
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
--- a/internal/cataloguer/upstream.go
+++ b/internal/cataloguer/upstream.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"sync"
+	"time"
 )
 
 // Upstream is a server that requests are forwarded to, as it last described
@@ -19,6 +20,8 @@
 	// although the upstream still answers.
 	Unlisted bool
 	Slots    int
+	// ColdTime is how much longer the upstream was cold when it described itself.
+	ColdTime time.Duration
 	// StartedMs is when the upstream last started, in Unix milliseconds; 0 if
 	// unknown.
 	StartedMs int64
@@ -74,7 +77,9 @@
 	OrderInProgress bool
 	// Orders is the number of orders that began an operation since the upstream
 	// last started.
-	Orders  uint64
+	Orders uint64
+	// Leaving is true if the upstream has announced that it is leaving.
+	Leaving bool
 	Waiting int // queued requests
 	Running int // requests being processed
 	// TimeFactor multiplies the upstream's times; it is over 1 if the upstream is
@@ -112,6 +117,16 @@
 
 func compareIDs(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) }
 
+// HasDataCentre reports whether an upstream is in a data centre.
+func (f *Fleet) HasDataCentre(name string) bool {
+	for _, u := range f.Upstreams {
+		if u.DataCentre == name {
+			return true
+		}
+	}
+	return false
+}
+
 // IsOpenHead reports whether the upstream is the head of an open group.
 func (u *Upstream) IsOpenHead() bool {
 	return u.Group.Name != "" && u.Group.Rank == 0 && u.Group.State == MemberOpen
--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -29,6 +29,7 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/reflector"
 	"github.com/lycheebarrow/lycheebarrow/internal/registrar"
 	"github.com/lycheebarrow/lycheebarrow/internal/relayer"
+	"github.com/lycheebarrow/lycheebarrow/internal/screener"
 	"github.com/lycheebarrow/lycheebarrow/internal/sharer"
 	"github.com/lycheebarrow/lycheebarrow/internal/storer"
 )
@@ -41,6 +42,7 @@
 	NameEnumerator = "enumerator"
 	NameRelayer    = "relayer"
 	NameReloader   = "reloader"
+	NameScreener   = "screener"
 	NameSharer     = "sharer"
 )
 
@@ -89,8 +91,12 @@
 	DecodeConfiguration func(name string, value []byte) (*cataloguer.Configuration, error)
 	Upstreams           reflector.Source[[]byte]
 	DecodeUpstream      func(name string, value []byte) (cataloguer.Upstream, error)
-	Orders              conductor.UpstreamClient
-	Protocol            relayer.Protocol
+	// Evacuations are the operators' evacuations of data centres; DecodeEvacuation
+	// returns the data centre of one.
+	Evacuations      reflector.Source[[]byte]
+	DecodeEvacuation func(name string, value []byte) (string, error)
+	Orders           conductor.UpstreamClient
+	Protocol         relayer.Protocol
 	// ReadinessPath is the path of the platform's readiness checks.
 	ReadinessPath string
 }
@@ -110,7 +116,7 @@
 		}
 		return buildAdapter(k, adapt)
 	}
-	return compose(s, network, output, buildReloaderAndAdapter, buildSharer, buildCatalogue, buildRelayer, buildConductor, connectSharer, buildInstanceReadiness)
+	return compose(s, network, output, buildReloaderAndAdapter, buildSharer, buildScreener, buildCatalogue, buildRelayer, buildConductor, connectSharer, buildInstanceReadiness)
 }
 
 // buildAdapter builds the meter and the adapter, and the server for metrics and health
@@ -140,6 +146,7 @@
 	a := find[Adapter](f, NameAdapter)
 	sh := find[*sharer.Sharer](f, NameSharer)
 	e := find[*enumerator.Enumerator](f, NameEnumerator)
+	sc := find[*screener.Screener](f, NameScreener)
 	if f.err != nil {
 		return f.err
 	}
@@ -148,7 +155,7 @@
 		Kind: "configuration", Log: k.log,
 		Source: reflector.DecodingSource[*cataloguer.Configuration]{Source: sh.Source("configuration", a.Configurations), Decode: a.DecodeConfiguration},
 		Publish: func(revision uint64, values map[string]*cataloguer.Configuration) {
-			publishConfiguration(k.log, c, revision, values)
+			publishConfiguration(k.log, c, sc, revision, values)
 		},
 		BatchDelay: func() time.Duration {
 			if c.Configuration() == nil {
@@ -165,22 +172,28 @@
 		RemovalGrace: _removalGrace, OnOutage: c.SetListUnavailable, OnAnswer: c.SetListReadAt,
 		BatchDelay: func() time.Duration { return k.readerState(c, sh, e).listDelay() },
 		Publish: func(revision uint64, values map[string]cataloguer.Upstream) {
-			c.SetFleet(cataloguer.NewFleet(revision, values))
+			f := cataloguer.NewFleet(revision, values)
+			observeFleet(k.log, sc, f, time.Now())
+			c.SetFleet(f)
 		},
 	}
 	k.run(configurations.Run)
 	k.run(upstreams.Run)
+	if k.settings.EvacuationBound() > 0 {
+		followEvacuations(k, a, c, sc, sh)
+	}
 	return k.services.Register(NameCatalogue, c)
 }
 
 // publishConfiguration puts a configuration in force if it is newer than the current one.
-func publishConfiguration(log logger.Logger, c *cataloguer.Catalogue, revision uint64, values map[string]*cataloguer.Configuration) {
+func publishConfiguration(log logger.Logger, c *cataloguer.Catalogue, sc *screener.Screener, revision uint64, values map[string]*cataloguer.Configuration) {
 	for _, next := range values {
 		old := uint64(0)
 		if current := c.Configuration(); current != nil {
 			old = current.Version
 		}
 		if c.SetConfiguration(next) {
+			sc.SetConfiguration(next)
 			log.Event("configuration", logger.Fields{
 				"version": next.Version, "before": old, "revision": revision, "routes": len(next.Routes), "services": len(next.Services), "organisations": len(next.Organisations),
 			})
@@ -200,6 +213,7 @@
 	m := find[*meter.Meter](f, NameMeter)
 	r := find[*Reloader](f, NameReloader)
 	e := find[*enumerator.Enumerator](f, NameEnumerator)
+	sc := find[*screener.Screener](f, NameScreener)
 	if f.err != nil {
 		return f.err
 	}
@@ -210,8 +224,11 @@
 	if err := m.RegisterGauge("models_without_group", "Models that no open group serves, in the latest fleet.", c.ModelsWithoutGroup); err != nil {
 		return err
 	}
+	if err := registerScreenerGauges(m, sc, c); err != nil {
+		return err
+	}
 	rl := &relayer.Relayer{
-		Catalogue: c, Protocol: a.Protocol, Pool: &forwarder.Pool{Network: k.network}, Balancer: b,
+		Catalogue: c, Protocol: a.Protocol, Pool: &forwarder.Pool{Network: k.network}, Balancer: b, Screener: sc,
 		Budget: &budgeter.Budget{SlackFrom: time.Now().Add(k.settings.RetryWindow())},
 		Log:    k.log, Meter: m, DataCentre: k.settings.DataCentre(), Watchdog: &relayer.Watchdog{Balancer: b, Log: k.log},
 	}
@@ -245,6 +262,7 @@
 				return
 			}
 			cleanUp(rl.Pool, b, c, time.Now())
+			sc.SetProcesses(processNames(e.Members()), time.Now())
 			rl.ExpireTotalLoad(time.Now())
 		}
 	})
@@ -296,6 +314,7 @@
 	c := find[*cataloguer.Catalogue](f, NameCatalogue)
 	rl := find[*relayer.Relayer](f, NameRelayer)
 	sh := find[*sharer.Sharer](f, NameSharer)
+	sc := find[*screener.Screener](f, NameScreener)
 	if f.err != nil {
 		return f.err
 	}
@@ -305,7 +324,7 @@
 	sh.OnRoleChange = lease.Wake
 	cd := &conductor.Conductor{
 		OnLeadingChange: c.SetLeading, Lease: lease, Catalogue: c, Upstreams: a.Orders, Log: k.log, TrafficStarted: rl.TrafficStarted,
-		LastActivity: rl.Balancer.LastActivityOfAll, ProcessorShare: k.settings.ProcessorShare(),
+		LastActivity: rl.Balancer.LastActivityOfAll, ProcessorShare: k.settings.ProcessorShare(), Screener: sc,
 	}
 	rl.Watchdog.OnSilence = cd.Suspect
 	k.run(func(ctx context.Context) {
@@ -332,7 +351,7 @@
 	if err != nil {
 		return err
 	}
-	k.health.HasConfiguration = func() bool { return c.Configuration() != nil && c.Fleet() != nil }
+	k.health.HasConfiguration = c.IsComplete
 	k.lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			k.health.MarkStarted()
--- a/internal/conductor/checks.go
+++ b/internal/conductor/checks.go
@@ -65,14 +65,15 @@
 // While the platform's list is stale, it also checks upstreams that the list shows
 // in no group.
 func (c *Conductor) checkMembers(ctx context.Context, now time.Time, fleet *cataloguer.Fleet, service string) {
+	evacuated := c.evacuated()
 	for id := range c.checks {
-		if u, ok := fleet.Upstreams[id]; !ok || u.Service == service && u.Group.Name == "" && c.checks[id].failures == 0 && !c.isListStale(now) {
+		if u, ok := fleet.Upstreams[id]; !ok || evacuated[u.DataCentre] || u.Service == service && u.Group.Name == "" && c.checks[id].failures == 0 && !c.isListStale(now) {
 			delete(c.checks, id)
 		}
 	}
 	var due []cataloguer.Upstream
 	for _, u := range fleet.OfService(service) {
-		if u.Group.Name == "" && c.checks[u.ID] == nil && !c.isListStale(now) {
+		if evacuated[u.DataCentre] || u.Group.Name == "" && c.checks[u.ID] == nil && !c.isListStale(now) {
 			continue
 		}
 		k := c.checks[u.ID]
@@ -114,7 +115,11 @@
 	if !c.isListStale(now) {
 		return false
 	}
+	evacuated := c.evacuated()
 	for _, u := range fleet.OfService(service) {
+		if evacuated[u.DataCentre] {
+			continue
+		}
 		k := c.checks[u.ID]
 		if k == nil || k.answeredAt.IsZero() && k.failures == 0 {
 			return true
@@ -136,6 +141,7 @@
 				return
 			}
 			c.recordAnswer(u, k, now)
+			c.recordLeaving(u, r, now)
 			c.recordReport(now, u.ID, r)
 			c.orderCounts.observe(u.ID, r, now)
 		})
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -13,6 +13,7 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
 	"github.com/lycheebarrow/lycheebarrow/internal/grouper"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/screener"
 )
 
 const (
@@ -121,6 +122,16 @@
 	Changed() <-chan struct{}
 }
 
+// Screener tells what is known of upstreams beside the platform's list.
+type Screener interface {
+	// Evacuated returns the evacuated data centres.
+	Evacuated() map[string]bool
+	// IsLeaving reports whether an upstream has announced that it is leaving.
+	IsLeaving(u *cataloguer.Upstream) bool
+	// RecordLeaving records that an upstream is leaving, and reports whether that is new.
+	RecordLeaving(life screener.Life, source screener.Source, now time.Time) bool
+}
+
 // Conductor gives the orders for all services with engines. Its exported fields must
 // be set before Run is called.
 type Conductor struct {
@@ -133,6 +144,9 @@
 	// LastActivity returns when an upstream last sent data to the callers of any process,
 	// as far as is known. It may be nil.
 	LastActivity func(upstream string) time.Time
+	// Screener tells which upstreams are leaving or in an evacuated data centre. It may be
+	// nil.
+	Screener Screener
 	// ProcessorShare is the number of processor cores, or the share of one, that this
 	// process may use; 0 means one.
 	ProcessorShare float64
@@ -277,6 +291,8 @@
 		clear(c.censuses)
 		return
 	}
+	evacuated := c.evacuated()
+	fleet = c.withDepartures(fleet)
 	for name, s := range configuration.Services {
 		if s.Engine == nil {
 			continue
@@ -292,7 +308,7 @@
 		}
 		lost, rechecking := c.lostMembers()
 		orders := g.Decide(now, grouper.Snapshot{
-			Engine: s.Engine, Service: name, Fleet: fleet, Lost: lost, Rechecking: rechecking, TrafficStarted: c.TrafficStarted(), Term: c.Lease.Term(),
+			Engine: s.Engine, Service: name, Fleet: fleet, Lost: lost, Rechecking: rechecking, TrafficStarted: c.TrafficStarted(), Term: c.Lease.Term(), Evacuated: evacuated,
 		})
 		for _, o := range orders {
 			c.sendOrder(ctx, g, fleet, o)
--- a/internal/grouper/decision.go
+++ b/internal/grouper/decision.go
@@ -65,6 +65,13 @@
 			d.dropPlan(p)
 			continue
 		}
+		if d.snapshot.Evacuated[p.dataCentre] {
+			// The members join once the evacuation has ended.
+			for _, id := range p.members {
+				d.reserved[id] = true
+			}
+			continue
+		}
 		if d.now.Sub(p.startedAt) > p.model.LoadTime+_joinMargin {
 			d.dropPlan(p)
 			continue
@@ -163,6 +170,8 @@
 	mayLoseMembers := d.mayLoseMembers(x)
 	disbanded := (d.dropped[x.key] || mayLoseMembers) && x.head != nil && x.head.Group.State != cataloguer.MemberOpen
 	switch {
+	case d.snapshot.Evacuated[x.members[0].DataCentre]:
+		d.reserve(x)
 	case d.plans[x.key.epoch] != nil, x.isStandby():
 		// advancePlans handles a group that is being formed; a standby never opens.
 	case x.isBeingRechecked():
--- a/internal/grouper/form.go
+++ b/internal/grouper/form.go
@@ -59,7 +59,7 @@
 
 // isFree reports whether an upstream may join a new group.
 func (d *decision) isFree(u cataloguer.Upstream) bool {
-	return !d.reserved[u.ID] && !u.Draining && !d.snapshot.Lost[u.ID] && !d.hasPendingOrder(u.ID)
+	return !d.reserved[u.ID] && !u.Draining && !d.snapshot.Evacuated[u.DataCentre] && !d.snapshot.Lost[u.ID] && !d.hasPendingOrder(u.ID)
 }
 
 // choice is a group that a domain may form.
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -57,6 +57,9 @@
 	// Rechecking holds the ids of the lost upstreams that are being checked again,
 	// because another member of their group answers again.
 	Rechecking map[string]bool
+	// Evacuated holds the evacuated data centres. Their upstreams get no orders and keep
+	// their groups.
+	Evacuated map[string]bool
 	// TrafficStarted is true once callers have sent requests. Loads that begin
 	// before that do not count towards the rate of loads.
 	TrafficStarted bool
--- a/internal/loader/instance.go
+++ b/internal/loader/instance.go
@@ -51,6 +51,20 @@
 			key: "processor-share", meaning: "processor cores, or the share of one, that the instance may use; peers with more are preferred for shared work", allowed: "a number from 0.01 to 1024", defaultValue: "1",
 			store: storeNumber(&s.processorShare, 0.01, 1024),
 		},
+		{
+			key: "evacuation-bound", meaning: "longest time until the evacuation of a data centre, requested in the platform's store, is in force; 0 reads no evacuations",
+			allowed: _allowedDuration, defaultValue: "0s",
+			store: storeDuration(&s.evacuationBound),
+		},
+		{
+			key: "cold-overage", meaning: "factor on the rate that a cold upstream can take, in the bound on the requests to it in any second over all instances; 0, with cold-slack 0, sets no bound",
+			allowed: "a number from 0 to 1000", defaultValue: "0",
+			store: storeNumber(&s.coldOverage, 0, 1000),
+		},
+		{
+			key: "cold-slack", meaning: "requests that are added to that bound", allowed: "a number from 0 to 1000000", defaultValue: "0",
+			store: storeNumber(&s.coldSlack, 0, 1e6),
+		},
 		{
 			key: "memory-limit", meaning: "memory of the instance, in `megabytes`; 0 sets no limit", allowed: "a whole number from 0 to 1048576", defaultValue: "0",
 			store: func(text string) bool {
@@ -99,6 +113,17 @@
 // to those of RetryRatio, over all instances.
 func (s Settings) RetrySlack() float64 { return s.retrySlack }
 
+// EvacuationBound returns the longest time until a requested evacuation of a data centre is
+// in force; 0 means that evacuations are not read.
+func (s Settings) EvacuationBound() time.Duration { return s.evacuationBound }
+
+// ColdOverage returns the factor on the rate that a cold upstream can take, in the bound
+// on the requests to it in any second, over all instances.
+func (s Settings) ColdOverage() float64 { return s.coldOverage }
+
+// ColdSlack returns the number of requests that are added to that bound.
+func (s Settings) ColdSlack() float64 { return s.coldSlack }
+
 // ProcessorShare returns the processor cores, or the share of one, that the instance
 // may use.
 func (s Settings) ProcessorShare() float64 { return s.processorShare }
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -49,6 +49,9 @@
 	retrySlack         float64
 	processorShare     float64
 	memoryLimit        int64
+	evacuationBound    time.Duration
+	coldOverage        float64
+	coldSlack          float64
 	file               string
 }
 
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -28,6 +28,7 @@
 
 	requests      metric.Int64Counter
 	refusals      metric.Int64Counter
+	invalidWaits  metric.Int64Counter
 	probes        metric.Int64Counter
 	platformCalls metric.Int64Counter
 	firstToken    metric.Float64Histogram
@@ -53,6 +54,7 @@
 	}{
 		{&m.requests, "requests", "Requests of callers that ended, by organisation and outcome."},
 		{&m.refusals, "refusals", "Requests refused, by code."},
+		{&m.invalidWaits, "invalid_waits", "Responses of upstreams with a Retry-After that can't be read."},
 		{&m.probes, "probes", "Probes of instances, by result."},
 		{&m.platformCalls, "platform_calls", "Calls of the platform's object API, by call and result."},
 	}
@@ -115,6 +117,14 @@
 	}
 }
 
+// CountInvalidWait counts a response of an upstream that asks to wait for a time that can't
+// be read.
+func (m *Meter) CountInvalidWait() {
+	if m.invalidWaits != nil {
+		m.invalidWaits.Add(context.Background(), 1)
+	}
+}
+
 // ObserveFirstToken records the time from a request's arrival to the first token of its
 // streamed answer.
 func (m *Meter) ObserveFirstToken(organisation string, delay time.Duration) {
--- a/internal/relayer/admission.go
+++ b/internal/relayer/admission.go
@@ -66,18 +66,30 @@
 	if totalLoad == nil {
 		return c.admitter.Admit(c.capacity, c.timeout(), c.route.Timeout)
 	}
-	candidates, slots := c.candidates()
-	usable, inFlight := c.Balancer.Usable(candidates, now)
+	selection, slots := c.selection(now)
+	usable, inFlight := c.Balancer.Usable(selection.Serving, now)
+	cold, coldInFlight := c.Balancer.Usable(selection.Cold, now)
 	demand := totalLoad.Demand[c.modelKey()]
 	// The total load includes the returning requests that this process counted at the
 	// last exchange. The current count replaces that count.
 	returning := max(demand.Returning-totalLoad.OwnLoad.Demand[c.modelKey()].Returning, 0) + int(c.model.returning.Load())
-	return c.admitter.AdmitByTotalLoad(admitter.Capacity{Slots: usable * slots}, admitter.TotalLoad{
-		InFlight: float64(inFlight - returning), Returning: float64(returning), ArrivalRate: demand.ArrivalRate, CompletionRate: demand.CompletionRate,
-		MeanDuration: time.Duration(c.model.meanDuration.Load()),
+	meanDuration := time.Duration(c.model.meanDuration.Load())
+	total := usable*slots + cold*coldSlots(slots, selection.ColdRate, meanDuration)
+	return c.admitter.AdmitByTotalLoad(admitter.Capacity{Slots: total}, admitter.TotalLoad{
+		InFlight: float64(inFlight + coldInFlight - returning), Returning: float64(returning), ArrivalRate: demand.ArrivalRate, CompletionRate: demand.CompletionRate,
+		MeanDuration: meanDuration,
 	}, c.returning)
 }
 
+// coldSlots returns how many slots of a cold upstream are in use at most, where requests
+// come at rate per second.
+func coldSlots(slots int, rate float64, meanDuration time.Duration) int {
+	if meanDuration <= 0 {
+		return slots
+	}
+	return min(slots, int(rate*meanDuration.Seconds()))
+}
+
 // endReturningWait records that a returning request no longer waits for its first event.
 func (c *call) endReturningWait() {
 	if c.countedReturning.Swap(false) {
@@ -105,8 +117,9 @@
 	if c.CallerShare != nil {
 		capacity.CallerShare = c.CallerShare()
 	}
-	if f := c.Catalogue.Fleet(); f != nil && c.service.Engine != nil {
-		capacity.Slots = len(f.OpenHeads(c.service.Name, c.request.Model)) * c.service.Engine.Slots
+	if c.Catalogue.Fleet() != nil && c.service.Engine != nil {
+		selection, slots := c.selection(time.Now())
+		capacity.Slots = (len(selection.Serving) + len(selection.Cold)) * slots
 	}
 	return capacity
 }
--- a/internal/relayer/protocol.go
+++ b/internal/relayer/protocol.go
@@ -59,6 +59,13 @@
 	// FaultyUpstream is the id of the upstream that is at fault; empty if the response
 	// names none.
 	FaultyUpstream string
+	// Leaving is true if the upstream announces that it is leaving.
+	Leaving bool
+	// Wait is how long the upstream wants no more requests of this process; 0 if it does
+	// not say so.
+	Wait time.Duration
+	// WaitInvalid is true if the response states a wait that can't be read.
+	WaitInvalid bool
 }
 
 // Protocol reads and writes the headers of callers and upstreams.
@@ -81,6 +88,11 @@
 	Configuration() *cataloguer.Configuration
 	// Fleet returns the upstreams; nil until their list has been read.
 	Fleet() *cataloguer.Fleet
+	// IsComplete reports whether all that requests depend on is known.
+	IsComplete() bool
+	// KnowsEvacuations reports whether the evacuations of data centres are known, or are
+	// not read at all.
+	KnowsEvacuations() bool
 	// ListAge returns the time since the list of upstreams was read.
 	ListAge(now time.Time) time.Duration
 	// Changed returns a channel that is closed at the next change.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -20,6 +20,7 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/forwarder"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 	"github.com/lycheebarrow/lycheebarrow/internal/quarantiner"
+	"github.com/lycheebarrow/lycheebarrow/internal/screener"
 	"github.com/lycheebarrow/lycheebarrow/internal/sharer"
 )
 
@@ -40,15 +41,19 @@
 	ObserveFirstToken(organisation string, after time.Duration)
 	// CountRefusal counts a refused request by its reason.
 	CountRefusal(code string)
+	// CountInvalidWait counts a response that asks to wait for a time that can't be read.
+	CountInvalidWait()
 }
 
 // Relayer is the HTTP handler for the requests of callers. Set its exported fields
 // before use. Meter may be nil.
 type Relayer struct {
-	Catalogue  Catalogue
-	Protocol   Protocol
-	Pool       *forwarder.Pool
-	Balancer   *balancer.Balancer
+	Catalogue Catalogue
+	Protocol  Protocol
+	Pool      *forwarder.Pool
+	Balancer  *balancer.Balancer
+	// Screener decides which upstreams may take requests.
+	Screener   *screener.Screener
 	Budget     *budgeter.Budget
 	Log        logger.Logger
 	Meter      Meter
@@ -61,6 +66,10 @@
 	// 0 to 1. It may be nil if there are no other processes.
 	CallerShare func() float64
 
+	// OnDeparture is called when an upstream is first found to be leaving. It may be nil,
+	// and must not block.
+	OnDeparture func(upstream string)
+
 	// Quarantine keeps prompts that crash upstreams from being sent.
 	Quarantine quarantiner.Quarantiner
 
@@ -168,6 +177,9 @@
 	// ended; both are logged.
 	status  int
 	outcome string
+	// freeAt is when the first upstream takes requests again, where all those left asked to
+	// wait; zero otherwise.
+	freeAt time.Time
 	// lastErr is the error of the latest send that failed; nil once a response was
 	// passed on whole.
 	lastErr error
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -12,10 +12,16 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
 	"github.com/lycheebarrow/lycheebarrow/internal/forwarder"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/screener"
 )
 
-// _minSendTime is the shortest time left in which a request is still sent.
-const _minSendTime = 30 * time.Millisecond
+const (
+	// _minSendTime is the shortest time left in which a request is still sent.
+	_minSendTime = 30 * time.Millisecond
+	// _returnSpread is the time over which refused callers return once an upstream takes
+	// requests again.
+	_returnSpread = 300 * time.Millisecond
+)
 
 // acquireUpstream acquires a slot at an upstream for the next send. It returns an empty
 // reason on success, and the caller must then release the slot.
@@ -24,16 +30,16 @@
 	if fleet == nil {
 		return cataloguer.Upstream{}, balancer.ReasonNone
 	}
-	candidates, limit := c.candidates()
 	now := time.Now()
-	u, reason := c.Balancer.Acquire(candidates, balancer.Query{
-		Now: now, ExpectedRequests: c.expectedArrivals(now), DataCentre: c.DataCentre, Limit: limit, Exclude: c.tried, Random: rand.Float64(),
-		Connected: c.connected(now),
-	})
+	selection, limit := c.selection(now)
+	u, reason := c.acquireFrom(selection, limit, now)
+	if reason == balancer.ReasonNone && len(selection.Candidates) == 0 {
+		reason = c.excludedReason(selection)
+	}
 	fields := logger.Fields{
 		"request": c.request.ID, "configuration": c.version, "fleet_revision": fleet.Revision,
 		"fleet_age_ms": c.Catalogue.ListAge(time.Now()).Milliseconds(),
-		"service":      c.service.Name, "candidates": len(candidates), "send": c.sends + 1,
+		"service":      c.service.Name, "candidates": len(selection.Candidates), "send": c.sends + 1,
 	}
 	if c.request.Model != "" {
 		fields["model"] = c.request.Model
@@ -47,6 +53,35 @@
 	return u, reason
 }
 
+// acquireFrom acquires a slot at a candidate of the selection. A cold candidate may have
+// reached its limit since the selection was made; another one is then chosen.
+func (c *call) acquireFrom(s screener.Selection, limit int, now time.Time) (cataloguer.Upstream, balancer.Reason) {
+	exclude := c.tried
+	for {
+		u, reason := c.Balancer.Acquire(s.Candidates, balancer.Query{
+			Now: now, ExpectedRequests: c.expectedArrivals(now), DataCentre: c.DataCentre, Limit: limit, Exclude: exclude, Random: rand.Float64(),
+			Connected: c.connected(now),
+		})
+		if reason != "" || c.Screener.Take(&u, now) {
+			return u, reason
+		}
+		c.Balancer.Release(u.ID)
+		exclude = append(slices.Clone(exclude), u.ID)
+	}
+}
+
+// excludedReason returns why the screener left no candidates; ReasonNone where there are no
+// upstreams at all.
+func (c *call) excludedReason(s screener.Selection) balancer.Reason {
+	if upstreams, _ := c.upstreams(); len(upstreams) == 0 {
+		return balancer.ReasonNone
+	}
+	if s.Excluded == screener.StateWaiting {
+		c.freeAt = s.FreeAt
+	}
+	return balancer.Reason(s.Excluded.String())
+}
+
 // connected returns a function that reports whether an idle connection to an upstream
 // is open. It returns nil for a request that may run only once: a kept connection that
 // the upstream closes at that moment would leave its outcome unknown.
@@ -57,9 +92,16 @@
 	return func(u *cataloguer.Upstream) bool { return c.Pool.HasIdle(u.Address, now) }
 }
 
-// candidates returns the upstreams that can serve the request, and how many
-// requests each runs at once.
-func (c *call) candidates() ([]cataloguer.Upstream, int) {
+// selection returns which of the upstreams that can serve the request may take it, and
+// how many requests each runs at once.
+func (c *call) selection(now time.Time) (screener.Selection, int) {
+	upstreams, slots := c.upstreams()
+	return c.Screener.Select(upstreams, now), slots
+}
+
+// upstreams returns the upstreams that can serve the request, and how many requests each
+// runs at once.
+func (c *call) upstreams() ([]cataloguer.Upstream, int) {
 	fleet := c.Catalogue.Fleet()
 	if fleet == nil {
 		return nil, 0
@@ -67,11 +109,11 @@
 	if e := c.service.Engine; e != nil {
 		return fleet.OpenHeads(c.service.Name, c.request.Model), e.Slots
 	}
-	candidates := fleet.OfService(c.service.Name)
-	if len(candidates) == 0 {
+	upstreams := fleet.OfService(c.service.Name)
+	if len(upstreams) == 0 {
 		return nil, 0
 	}
-	return candidates, candidates[0].Slots
+	return upstreams, upstreams[0].Slots
 }
 
 // send sends the request to an upstream. lastEvent is the id of the event after
@@ -103,6 +145,7 @@
 	if !a.NotRun {
 		c.mayHaveRun = true
 	}
+	c.recordNotices(&u, x.Response.StatusCode, a)
 	return x, a, nil
 }
 
@@ -134,6 +177,8 @@
 	switch {
 	case c.r.Context().Err() != nil:
 		c.outcome = "caller-left"
+	case !c.mayHaveRun && !c.freeAt.IsZero():
+		c.refuseFor(http.StatusServiceUnavailable, reason, time.Until(c.freeAt)+rand.N(_returnSpread))
 	case !c.mayHaveRun:
 		c.refuse(http.StatusServiceUnavailable, reason)
 	case c.ctx.Err() != nil:
--- a/internal/relayer/start.go
+++ b/internal/relayer/start.go
@@ -11,19 +11,26 @@
 // upstreams while the process starts. A caller who is refused comes back no sooner.
 const _catalogueWait = 400 * time.Millisecond
 
-// awaitCatalogue returns the configuration. While the process starts, it waits for the
-// configuration and the list of upstreams, and returns nil if the configuration does not
-// come in time.
+// awaitCatalogue returns the configuration, or nil if not all that requests depend on is
+// known. While the process starts, it waits for that.
 func (c *call) awaitCatalogue() *cataloguer.Configuration {
-	if c.hasCatalogue() || !c.arrivedAt.Before(c.StartsUntil) {
-		return c.Catalogue.Configuration()
+	if !c.Catalogue.IsComplete() && c.arrivedAt.Before(c.StartsUntil) {
+		c.awaitComplete()
 	}
+	if !c.Catalogue.KnowsEvacuations() {
+		return nil
+	}
+	return c.Catalogue.Configuration()
+}
+
+// awaitComplete waits for the catalogue to be complete, for a moment.
+func (c *call) awaitComplete() {
 	ctx, cancel := context.WithTimeout(c.r.Context(), _catalogueWait)
 	defer cancel()
 	for {
 		changed := c.Catalogue.Changed()
-		if c.hasCatalogue() || ctx.Err() != nil {
-			return c.Catalogue.Configuration()
+		if c.Catalogue.IsComplete() || ctx.Err() != nil {
+			return
 		}
 		select {
 		case <-changed:
@@ -31,7 +38,3 @@
 		}
 	}
 }
-
-func (c *call) hasCatalogue() bool {
-	return c.Catalogue.Configuration() != nil && c.Catalogue.Fleet() != nil
-}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -154,9 +154,9 @@
 	}
 	exclude := append(slices.Clone(c.tried), id)
 	return func() bool {
-		candidates, limit := c.candidates()
 		now := time.Now()
-		return c.Balancer.HasCapacity(candidates, balancer.Query{Now: now, Limit: limit, Exclude: exclude}) && c.Budget.CanSpend(c.service.Name, now)
+		selection, limit := c.selection(now)
+		return c.Balancer.HasCapacity(selection.Candidates, balancer.Query{Now: now, Limit: limit, Exclude: exclude}) && c.Budget.CanSpend(c.service.Name, now)
 	}
 }
 
--- a/internal/relayer/total_load.go
+++ b/internal/relayer/total_load.go
@@ -67,7 +67,7 @@
 	out := sharer.Load{
 		InFlight: s.Balancer.InFlightByUpstream(), Activity: s.Balancer.Activity(now),
 		Demand: make(map[sharer.ModelKey]sharer.Demand), SilentHeads: make(map[sharer.SilentHead]int),
-		Evidence: s.Quarantine.Share(now),
+		Evidence: s.Quarantine.Share(now), Departures: s.Screener.RecentDepartures(now),
 	}
 	for id, epoch := range s.Balancer.SilentEpochs(now) {
 		out.SilentHeads[sharer.SilentHead{Upstream: id, Epoch: epoch}] = 1
@@ -98,6 +98,7 @@
 	s.Balancer.SetUnanswered(total.UnansweredDataCentres)
 	now := time.Now()
 	s.receiveEvidence(total.Evidence, now)
+	s.receiveDepartures(total.Departures, now.Sub(total.At), now)
 	for head, n := range total.SilentHeads {
 		if n <= total.OwnLoad.SilentHeads[head] || !s.Balancer.MarkSilentByPeer(head.Upstream, head.Epoch, now) {
 			continue
--- /dev/null
+++ b/internal/screener/screener_test.go
@@ -0,0 +1,164 @@
+package screener_test
+
+import (
+	"bufio"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
+	"github.com/lycheebarrow/lycheebarrow/internal/screener"
+)
+
+// script is the state of one script: the upstreams of service "s", whose cold upstreams take
+// 4 requests per second, times 1.5, plus 3.
+type script struct {
+	*screener.Screener
+	now       time.Time
+	upstreams map[string]cataloguer.Upstream
+}
+
+// TestScripts runs the scripts in testdata. # begins a comment; each line is a command:
+//
+//	processes NAME...                set the running processes; this one is p1
+//	list ID DC STARTED COLD [draining]  list an upstream that started at a Unix time in ms, cold for COLD more
+//	unlist ID                        remove an upstream from the list
+//	evacuate DC... | restore         evacuate these data centres, or none
+//	leaving ID STARTED SOURCE        record that an upstream, in the life that began then, is leaving
+//	wait ID DURATION                 record that an upstream asked to wait
+//	pass DURATION                    let time pass; the list is read again
+//	expect ID STATE [SOURCE]         expect the state of an upstream
+//	select ID...|none [EXCLUDED]     expect the candidates, and the state of the others
+//	free DURATION                    expect after what time the first that asked to wait is free
+//	take ID N OK                     try to send N requests to an upstream; expect OK of them
+//	shared N                         expect the departures that are told to other processes
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, f := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt"), func(t *testing.T) { runScript(t, f) })
+	}
+}
+
+func newScript() *script {
+	s := &script{
+		Screener: &screener.Screener{Name: "p1", ColdLimit: screener.ColdLimit{Overage: 1.5, Slack: 3}},
+		now:      time.Unix(1_800_000_000, 0), upstreams: make(map[string]cataloguer.Upstream),
+	}
+	s.SetConfiguration(&cataloguer.Configuration{Services: map[string]cataloguer.Service{"s": {Name: "s", ColdTime: 3 * time.Second, ColdRate: 4}}})
+	return s
+}
+
+func runScript(t *testing.T, name string) {
+	f, err := os.Open(name)
+	require.NoError(t, err)
+	defer f.Close()
+	s := newScript()
+	n := 0
+	for scanner := bufio.NewScanner(f); scanner.Scan(); {
+		n++
+		line, _, _ := strings.Cut(scanner.Text(), "#")
+		if words := strings.Fields(line); len(words) > 0 {
+			s.run(t, n, words[0], words[1:])
+		}
+	}
+}
+
+func (s *script) run(t *testing.T, line int, command string, words []string) {
+	switch command {
+	case "processes":
+		s.SetProcesses(words, s.now)
+	case "list":
+		s.upstreams[words[0]] = cataloguer.Upstream{
+			ID: words[0], Service: "s", DataCentre: words[1], StartedMs: int64(parseInt(t, words[2])), ColdTime: parseDuration(t, words[3]), Draining: len(words) > 4,
+		}
+		s.observe()
+	case "unlist":
+		delete(s.upstreams, words[0])
+		s.observe()
+	case "evacuate", "restore":
+		dataCentres := make(map[string]bool)
+		for _, d := range words {
+			dataCentres[d] = true
+		}
+		s.SetEvacuated(dataCentres, s.now)
+	case "leaving":
+		s.RecordLeaving(screener.Life{Upstream: words[0], StartedMs: int64(parseInt(t, words[1]))}, screener.Source(words[2]), s.now)
+	case "wait":
+		u := s.upstreams[words[0]]
+		s.RecordWait(&u, parseDuration(t, words[1]), 0, s.now)
+	case "pass":
+		s.now = s.now.Add(parseDuration(t, words[0]))
+		s.observe()
+	case "expect":
+		u := s.upstreams[words[0]]
+		v := s.Screen(&u, s.now)
+		assert.Equal(t, words[1], v.State.String(), "line %d", line)
+		if len(words) > 2 {
+			assert.Equal(t, words[2], string(v.Source), "line %d", line)
+		}
+	case "select":
+		s.checkSelection(t, line, words)
+	case "free":
+		assert.Equal(t, parseDuration(t, words[0]), s.Select(s.list(), s.now).FreeAt.Sub(s.now), "line %d", line)
+	case "take":
+		u, taken := s.upstreams[words[0]], 0
+		for range parseInt(t, words[1]) {
+			if s.Take(&u, s.now) {
+				taken++
+			}
+		}
+		assert.Equal(t, parseInt(t, words[2]), taken, "line %d", line)
+	case "shared":
+		assert.Len(t, s.RecentDepartures(s.now), parseInt(t, words[0]), "line %d", line)
+	default:
+		t.Fatalf("line %d: unknown command %s", line, command)
+	}
+}
+
+// observe passes the list to the screener.
+func (s *script) observe() {
+	upstreams := make(map[string]cataloguer.Upstream)
+	for id, u := range s.upstreams {
+		upstreams[id] = u
+	}
+	s.Observe(cataloguer.NewFleet(1, upstreams), s.now)
+}
+
+// list returns the upstreams sorted by id.
+func (s *script) list() []cataloguer.Upstream {
+	return cataloguer.NewFleet(1, s.upstreams).OfService("s")
+}
+
+func (s *script) checkSelection(t *testing.T, line int, words []string) {
+	got := s.Select(s.list(), s.now)
+	var ids []string
+	for _, u := range got.Candidates {
+		ids = append(ids, u.ID)
+	}
+	want := words
+	if words[0] == "none" {
+		want = nil
+		assert.Equal(t, words[1], got.Excluded.String(), "line %d", line)
+	}
+	assert.Equal(t, want, ids, "line %d", line)
+}
+
+func parseInt(t *testing.T, text string) int {
+	n, err := strconv.Atoi(text)
+	require.NoError(t, err)
+	return n
+}
+
+func parseDuration(t *testing.T, text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	require.NoError(t, err)
+	return d
+}
--- a/internal/sharer/codec.go
+++ b/internal/sharer/codec.go
@@ -5,6 +5,7 @@
 
 	"github.com/lycheebarrow/lycheebarrow/internal/enumerator"
 	"github.com/lycheebarrow/lycheebarrow/internal/reflector"
+	"github.com/lycheebarrow/lycheebarrow/internal/screener"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
 )
 
@@ -23,6 +24,9 @@
 		r.Silences = append(r.Silences, &wire.Silence{Upstream: x.Upstream, Epoch: x.Epoch, Processes: uint32(n)})
 	}
 	r.Crashes, r.Verdicts = encodeCrashes(l.Evidence), encodeVerdicts(l.Evidence)
+	for x := range l.Departures {
+		r.Departures = append(r.Departures, &wire.Departure{Upstream: x.Upstream, StartedMs: x.StartedMs})
+	}
 	return r
 }
 
@@ -55,6 +59,12 @@
 		l.SilentHeads[SilentHead{Upstream: x.GetUpstream(), Epoch: x.GetEpoch()}] += int(x.GetProcesses())
 	}
 	l.Evidence = decodeEvidence(r)
+	for _, x := range r.GetDepartures() {
+		if l.Departures == nil {
+			l.Departures = make(map[screener.Life]bool, len(r.GetDepartures()))
+		}
+		l.Departures[screener.Life{Upstream: x.GetUpstream(), StartedMs: x.GetStartedMs()}] = true
+	}
 	return l
 }
 
--- a/internal/sharer/load.go
+++ b/internal/sharer/load.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/quarantiner"
+	"github.com/lycheebarrow/lycheebarrow/internal/screener"
 )
 
 // _loadLifetime is how long the reported load of a process or a data centre counts.
@@ -38,6 +39,8 @@
 	SilentHeads map[SilentHead]int
 	// Evidence is what the processes saw of upstreams that crashed.
 	Evidence quarantiner.Evidence
+	// Departures are the upstreams that told the processes lately that they are leaving.
+	Departures map[screener.Life]bool
 	// Processes is the number of processes whose loads are summed.
 	Processes int
 }
@@ -98,5 +101,9 @@
 		l.SilentHeads[x] += n
 	}
 	l.Evidence.Add(o.Evidence, age)
+	if len(o.Departures) > 0 && l.Departures == nil {
+		l.Departures = make(map[screener.Life]bool, len(o.Departures))
+	}
+	maps.Copy(l.Departures, o.Departures)
 	l.Processes += o.Processes
 }
