--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -151,9 +151,13 @@
 		return f.err
 	}
 	c := &cataloguer.Catalogue{}
+	upstreamSource := sh.Source("upstreams", a.Upstreams)
+	upstreamSource.ReadsDirectly = c.Leading
+	configurationSource := sh.Source("configuration", a.Configurations)
+	configurationSource.Probe = upstreamSource
 	configurations := &reflector.Reflector[*cataloguer.Configuration]{
 		Kind: "configuration", Log: k.log,
-		Source: reflector.DecodingSource[*cataloguer.Configuration]{Source: sh.Source("configuration", a.Configurations), Decode: a.DecodeConfiguration},
+		Source: reflector.DecodingSource[*cataloguer.Configuration]{Source: configurationSource, Decode: a.DecodeConfiguration},
 		Publish: func(revision uint64, values map[string]*cataloguer.Configuration) {
 			publishConfiguration(k.log, c, sc, revision, values)
 		},
@@ -164,8 +168,6 @@
 			return k.readerState(c, sh, e).configurationDelay()
 		},
 	}
-	upstreamSource := sh.Source("upstreams", a.Upstreams)
-	upstreamSource.ReadsDirectly = c.Leading
 	upstreams := &reflector.Reflector[cataloguer.Upstream]{
 		Kind: "upstreams", Log: k.log,
 		Source:       reflector.DecodingSource[cataloguer.Upstream]{Source: upstreamSource, Decode: a.DecodeUpstream},
@@ -180,7 +182,9 @@
 	k.run(configurations.Run)
 	k.run(upstreams.Run)
 	if k.settings.EvacuationBound() > 0 {
-		followEvacuations(k, a, c, sc, sh)
+		source := sh.Source("evacuations", a.Evacuations)
+		source.Probe = upstreamSource
+		followEvacuations(k, c, sc, reflector.DecodingSource[string]{Source: source, Decode: a.DecodeEvacuation})
 	}
 	return k.services.Register(NameCatalogue, c)
 }
--- a/internal/composer/screener.go
+++ b/internal/composer/screener.go
@@ -9,7 +9,6 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/meter"
 	"github.com/lycheebarrow/lycheebarrow/internal/reflector"
 	"github.com/lycheebarrow/lycheebarrow/internal/screener"
-	"github.com/lycheebarrow/lycheebarrow/internal/sharer"
 )
 
 // _coldStartDelay is how long after its start a process sends no requests to cold upstreams:
@@ -27,11 +26,10 @@
 }
 
 // followEvacuations keeps the screener's evacuated data centres up to date.
-func followEvacuations(k *kernel, a Adapter, c *cataloguer.Catalogue, sc *screener.Screener, sh *sharer.Sharer) {
+func followEvacuations(k *kernel, c *cataloguer.Catalogue, sc *screener.Screener, source reflector.Source[string]) {
 	c.FollowEvacuations()
 	evacuations := &reflector.Reflector[string]{
-		Kind: "evacuations", Log: k.log,
-		Source: reflector.DecodingSource[string]{Source: sh.Source("evacuations", a.Evacuations), Decode: a.DecodeEvacuation},
+		Kind: "evacuations", Log: k.log, Source: source,
 		Publish: func(revision uint64, values map[string]string) {
 			publishEvacuations(k.log, c, sc, revision, values)
 		},
--- a/internal/sharer/sharer_test.go
+++ b/internal/sharer/sharer_test.go
@@ -7,11 +7,13 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/enumerator"
+	"github.com/lycheebarrow/lycheebarrow/internal/reflector"
 	"github.com/lycheebarrow/lycheebarrow/internal/sharer"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
 )
@@ -286,3 +288,39 @@
 		assert.NotSame(t, first, ask())
 	})
 }
+
+// While the platform does not answer reads of one kind, no other kind that follows it is
+// read, and it is read again as soon as the platform answers.
+func TestOutageIsProbedByOneKind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &platform{changed: make(chan struct{}), watches: make(map[string]int), lists: make(map[string]int), unavailable: make(map[string]bool)}
+		p.changeOtherKind()
+		s := &sharer.Sharer{Name: "a0", Peerless: true}
+		probe, other := s.Source("probe", view{p, "probe"}), s.Source("other", view{p, "other"})
+		other.Probe = probe
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		seen := make(chan string, 10)
+		run := func(x *sharer.Source) {
+			r := &reflector.Reflector[[]byte]{Kind: "k", Source: x, Publish: func(_ uint64, values map[string][]byte) {
+				if x == other && len(values) > 0 {
+					seen <- string(values["n"])
+				}
+			}}
+			r.Run(ctx)
+		}
+		go run(probe)
+		time.Sleep(time.Millisecond)
+		go run(other)
+		time.Sleep(3 * time.Second)
+		p.setUnavailable(true, "probe", "other")
+		time.Sleep(3 * time.Second)
+		before := p.watchCount("other")
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, before, p.watchCount("other"))
+		p.setUnavailable(false, "probe", "other")
+		p.put("n", "v")
+		time.Sleep(2500 * time.Millisecond)
+		assert.Equal(t, "v", <-seen)
+	})
+}
--- a/internal/sharer/source.go
+++ b/internal/sharer/source.go
@@ -23,14 +23,26 @@
 	// _rolePollInterval is how often a process that waits for all objects checks whether
 	// it has become known which process is the gatherer.
 	_rolePollInterval = 50 * time.Millisecond
+	// _probeWait is how long one read waits for the probe to reach the platform again.
+	_probeWait = 2 * time.Second
+	// _probeMemory is how long a failed read of the probe counts, unless another follows: a
+	// probe whose kind comes from a peer reads no more.
+	_probeMemory = 2500 * time.Millisecond
 )
 
+// errProbeFailed says that a read was not made because the platform does not answer.
+var errProbeFailed = errors.New("sharer: platform does not answer reads of another kind")
+
 // Source reads the objects of one kind, and learns of them and of their changes through
 // the gatherer where another process is the gatherer. It is a reflector.Source.
 type Source struct {
 	// ReadsDirectly reports whether this process reads the kind from the platform itself
 	// even where it could follow a peer; nil means never. Set it before Run.
 	ReadsDirectly func() bool
+	// Probe is the source of another kind, which shows whether the platform answers: while
+	// it does not, this one leaves it alone. Without it, each kind adds its own calls to the
+	// load of a platform in trouble, from every process. It may be nil; set it before Run.
+	Probe *Source
 
 	sharer *Sharer
 	kind   string
@@ -42,6 +54,8 @@
 	packed  packedAnswers
 	// unavailable is true if the last read from the platform has failed.
 	unavailable bool
+	// failedAt is when a read from the platform last failed; zero after one that did not.
+	failedAt time.Time
 	// wantsList is true while the reflector waits for all objects.
 	wantsList bool
 	// listing holds the objects that the gatherer sent; nil once the reflector has them.
@@ -74,10 +88,13 @@
 	if l, ok := x.awaitListing(ctx); ok {
 		return l, nil
 	}
+	if err := x.awaitProbe(ctx, _probeWait); err != nil {
+		return reflector.Listing[[]byte]{}, err
+	}
 	l, err := x.direct.List(ctx)
 	x.sharer.mu.Lock()
 	defer x.sharer.mu.Unlock()
-	x.unavailable = err != nil
+	x.recordRead(err)
 	if err == nil {
 		now := time.Now()
 		x.history.reset(l.Revision, now)
@@ -86,6 +103,39 @@
 	return l, err
 }
 
+// recordRead records the result of a read from the platform. The caller holds the sharer's
+// lock.
+func (x *Source) recordRead(err error) {
+	x.unavailable, x.failedAt = false, time.Time{}
+	if err != nil && !errors.Is(err, reflector.ErrCompacted) {
+		x.unavailable, x.failedAt = true, time.Now()
+	}
+}
+
+// awaitProbe waits up to wait while the probe can't read the platform, and returns an error
+// if it still can't then.
+func (x *Source) awaitProbe(ctx context.Context, wait time.Duration) error {
+	if x.Probe == nil {
+		return nil
+	}
+	s := x.sharer
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for end := time.Now().Add(wait); x.Probe.hasFailed(time.Now()); x.awaitUpdate(ctx, _rolePollInterval) {
+		x.unavailable = true
+		if !time.Now().Before(end) || ctx.Err() != nil {
+			return errProbeFailed
+		}
+	}
+	return nil
+}
+
+// hasFailed reports whether the latest read from the platform has failed lately. The caller
+// holds the sharer's lock.
+func (x *Source) hasFailed(now time.Time) bool {
+	return !x.failedAt.IsZero() && now.Sub(x.failedAt) < _probeMemory
+}
+
 // awaitListing waits for the gatherer to send all objects. It returns false where this
 // process reads the platform, or the gatherer does not send them in time. At its start a
 // gatherer lists the objects itself, since all processes of its data centre wait for it.
@@ -153,10 +203,13 @@
 	if x.sharer.IsRunning() {
 		wait = min(wait, _maxDirectWait)
 	}
+	if err := x.awaitProbe(ctx, _probeWait); err != nil {
+		return reflector.Changes[[]byte]{}, err
+	}
 	c, err := x.direct.Watch(ctx, after, wait)
 	x.sharer.mu.Lock()
 	defer x.sharer.mu.Unlock()
-	x.unavailable = err != nil && !errors.Is(err, reflector.ErrCompacted)
+	x.recordRead(err)
 	if err == nil {
 		now := time.Now()
 		x.history.add(after, c.Revision, c.Changes, now)
--- a/internal/sharer/system_test.go
+++ b/internal/sharer/system_test.go
@@ -38,6 +38,22 @@
 	p.changed = make(chan struct{})
 }
 
+// setUnavailable sets whether the platform answers the processes of these names.
+func (p *platform) setUnavailable(unavailable bool, names ...string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, name := range names {
+		p.unavailable[name] = unavailable
+	}
+}
+
+// watchCount returns the number of watches of a process.
+func (p *platform) watchCount(name string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.watches[name]
+}
+
 // changeOtherKind changes an object of another kind, which raises the revision only.
 func (p *platform) changeOtherKind() {
 	p.mu.Lock()
