--- a/internal/loader/instance.go
+++ b/internal/loader/instance.go
@@ -52,18 +52,18 @@
 			store: storeNumber(&s.processorShare, 0.01, 1024),
 		},
 		{
-			key: "evacuation-bound", meaning: "longest time until the evacuation of a data centre, requested in the platform's store, is in force; 0 reads no evacuations",
-			allowed: _allowedDuration, defaultValue: "0s",
-			store: storeDuration(&s.evacuationBound),
+			key: "evacuation-bound", meaning: "longest time in `milliseconds` until the evacuation of a data centre, requested in the platform's store, is in force; without it no evacuations are read",
+			allowed: "empty, or a whole number from 0 to 3600000",
+			store:   s.storeEvacuationBound,
 		},
 		{
-			key: "cold-overage", meaning: "factor on the rate that a cold upstream can take, in the bound on the requests to it in any second over all instances; 0, with cold-slack 0, sets no bound",
-			allowed: "a number from 0 to 1000", defaultValue: "0",
-			store: storeNumber(&s.coldOverage, 0, 1000),
+			key: "cold-overage", meaning: "factor on the rate that a cold upstream can take, in the bound on the requests to it in any second over all instances; without it and cold-slack there is no bound",
+			allowed: "empty, or a number from 0 to 1000",
+			store:   storeOptionalNumber(&s.coldOverage, 1000),
 		},
 		{
-			key: "cold-slack", meaning: "requests that are added to that bound", allowed: "a number from 0 to 1000000", defaultValue: "0",
-			store: storeNumber(&s.coldSlack, 0, 1e6),
+			key: "cold-slack", meaning: "requests that are added to that bound", allowed: "empty, or a number from 0 to 1000000",
+			store: storeOptionalNumber(&s.coldSlack, 1e6),
 		},
 		{
 			key: "memory-limit", meaning: "memory of the instance, in `megabytes`; 0 sets no limit", allowed: "a whole number from 0 to 1048576", defaultValue: "0",
@@ -97,6 +97,21 @@
 	}
 }
 
+// storeOptionalNumber returns a store function for a number from 0 to maximum. An empty text
+// is 0: the platform fills a setting in with nothing where a deployment has no value for it.
+func storeOptionalNumber(target *float64, maximum float64) func(string) bool {
+	store := storeNumber(target, 0, maximum)
+	return func(text string) bool { return text == "" || store(text) }
+}
+
+// storeEvacuationBound stores a time in milliseconds, or 0 for an empty text.
+func (s *Settings) storeEvacuationBound(text string) bool {
+	ms := 0.0
+	ok := storeOptionalNumber(&ms, float64(time.Hour.Milliseconds()))(text)
+	s.evacuationBound = time.Duration(ms) * time.Millisecond
+	return ok
+}
+
 // UpstreamDrainGrace returns how long requests may still be sent to an upstream
 // that has announced that it is leaving.
 func (s Settings) UpstreamDrainGrace() time.Duration { return s.upstreamDrainGrace }
