--- /dev/null
+++ b/internal/composer/caller_gauges.go
@@ -0,0 +1,26 @@
+package composer
+
+import (
+	"github.com/lycheebarrow/lycheebarrow/internal/drainer"
+	"github.com/lycheebarrow/lycheebarrow/internal/meter"
+	"github.com/lycheebarrow/lycheebarrow/internal/reserver"
+)
+
+// registerCallerGauges defines the gauges of what callers hold of an instance.
+func registerCallerGauges(m *meter.Meter, bodies *reserver.Reserver, d *drainer.Drainer) error {
+	for _, x := range []struct {
+		name, description string
+		read              func() int64
+	}{
+		{"body_memory_bytes", "Memory of callers' request bodies.", bodies.Used},
+		{"body_memory_limit_bytes", "Largest memory of callers' request bodies; 0 for no limit.", func() int64 { return bodies.Limit }},
+		{"bodies_stalled", "Request bodies that had stopped coming and lost their memory to others, since the start.", bodies.Revoked},
+		{"caller_connections", "Open connections of callers.", func() int64 { return int64(d.Open()) }},
+		{"caller_connections_refused", "Connections of callers that were closed because too many were open, since the start.", d.Refused},
+	} {
+		if err := m.RegisterGauge(x.name, x.description, x.read); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -18,6 +18,7 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/budgeter"
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
 	"github.com/lycheebarrow/lycheebarrow/internal/conductor"
+	"github.com/lycheebarrow/lycheebarrow/internal/drainer"
 	"github.com/lycheebarrow/lycheebarrow/internal/enumerator"
 	"github.com/lycheebarrow/lycheebarrow/internal/forwarder"
 	"github.com/lycheebarrow/lycheebarrow/internal/leaser"
@@ -64,6 +65,13 @@
 	// _memoryLimitFraction is the fraction of an instance's memory limit that is the
 	// soft limit of the Go runtime, near which the garbage collector runs more often.
 	_memoryLimitFraction = 0.6
+	// _memoryPerBodyMemory divides an instance's memory limit; the result is the memory of
+	// callers' request bodies. The garbage collector lets the memory of bodies that were
+	// read and refused pile up to several times as much.
+	_memoryPerBodyMemory = 8
+	// _callersPerDescriptor divides an instance's descriptors; the result is the largest
+	// number of callers' connections. The others are for upstreams, peers and the store.
+	_callersPerDescriptor = 2
 	// _initialInstanceCount is the assumed number of instances until the first count.
 	_initialInstanceCount = 8
 	// _startTime is how long an instance takes at most, where peers or the store answer, to
@@ -239,6 +247,7 @@
 	if err := m.RegisterGauge("quarantined_parts", "Parts of prompts that are not sent, since upstreams crash under them.", rl.Quarantine.Count); err != nil {
 		return err
 	}
+	rl.Bodies.Limit = k.settings.MemoryLimit() / _memoryPerBodyMemory
 	rl.CallerShare = func() float64 { return callerShare(e) }
 	rl.StartsUntil = time.Now().Add(_startTime)
 	if k.settings.PeerListen() == "" {
@@ -271,7 +280,11 @@
 		}
 	})
 	k.lifecycle.Append(fx.StopHook(rl.Pool.Close))
-	k.serve("callers", l, rl, nil)
+	d := &drainer.Drainer{Limit: k.settings.DescriptorsLimit() / _callersPerDescriptor}
+	if err := registerCallerGauges(m, &rl.Bodies, d); err != nil {
+		return err
+	}
+	k.serveLimited("callers", l, rl, d, nil)
 	return k.services.Register(NameRelayer, rl)
 }
 
--- a/internal/composer/kernel.go
+++ b/internal/composer/kernel.go
@@ -152,8 +152,12 @@
 // beforeShutdown unless that is nil, and waits until no connection is left or the drain
 // limit has passed.
 func (k *kernel) serve(name string, l net.Listener, h http.Handler, beforeShutdown func()) {
+	k.serveLimited(name, l, h, &drainer.Drainer{}, beforeShutdown)
+}
+
+// serveLimited is serve with the connections of a drainer, which may limit their number.
+func (k *kernel) serveLimited(name string, l net.Listener, h http.Handler, d *drainer.Drainer, beforeShutdown func()) {
 	s := newServer(h)
-	d := &drainer.Drainer{}
 	l = d.Attach(s, l)
 	k.lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
--- a/internal/drainer/conn.go
+++ b/internal/drainer/conn.go
@@ -47,6 +47,17 @@
 	_ = c.Conn.SetReadDeadline(time.Now())
 }
 
+// quietTime returns since when the connection has been quiet; the zero time if it is not, or
+// is about to be closed.
+func (c *conn) quietTime() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ending {
+		return time.Time{}
+	}
+	return c.quietSince
+}
+
 // isEnding reports whether the reader was woken to look for the last time.
 func (c *conn) isEnding() bool {
 	c.mu.Lock()
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -23,7 +23,14 @@
 // Drainer drains the connections of one HTTP server. The zero value is ready for use. It is
 // safe for concurrent use.
 type Drainer struct {
+	// Limit is the largest number of open connections; 0 means no limit. Beyond it the
+	// connection that has been quiet longest is closed, or else the new one. Set it before
+	// use.
+	Limit int
+
 	draining atomic.Bool
+	// refused counts the connections that were closed as soon as they were accepted.
+	refused atomic.Int64
 
 	mu       sync.Mutex
 	listener *listener
@@ -56,6 +63,35 @@
 	return len(d.conns)
 }
 
+// Refused returns the number of connections that were closed because too many were open.
+func (d *Drainer) Refused() int64 { return d.refused.Load() }
+
+// makeRoom reports whether another connection may be served. Where too many are open, it has
+// the one that has been quiet longest closed.
+func (d *Drainer) makeRoom(now time.Time) bool {
+	if d.Limit == 0 {
+		return true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.conns) < d.Limit {
+		return true
+	}
+	var quietest *conn
+	var since time.Time
+	for c := range d.conns {
+		at := c.quietTime()
+		if !at.IsZero() && now.Sub(at) >= _quietTime && (quietest == nil || at.Before(since)) {
+			quietest, since = c, at
+		}
+	}
+	if quietest == nil {
+		return false
+	}
+	quietest.endIfQuiet(since)
+	return true
+}
+
 // Drain stops accepting connections, and closes the others as they become quiet. It
 // returns when none is left, or an error with their number when ctx ends.
 func (d *Drainer) Drain(ctx context.Context) error {
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -272,3 +274,48 @@
 	assert.NoError(t, err)
 	assert.Contains(t, string(text), "413")
 }
+
+// Beyond the limit, the connection that has been quiet longest is closed for a new one. Where
+// all are busy, the new one is closed.
+func TestLimit(t *testing.T) {
+	release := make(chan struct{})
+	s := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			<-release
+		}
+	})}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	d := &drainer.Drainer{Limit: 3}
+	go func() { _ = s.Serve(d.Attach(s, l)) }()
+	defer s.Close()
+	defer close(release)
+	dial := func(path string) net.Conn {
+		c, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		if path != "" {
+			fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path)
+		}
+		return c
+	}
+	isClosed := func(c net.Conn) bool {
+		_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		_, err := c.Read(make([]byte, 1))
+		return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
+	}
+	dial("/wait")
+	dial("/wait")
+	quiet := dial("")
+	require.Eventually(t, func() bool { return d.Open() == 3 }, 5*time.Second, 10*time.Millisecond)
+	time.Sleep(600 * time.Millisecond)
+	served := dial("/")
+	assert.True(t, isClosed(quiet), "the quiet connection is closed")
+	status, err := bufio.NewReader(served).ReadString('\n')
+	require.NoError(t, err)
+	assert.Contains(t, status, "200")
+	dial("/wait")
+	require.Eventually(t, func() bool { return d.Open() >= 3 }, 5*time.Second, 10*time.Millisecond)
+	// The connection that was served has just become quiet.
+	assert.True(t, isClosed(dial("/")), "a connection beyond the limit is closed")
+	assert.Positive(t, d.Refused())
+}
--- a/internal/drainer/listener.go
+++ b/internal/drainer/listener.go
@@ -51,9 +51,11 @@
 
 // Accept waits for the next connection.
 func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil && l.draining.Load() {
-		c, err = l.acceptWaiting()
+	c, err := l.accept()
+	for err == nil && !l.drainer.makeRoom(time.Now()) {
+		l.drainer.refused.Add(1)
+		_ = c.Close() // nothing was read
+		c, err = l.accept()
 	}
 	if err != nil {
 		return nil, err
@@ -63,6 +65,15 @@
 	return x, nil
 }
 
+// accept waits for the next connection, whether there is room for it or not.
+func (l *listener) accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil && l.draining.Load() {
+		return l.acceptWaiting()
+	}
+	return c, err
+}
+
 // deadliner is a listener whose Accept can be interrupted.
 type deadliner interface {
 	SetDeadline(t time.Time) error
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -83,8 +83,8 @@
 		}
 		return &ExchangeError{Step: step, Peer: address, Sent: sent, Reused: c.reused, Err: err}
 	}
-	if n, err := c.Write(r.encode()); err != nil {
-		return nil, fail("write to", n > 0, err)
+	if sent, err := r.write(c); err != nil {
+		return nil, fail("write to", sent, err)
 	}
 	c.head.start()
 	for skipped := 0; ; skipped++ {
@@ -155,16 +155,34 @@
 	return _idleLimit / 4
 }
 
-// encode returns the request in HTTP/1.1 wire format.
-func (r *Request) encode() []byte {
+// _maxJoinedBody is the largest body, in bytes, that is copied behind the head so that one
+// write sends both. Larger ones are not copied.
+const _maxJoinedBody = 16 << 10
+
+// write writes the request in HTTP/1.1 wire format. It returns whether any bytes may have
+// left.
+func (r *Request) write(w io.Writer) (sent bool, err error) {
+	head := r.encodeHead()
+	if len(r.Body) <= _maxJoinedBody {
+		n, err := w.Write(append(head, r.Body...))
+		return n > 0, err
+	}
+	if n, err := w.Write(head); err != nil {
+		return n > 0, err
+	}
+	_, err = w.Write(r.Body)
+	return true, err
+}
+
+// encodeHead returns the head of the request, with room for a body that is joined to it.
+func (r *Request) encodeHead() []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	b.Grow(512 + min(len(r.Body), _maxJoinedBody))
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	_ = r.Header.Write(&b) // writes to a bytes.Buffer never fail
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
--- a/internal/loader/instance.go
+++ b/internal/loader/instance.go
@@ -51,6 +51,16 @@
 			key: "processor-share", meaning: "processor cores, or the share of one, that the instance may use; peers with more are preferred for shared work", allowed: "a number from 0.01 to 1024", defaultValue: "1",
 			store: storeNumber(&s.processorShare, 0.01, 1024),
 		},
+		{
+			key: "descriptors-limit", meaning: "open files and connections of the instance; callers get half of them; 0 sets no limit",
+			allowed: "empty, or a whole number from 0 to 1000000",
+			store: func(text string) bool {
+				n := 0.0
+				ok := storeOptionalNumber(&n, 1e6)(text)
+				s.descriptorsLimit = int(n)
+				return ok && float64(s.descriptorsLimit) == n
+			},
+		},
 		{
 			key: "evacuation-bound", meaning: "longest time in `milliseconds` until the evacuation of a data centre, requested in the platform's store, is in force; without it no evacuations are read",
 			allowed: "empty, or a whole number from 0 to 3600000",
@@ -128,6 +138,10 @@
 // to those of RetryRatio, over all instances.
 func (s Settings) RetrySlack() float64 { return s.retrySlack }
 
+// DescriptorsLimit returns the largest number of open files and connections of the instance;
+// 0 means no limit.
+func (s Settings) DescriptorsLimit() int { return s.descriptorsLimit }
+
 // EvacuationBound returns the longest time until a requested evacuation of a data centre is
 // in force; 0 means that evacuations are not read.
 func (s Settings) EvacuationBound() time.Duration { return s.evacuationBound }
--- a/internal/loader/setting.go
+++ b/internal/loader/setting.go
@@ -80,7 +80,7 @@
 // iniLocation returns the section, if any, and the name of a key in the INI file,
 // in Markdown.
 func iniLocation(key string) string {
-	for _, s := range []string{"callers", "operator", "peer", "metrics", "drain", "retry", "engine", "memory", "processor", "evacuation", "cold"} {
+	for _, s := range []string{"callers", "operator", "peer", "metrics", "drain", "retry", "engine", "memory", "processor", "descriptors", "evacuation", "cold"} {
 		if name, ok := strings.CutPrefix(key, s+"-"); ok {
 			return fmt.Sprintf("`[%s]` `%s`", s, name)
 		}
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -49,6 +49,7 @@
 	retrySlack         float64
 	processorShare     float64
 	memoryLimit        int64
+	descriptorsLimit   int
 	evacuationBound    time.Duration
 	coldOverage        float64
 	coldSlack          float64
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -20,6 +19,7 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/forwarder"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 	"github.com/lycheebarrow/lycheebarrow/internal/quarantiner"
+	"github.com/lycheebarrow/lycheebarrow/internal/reserver"
 	"github.com/lycheebarrow/lycheebarrow/internal/screener"
 	"github.com/lycheebarrow/lycheebarrow/internal/sharer"
 )
@@ -78,6 +78,9 @@
 	attempts  admitter.RouteAttempts
 	totalLoad atomic.Pointer[sharer.TotalLoad]
 
+	// Bodies bounds the memory of callers' request bodies.
+	Bodies reserver.Reserver
+
 	// requests counts the requests that were read whole and passed authentication.
 	requests atomic.Int64
 	arrivals rateMeter
@@ -98,6 +101,7 @@
 func (s *Relayer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := s.newCall(w, r)
 	defer c.logEnd()
+	defer c.releaseBody()
 	if s.drain.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
@@ -141,9 +145,11 @@
 	// organisation is empty if the route needs no key.
 	organisation string
 	// version is the version of the configuration.
-	version  uint64
-	body     []byte
-	deadline time.Time
+	version uint64
+	body    []byte
+	// bodyMemory is the memory of body; nil until a body is read.
+	bodyMemory *reserver.Reservation
+	deadline   time.Time
 
 	// parts are the shared parts of the prompt.
 	parts []quarantiner.Part
@@ -279,19 +285,8 @@
 		limit = _defaultBodyLimit
 	}
 	body, err := c.readBody(limit)
-	var large *http.MaxBytesError
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		c.lastErr = err
-		c.w.Header().Set("Connection", "close")
-		c.refuse(http.StatusRequestTimeout, "body-late")
-		return false
-	case errors.As(err, &large):
-		c.fail(http.StatusRequestEntityTooLarge, "body-too-large")
-		return false
-	case err != nil:
-		c.lastErr = err
-		c.fail(http.StatusBadRequest, "body-unread")
+	if err != nil {
+		c.refuseBody(err)
 		return false
 	}
 	c.body = body
@@ -302,20 +297,6 @@
 	return true
 }
 
-// readBody reads the body of the caller's request, of limit bytes at most. A caller may
-// send it slowly, but not beyond the time that the request may take.
-func (c *call) readBody(limit int64) ([]byte, error) {
-	if c.r.ContentLength == 0 {
-		return nil, nil
-	}
-	control := http.NewResponseController(c.w)
-	if err := control.SetReadDeadline(c.arrivedAt.Add(c.timeout())); err == nil {
-		// The connection may serve other requests, whose time is their own.
-		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
-	}
-	return io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
-}
-
 // timeout returns how long the request may take: the timeout of the route, or that of
 // the caller if it is shorter.
 func (c *call) timeout() time.Duration {
@@ -359,13 +340,20 @@
 	return admitter.RetryAfter(left, rand.Float64())
 }
 
-// fail responds with an error that does not say whether the request has run.
-func (c *call) fail(status int, reason string) { c.respond(status, reason) }
+// fail responds with an error that does not say whether the request has run. Errors of the
+// caller count as refusals.
+func (c *call) fail(status int, reason string) {
+	if status < http.StatusInternalServerError && c.Meter != nil {
+		c.Meter.CountRefusal(reason)
+	}
+	c.respond(status, reason)
+}
 
 // respond sends a response with the reason as its body.
 func (c *call) respond(status int, reason string) {
 	c.status, c.outcome = status, reason
 	c.headWritten = true
+	c.boundDiscard()
 	h := c.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	c.w.WriteHeader(status)
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -473,3 +473,27 @@
 	}
 	return out
 }
+
+// A request that is refused before its body was read gets the refusal although the rest of
+// the body never comes, and its connection does not stay open for it.
+func TestRefusalBeforeEndOfBody(t *testing.T) {
+	var runs atomic.Int32
+	s := startRelayer(t, cataloguer.KindUnsafe, false, []string{"ok"}, &runs)
+	testCases := []struct{ name, path, length, want string }{
+		{name: "no route", path: "/nowhere/x", length: "1000", want: "404"},
+		{name: "too large", path: "/a/x", length: "999999999", want: "413"},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			c, err := net.Dial("tcp", s.Listener.Addr().String())
+			require.NoError(t, err)
+			defer c.Close()
+			fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: 127.0.0.1\r\nId: 1\r\nKey: k\r\nContent-Length: %s\r\n\r\nbody", tc.path, tc.length)
+			require.NoError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+			text, err := io.ReadAll(c)
+			require.NoError(t, err, "the connection is closed")
+			assert.Contains(t, string(text), tc.want)
+			assert.Zero(t, runs.Load())
+		})
+	}
+}
