--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/prioritiser"
 )
 
 const (
@@ -49,6 +51,9 @@
 	_newestWaitWeight = 0.3
 	// _returningFactor multiplies the limit for returning requests.
 	_returningFactor = 1.25
+	// _fullCredit is the credit at which a request is admitted. It is below 1, since the
+	// first request of a process with few should not be refused in any case.
+	_fullCredit = 0.5
 	// _returningFraction is the fraction of a route's timeout below which the time
 	// that a caller still waits shows that its request is returning.
 	_returningFraction = 0.93
@@ -83,6 +88,8 @@
 	// ArrivalRate and CompletionRate are in requests per second. Refused requests
 	// count as arrivals, not as completions.
 	ArrivalRate, CompletionRate float64
+	// Offered is the work that callers ask for by priority; zero if unknown.
+	Offered prioritiser.Demand
 	// MeanDuration is the moving average of the time from the start of a request to
 	// its end; 0 if none has ended.
 	MeanDuration time.Duration
@@ -118,9 +125,9 @@
 	// raise that Admit allows a returning request. It is 0 where AdmittedFraction
 	// decided.
 	Limit float64
-	// AdmittedFraction is the fraction of the arriving requests that is admitted; 0
-	// where Admit decided. It does not apply to returning requests.
-	AdmittedFraction float64
+	// AdmittedFraction is the fraction of the arriving requests of the same priority that is
+	// admitted, and ServedFraction that of all priorities together; 0 where Admit decided. It does not apply to returning requests.
+	AdmittedFraction, ServedFraction float64
 	// TotalLoad is the load over all processes; zero where Admit decided.
 	TotalLoad TotalLoad
 	// Returning is true if the caller was refused before.
@@ -137,9 +144,9 @@
 	inFlight int
 	// decreasedAt is when the limit was last decreased.
 	decreasedAt time.Time
-	// credit grows by the admitted fraction with each arriving request. A request
-	// that brings it to 1 is admitted and takes 1 from it.
-	credit float64
+	// credit grows by the admitted fraction with each arriving request of a priority. A
+	// request that brings it to _fullCredit is admitted and takes 1 from it.
+	credit [prioritiser.Priorities]float64
 	// wait is the moving average of the waits for a first event; 0 before the first
 	// one.
 	wait time.Duration
@@ -176,10 +183,13 @@
 // behind the others for a slot that they leave free, so it is admitted unless too
 // many returning requests wait already. An admitted request counts as in flight
 // until Done is called.
-func (a *Admitter) AdmitByTotalLoad(c Capacity, total TotalLoad, returning bool) Decision {
+//
+// Where callers of several priorities ask for the model, the most urgent are admitted first.
+func (a *Admitter) AdmitByTotalLoad(c Capacity, total TotalLoad, priority int, returning bool) Decision {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	d := Decision{InFlight: a.inFlight, AdmittedFraction: total.admittedFraction(c.Slots), TotalLoad: total, Returning: returning}
+	d := Decision{InFlight: a.inFlight, ServedFraction: total.admittedFraction(c.Slots), TotalLoad: total, Returning: returning}
+	d.AdmittedFraction = total.Offered.Fraction(d.ServedFraction, priority)
 	if returning {
 		d.Limit = _returningPerSlot * float64(c.Slots)
 		d.Admitted = total.Returning < d.Limit
@@ -188,11 +198,12 @@
 		}
 		return d
 	}
-	a.credit += d.AdmittedFraction
+	credit := &a.credit[prioritiser.Class(priority)]
+	*credit += d.AdmittedFraction
 	// The sum of fractions that should add up to 1 may have a rounding error.
 	const tolerance = 1e-9
-	if a.credit >= 1-tolerance {
-		a.credit = max(a.credit-1, 0)
+	if *credit >= _fullCredit-tolerance {
+		*credit = max(*credit-1, _fullCredit-1)
 		a.inFlight++
 		d.Admitted = true
 	}
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -94,7 +94,7 @@
 			case byLimit:
 				admitted = admitters[r.process].Admit(capacity(r.process), left, timeout).Admitted
 			case byTotalLoad:
-				admitted = admitters[r.process].AdmitByTotalLoad(admitter.Capacity{Slots: slots}, totalLoad, r.refusals > 0).Admitted
+				admitted = admitters[r.process].AdmitByTotalLoad(admitter.Capacity{Slots: slots}, totalLoad, 0, r.refusals > 0).Admitted
 			}
 			if !admitted {
 				if r.refusals++; r.refusals <= 1 {
@@ -200,7 +200,7 @@
 	c := admitter.TotalLoad{InFlight: 18, ArrivalRate: 50, CompletionRate: 4, MeanDuration: 500 * time.Millisecond}
 	admitted := 0
 	for range 20 {
-		if a.AdmitByTotalLoad(admitter.Capacity{Slots: 26}, c, false).Admitted {
+		if a.AdmitByTotalLoad(admitter.Capacity{Slots: 26}, c, 0, false).Admitted {
 			admitted++
 		}
 	}
--- a/internal/relayer/admission.go
+++ b/internal/relayer/admission.go
@@ -18,10 +18,10 @@
 		value, _ = c.models.LoadOrStore(c.modelKey(), newModelState())
 	}
 	m := value.(*modelState)
-	m.arrivals.count(now)
+	m.countArrival(c.priorityClass, now)
 	c.model, c.admitter = m, &m.admitter
 	c.returning = c.attempts.IsReturning(c.route.Name, now, c.timeout())
-	ended := func() { m.recordEnd(now, time.Now()) }
+	ended := func() { m.recordEnd(c.priorityClass, now, time.Now()) }
 	c.capacity = c.modelCapacity()
 	if c.capacity.Slots == 0 {
 		// Without an open group there are no slots to share. acquireUpstream then finds
@@ -49,9 +49,10 @@
 func (c *call) logRefused(now time.Time, d admitter.Decision) {
 	fields := logger.Fields{
 		"request": c.request.ID, "model": c.request.Model, "in_flight": d.InFlight, "limit": d.Limit, "slots": c.capacity.Slots,
-		"part": c.capacity.CallerShare, "returning": d.Returning, "outcome": "refused",
+		"part": c.capacity.CallerShare, "returning": d.Returning, "priority": c.priorityClass, "outcome": "refused",
 	}
 	if totalLoad := c.freshTotalLoad(now); totalLoad != nil {
+		fields["served_part"], fields["offered"] = d.ServedFraction, d.TotalLoad.Offered
 		fields["admitted_part"], fields["all_in_flight"], fields["all_returning"] = d.AdmittedFraction, d.TotalLoad.InFlight, d.TotalLoad.Returning
 		fields["asked"], fields["ended"], fields["mean_duration_ms"] = d.TotalLoad.ArrivalRate, d.TotalLoad.CompletionRate, d.TotalLoad.MeanDuration.Milliseconds()
 		fields["processes"], fields["crowd_age_ms"] = totalLoad.Processes, now.Sub(totalLoad.At).Milliseconds()
@@ -77,8 +78,8 @@
 	total := usable*slots + cold*coldSlots(slots, selection.ColdRate, meanDuration)
 	return c.admitter.AdmitByTotalLoad(admitter.Capacity{Slots: total}, admitter.TotalLoad{
 		InFlight: float64(inFlight + coldInFlight - returning), Returning: float64(returning), ArrivalRate: demand.ArrivalRate, CompletionRate: demand.CompletionRate,
-		MeanDuration: meanDuration,
-	}, c.returning)
+		MeanDuration: meanDuration, Offered: demand.Offered,
+	}, c.priorityClass, c.returning)
 }
 
 // coldSlots returns how many slots of a cold upstream are in use at most, where requests
@@ -97,17 +98,27 @@
 	}
 }
 
-// priority returns the priority of the next send at its upstream. resent is true if
-// the request was sent before or resumes a stream.
-func (c *call) priority(resent bool) int {
+// sendPriority returns the priority of the next send at its upstream. resent is true if the
+// request was sent before or resumes a stream. What runs already goes first, then the most
+// urgent requests of the model, then less urgent ones, and then those that return.
+func (c *call) sendPriority(resent bool) int {
+	priority := _priorityUsual
 	switch {
 	case resent:
 		return _priorityResumed
 	case c.returning:
-		return _priorityReturning
-	default:
-		return _priorityUsual
+		priority = _priorityReturning
 	}
+	if c.isLessUrgent(time.Now()) {
+		priority++
+	}
+	return priority
+}
+
+// isLessUrgent reports whether callers ask for the request's model with a higher priority.
+func (c *call) isLessUrgent(now time.Time) bool {
+	totalLoad := c.freshTotalLoad(now)
+	return totalLoad != nil && totalLoad.Demand[c.modelKey()].Offered.HasMoreUrgent(c.priorityClass)
 }
 
 // modelCapacity returns the slots of the open groups of the request's model, and the
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -18,6 +18,7 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
 	"github.com/lycheebarrow/lycheebarrow/internal/forwarder"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/prioritiser"
 	"github.com/lycheebarrow/lycheebarrow/internal/quarantiner"
 	"github.com/lycheebarrow/lycheebarrow/internal/reserver"
 	"github.com/lycheebarrow/lycheebarrow/internal/screener"
@@ -144,6 +145,8 @@
 	service   cataloguer.Service
 	// organisation is empty if the route needs no key.
 	organisation string
+	// priorityClass is the priority of the organisation, or else of the route.
+	priorityClass int
 	// version is the version of the configuration.
 	version uint64
 	body    []byte
@@ -276,8 +279,12 @@
 		c.fail(http.StatusUnauthorized, "unknown-key")
 		return false
 	}
+	c.priorityClass = prioritiser.Class(c.route.Priority)
 	if o != nil {
 		c.organisation = o.Name
+		if o.HasPriority {
+			c.priorityClass = prioritiser.Class(o.Priority)
+		}
 	}
 	c.service = configuration.Services[c.route.PickService(rand.Float64())]
 	limit := configuration.Limits.BodyBytes
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -123,7 +123,7 @@
 	c.sentAt, c.sendEvents, c.brokenOff = time.Now(), 0, false
 	c.tried = append(c.tried, u.ID)
 	h := c.Protocol.Forward(c.r.Header, Forward{
-		TimeLeft: time.Until(c.deadline), Upstream: u.ID, Organisation: c.organisation, LastEvent: lastEvent, Priority: c.priority(lastEvent > 0 || c.sends > 1),
+		TimeLeft: time.Until(c.deadline), Upstream: u.ID, Organisation: c.organisation, LastEvent: lastEvent, Priority: c.sendPriority(lastEvent > 0 || c.sends > 1),
 	})
 	x, err := c.Pool.Send(ctx, u.Address, &forwarder.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: h, Body: c.body,
--- a/internal/relayer/total_load.go
+++ b/internal/relayer/total_load.go
@@ -1,17 +1,23 @@
 package relayer
 
 import (
+	"cmp"
 	"sync/atomic"
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/admitter"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/prioritiser"
 	"github.com/lycheebarrow/lycheebarrow/internal/sharer"
 )
 
 const (
 	// _demandTimeConstant is the time constant of the request rates of a model.
 	_demandTimeConstant = time.Second
+	// _initialDuration is the assumed duration of requests before one has ended.
+	_initialDuration = 500 * time.Millisecond
+	// _minOffered is the work, in slots, below which a priority counts as not asked for.
+	_minOffered = 1e-4
 	// _totalLoadLifetime is the age up to which the total load, the load of all
 	// processes, is used.
 	_totalLoadLifetime = 1500 * time.Millisecond
@@ -36,6 +42,8 @@
 	// arrivals counts all requests, and completions the admitted ones that have ended.
 	arrivals    rateMeter
 	completions rateMeter
+	// priorities counts the requests of each priority.
+	priorities [prioritiser.Priorities]priorityState
 	// returning counts the admitted requests that were refused before and wait for
 	// their first event.
 	returning atomic.Int64
@@ -44,21 +52,58 @@
 	meanDuration atomic.Int64
 }
 
+// priorityState is the state of the requests of one priority.
+type priorityState struct {
+	arrivals     rateMeter
+	meanDuration atomic.Int64 // as in modelState
+}
+
+// countArrival counts a request that arrives.
+func (m *modelState) countArrival(priority int, now time.Time) {
+	m.arrivals.count(now)
+	m.priorities[priority].arrivals.count(now)
+}
+
+// offered returns the work that callers ask for by priority.
+func (m *modelState) offered(now time.Time) prioritiser.Demand {
+	var out prioritiser.Demand
+	for p := range m.priorities {
+		x := &m.priorities[p]
+		duration := time.Duration(cmp.Or(x.meanDuration.Load(), m.meanDuration.Load(), int64(_initialDuration)))
+		if work := x.arrivals.rate(now) * duration.Seconds(); work >= _minOffered {
+			out[p] = work
+		}
+	}
+	return out
+}
+
 // recordEnd counts the end of an admitted request and adds its duration to the
 // average.
-func (m *modelState) recordEnd(began, now time.Time) {
+func (m *modelState) recordEnd(priority int, began, now time.Time) {
 	m.completions.count(now)
-	took, mean := int64(now.Sub(began)), m.meanDuration.Load()
-	if mean > 0 {
-		took = mean + (took-mean)/_durationSmoothing
+	average(&m.meanDuration, now.Sub(began))
+	average(&m.priorities[priority].meanDuration, now.Sub(began))
+}
+
+// average adds a duration to a moving average.
+func average(mean *atomic.Int64, d time.Duration) {
+	took, before := int64(d), mean.Load()
+	if before > 0 {
+		took = before + (took-before)/_durationSmoothing
 	}
 	// Load and Store are not atomic together: of two requests that end at the same
 	// time, one may be missing from the average.
-	m.meanDuration.Store(max(took, 1))
+	mean.Store(max(took, 1))
 }
 
 func newModelState() *modelState {
-	return &modelState{arrivals: rateMeter{timeConstant: _demandTimeConstant}, completions: rateMeter{timeConstant: _demandTimeConstant}}
+	m := &modelState{
+		arrivals: rateMeter{timeConstant: _demandTimeConstant}, completions: rateMeter{timeConstant: _demandTimeConstant},
+	}
+	for p := range m.priorities {
+		m.priorities[p].arrivals.timeConstant = _demandTimeConstant
+	}
+	return m
 }
 
 // OwnLoad returns the load of this process.
@@ -74,7 +119,7 @@
 	}
 	s.models.Range(func(key, value any) bool {
 		m := value.(*modelState)
-		d := sharer.Demand{ArrivalRate: m.arrivals.rate(now), CompletionRate: m.completions.rate(now), Returning: int(m.returning.Load())}
+		d := sharer.Demand{ArrivalRate: m.arrivals.rate(now), CompletionRate: m.completions.rate(now), Returning: int(m.returning.Load()), Offered: m.offered(now)}
 		out.Demand[key.(sharer.ModelKey)] = d
 		return true
 	})
--- a/internal/sharer/codec.go
+++ b/internal/sharer/codec.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/enumerator"
+	"github.com/lycheebarrow/lycheebarrow/internal/prioritiser"
 	"github.com/lycheebarrow/lycheebarrow/internal/reflector"
 	"github.com/lycheebarrow/lycheebarrow/internal/screener"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
@@ -18,7 +19,7 @@
 		}
 	}
 	for k, d := range l.Demand {
-		r.Demands = append(r.Demands, &wire.ModelDemand{Service: k.Service, Model: k.Model, Asked: d.ArrivalRate, Ended: d.CompletionRate, Late: uint32(max(d.Returning, 0))})
+		r.Demands = append(r.Demands, &wire.ModelDemand{Service: k.Service, Model: k.Model, Asked: d.ArrivalRate, Ended: d.CompletionRate, Late: uint32(max(d.Returning, 0)), Offered: encodeOffered(d.Offered)})
 	}
 	for x, n := range l.SilentHeads {
 		r.Silences = append(r.Silences, &wire.Silence{Upstream: x.Upstream, Epoch: x.Epoch, Processes: uint32(n)})
@@ -30,6 +31,16 @@
 	return r
 }
 
+// encodeOffered returns the work by priority, without the priorities after the last that
+// callers ask for.
+func encodeOffered(d prioritiser.Demand) []float64 {
+	n := len(d)
+	for n > 0 && d[n-1] == 0 {
+		n--
+	}
+	return d[:n]
+}
+
 // encodeActivity returns the activity of an upstream as a message carries it.
 func encodeActivity(l Load, upstream string) uint32 {
 	since, ok := l.Activity[upstream]
@@ -53,7 +64,9 @@
 		}
 	}
 	for _, x := range r.GetDemands() {
-		l.Demand[ModelKey{Service: x.GetService(), Model: x.GetModel()}] = Demand{ArrivalRate: x.GetAsked(), CompletionRate: x.GetEnded(), Returning: int(x.GetLate())}
+		d := Demand{ArrivalRate: x.GetAsked(), CompletionRate: x.GetEnded(), Returning: int(x.GetLate())}
+		copy(d.Offered[:], x.GetOffered())
+		l.Demand[ModelKey{Service: x.GetService(), Model: x.GetModel()}] = d
 	}
 	for _, x := range r.GetSilences() {
 		l.SilentHeads[SilentHead{Upstream: x.GetUpstream(), Epoch: x.GetEpoch()}] += int(x.GetProcesses())
--- a/internal/sharer/load.go
+++ b/internal/sharer/load.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"github.com/lycheebarrow/lycheebarrow/internal/prioritiser"
 	"github.com/lycheebarrow/lycheebarrow/internal/quarantiner"
 	"github.com/lycheebarrow/lycheebarrow/internal/screener"
 )
@@ -20,6 +21,8 @@
 	// ArrivalRate and CompletionRate are in requests per second. Refused requests
 	// count as arrivals only.
 	ArrivalRate, CompletionRate float64
+	// Offered is the work that callers ask for by priority.
+	Offered prioritiser.Demand
 	// Returning is the number of requests that were sent again after a refusal and wait
 	// for their first event.
 	Returning int
@@ -90,7 +93,10 @@
 	}
 	for k, d := range o.Demand {
 		sum := l.Demand[k]
-		l.Demand[k] = Demand{ArrivalRate: sum.ArrivalRate + d.ArrivalRate, CompletionRate: sum.CompletionRate + d.CompletionRate, Returning: sum.Returning + d.Returning}
+		l.Demand[k] = Demand{
+			ArrivalRate: sum.ArrivalRate + d.ArrivalRate, CompletionRate: sum.CompletionRate + d.CompletionRate, Returning: sum.Returning + d.Returning,
+			Offered: sum.Offered.Add(d.Offered),
+		}
 	}
 	for id, since := range o.Activity {
 		if known, ok := l.Activity[id]; !ok || since+age < known {
