--- /dev/null
+++ b/internal/composer/relayer.go
@@ -0,0 +1,142 @@
+package composer
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/fx"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/balancer"
+	"github.com/lycheebarrow/lycheebarrow/internal/budgeter"
+	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
+	"github.com/lycheebarrow/lycheebarrow/internal/drainer"
+	"github.com/lycheebarrow/lycheebarrow/internal/enumerator"
+	"github.com/lycheebarrow/lycheebarrow/internal/forwarder"
+	"github.com/lycheebarrow/lycheebarrow/internal/loader"
+	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/meter"
+	"github.com/lycheebarrow/lycheebarrow/internal/pauser"
+	"github.com/lycheebarrow/lycheebarrow/internal/relayer"
+	"github.com/lycheebarrow/lycheebarrow/internal/screener"
+)
+
+const (
+	// _memoryPerBodyMemory divides an instance's memory limit; the result is the memory of
+	// callers' request bodies. The garbage collector lets the memory of bodies that were
+	// read and refused pile up to several times as much.
+	_memoryPerBodyMemory = 8
+	// _callersPerDescriptor divides an instance's descriptors; the result is the largest
+	// number of callers' connections. The others are for upstreams, peers and the store.
+	_callersPerDescriptor = 2
+	// _cleanUpInterval is the time between two checks for connections to close and data
+	// to remove.
+	_cleanUpInterval = time.Second
+)
+
+// buildRelayer builds the relayer, its balancer, retry budget and watchdog, and the server
+// for callers.
+func buildRelayer(k *kernel) error {
+	f := &finder{kernel: k}
+	a := find[Adapter](f, NameAdapter)
+	c := find[*cataloguer.Catalogue](f, NameCatalogue)
+	m := find[*meter.Meter](f, NameMeter)
+	r := find[*Reloader](f, NameReloader)
+	e := find[*enumerator.Enumerator](f, NameEnumerator)
+	sc := find[*screener.Screener](f, NameScreener)
+	if f.err != nil {
+		return f.err
+	}
+	b := &balancer.Balancer{}
+	if err := m.RegisterGauge("in_flight", "Requests that hold a slot at an upstream.", b.InFlight); err != nil {
+		return err
+	}
+	if err := m.RegisterGauge("models_without_group", "Models that no open group serves, in the latest fleet.", c.ModelsWithoutGroup); err != nil {
+		return err
+	}
+	if err := registerScreenerGauges(m, sc, c); err != nil {
+		return err
+	}
+	rl := &relayer.Relayer{
+		Catalogue: c, Protocol: a.Protocol, Pool: &forwarder.Pool{Network: k.network}, Balancer: b, Screener: sc,
+		Budget: &budgeter.Budget{SlackFrom: time.Now().Add(k.settings.RetryWindow())},
+		Log:    k.log, Meter: m, DataCentre: k.settings.DataCentre(), Watchdog: &relayer.Watchdog{Balancer: b, Log: k.log},
+	}
+	if err := m.RegisterGauge("quarantined_parts", "Parts of prompts that are not sent, since upstreams crash under them.", rl.Quarantine.Count); err != nil {
+		return err
+	}
+	rl.Bodies.Limit = k.settings.MemoryLimit() / _memoryPerBodyMemory
+	rl.CallerShare = func() float64 { return callerShare(e) }
+	rl.StartsUntil = time.Now().Add(_startTime)
+	if k.settings.PeerListen() == "" {
+		e.RequestRate = rl.RequestRate
+	}
+	settings := &atomic.Pointer[loader.Settings]{}
+	settings.Store(&k.settings)
+	r.onReload(func(next loader.Settings) { settings.Store(&next) })
+	l, err := k.listen("callers", k.settings.CallersListen())
+	if err != nil {
+		return err
+	}
+	k.run(rl.Watchdog.Run)
+	k.run(func(ctx context.Context) {
+		share, logged := &budgeter.Share{}, -1.0
+		for next := settings.Load(); ; next = settings.Load() {
+			share.Window = next.RetryWindow()
+			slack := retrySlack(next.RetrySlack(), e, share, time.Now())
+			rl.Budget.Configure(next.RetryWindow(), next.RetryRatio(), slack)
+			if slack != logged {
+				k.log.Event("retry-slack", logger.Fields{"slack": slack, "before": max(logged, 0), "of": next.RetrySlack(), "instances": e.Count()})
+				logged = slack
+			}
+			if !pauser.Pause(ctx, _cleanUpInterval) {
+				return
+			}
+			cleanUp(rl.Pool, b, c, time.Now())
+			sc.SetProcesses(processNames(e.Members()), time.Now())
+			rl.ExpireTotalLoad(time.Now())
+		}
+	})
+	k.lifecycle.Append(fx.StopHook(rl.Pool.Close))
+	d := &drainer.Drainer{Limit: k.settings.DescriptorsLimit() / _callersPerDescriptor}
+	if err := registerCallerGauges(m, &rl.Bodies, d); err != nil {
+		return err
+	}
+	k.serveLimited("callers", l, rl, d, nil)
+	return k.services.Register(NameRelayer, rl)
+}
+
+// counter counts the running instances.
+type counter interface {
+	Count() int
+	Counted() bool
+}
+
+// retrySlack returns this instance's part of a slack that all instances share. Until the
+// instances have been counted it is 0, since an assumed number may be far too small.
+func retrySlack(total float64, c counter, s *budgeter.Share, now time.Time) float64 {
+	if !c.Counted() {
+		return 0
+	}
+	return s.Of(total, c.Count(), now)
+}
+
+// callerShare returns the fraction of all callers that this process serves. Until the
+// loads are known, it assumes more than an even share, since callers are distributed
+// unevenly.
+func callerShare(e *enumerator.Enumerator) float64 {
+	const maxImbalance = 3 // times an even share
+	if share, ok := e.Share(); ok {
+		return share
+	}
+	return min(1, maxImbalance/float64(e.Count()))
+}
+
+// cleanUp closes expired connections and removes the balancer's data of upstreams that
+// are no longer listed.
+func cleanUp(p *forwarder.Pool, b *balancer.Balancer, c *cataloguer.Catalogue, now time.Time) {
+	p.CloseExpired(now)
+	if f := c.Fleet(); f != nil {
+		b.Forget(f)
+	}
+}
