--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -126,7 +126,9 @@
 type Screener interface {
 	// Evacuated returns the evacuated data centres.
 	Evacuated() map[string]bool
-	// IsLeaving reports whether an upstream has announced that it is leaving.
+	// HasDepartures reports whether any upstream has announced that it is leaving, and
+	// IsLeaving whether that one has.
+	HasDepartures() bool
 	IsLeaving(u *cataloguer.Upstream) bool
 	// RecordLeaving records that an upstream is leaving, and reports whether that is new.
 	RecordLeaving(life screener.Life, source screener.Source, now time.Time) bool
--- a/internal/conductor/departures.go
+++ b/internal/conductor/departures.go
@@ -21,7 +21,7 @@
 // withDepartures returns the fleet in which the upstreams that announced in a response that
 // they are leaving are draining, although the platform's list may not show it yet.
 func (c *Conductor) withDepartures(fleet *cataloguer.Fleet) *cataloguer.Fleet {
-	if c.Screener == nil {
+	if c.Screener == nil || !c.Screener.HasDepartures() {
 		return fleet
 	}
 	var all map[string]cataloguer.Upstream
--- a/internal/relayer/notices.go
+++ b/internal/relayer/notices.go
@@ -19,7 +19,6 @@
 			"request": c.request.ID, "upstream": u.ID, "service": u.Service, "data_centre": u.DataCentre, "source": screener.SourceResponse, "age_ms": 0,
 			"outcome": "no new requests",
 		})
-		c.reportDeparture(u.ID)
 	}
 	if status != http.StatusServiceUnavailable {
 		return
@@ -36,13 +35,6 @@
 	}
 }
 
-// reportDeparture has the decisions about groups take notice of an upstream's departure.
-func (s *Relayer) reportDeparture(upstream string) {
-	if s.OnDeparture != nil {
-		s.OnDeparture(upstream)
-	}
-}
-
 // receiveDepartures takes the departures that other processes saw.
 func (s *Relayer) receiveDepartures(departures map[screener.Life]bool, age time.Duration, now time.Time) {
 	for life := range departures {
@@ -52,6 +44,5 @@
 		s.Log.Event("upstream-leaving", logger.Fields{
 			"upstream": life.Upstream, "source": screener.SourcePeer, "age_ms": age.Milliseconds(), "outcome": "no new requests",
 		})
-		s.reportDeparture(life.Upstream)
 	}
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -67,10 +67,6 @@
 	// 0 to 1. It may be nil if there are no other processes.
 	CallerShare func() float64
 
-	// OnDeparture is called when an upstream is first found to be leaving. It may be nil,
-	// and must not block.
-	OnDeparture func(upstream string)
-
 	// Quarantine keeps prompts that crash upstreams from being sent.
 	Quarantine quarantiner.Quarantiner
 
--- a/internal/screener/notices.go
+++ b/internal/screener/notices.go
@@ -97,6 +97,13 @@
 	})
 }
 
+// HasDepartures reports whether any upstream has announced in a response that it is leaving.
+func (s *Screener) HasDepartures() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.departures.byLife) > 0
+}
+
 // RecordLeaving records that an upstream is leaving, and reports whether that is new.
 func (s *Screener) RecordLeaving(life Life, source Source, now time.Time) bool {
 	s.mu.Lock()
@@ -120,6 +127,7 @@
 
 // wait is a time in which an upstream wants no requests of this process.
 type wait struct {
+	life         Life
 	since, until time.Time
 }
 
@@ -131,8 +139,8 @@
 	d += time.Duration(random * float64(min(time.Duration(_waitSpread*float64(d)), _maxWaitSpread)))
 	until := now.Add(d)
 	w, ok := s.waits[u.ID]
-	if !ok || !now.Before(w.until) {
-		w = wait{since: now}
+	if !ok || w.life != LifeOf(u) || !now.Before(w.until) {
+		w = wait{life: LifeOf(u), since: now}
 	}
 	if s.waits == nil {
 		s.waits = make(map[string]wait)
--- a/internal/screener/screener.go
+++ b/internal/screener/screener.go
@@ -170,7 +170,7 @@
 	if d, ok := s.departures.find(u); ok {
 		return Verdict{State: StateLeaving, Source: d.source, Since: d.since}
 	}
-	if w, ok := s.waits[u.ID]; ok && now.Before(w.until) {
+	if w, ok := s.waits[u.ID]; ok && w.life == LifeOf(u) && now.Before(w.until) {
 		return Verdict{State: StateWaiting, Source: SourceResponse, Since: w.since, Until: w.until}
 	}
 	if p, ok := s.coldPhase(u); ok && now.Before(p.until) {
