--- a/internal/composer/reload_test.go
+++ b/internal/composer/reload_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"os"
 	"path/filepath"
+	"runtime"
 	"syscall"
 	"testing"
 
@@ -24,7 +25,11 @@
 	// The pipe opens once the settings are being read.
 	f, err := os.OpenFile(file, os.O_WRONLY, 0)
 	require.NoError(t, err)
-	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	// A signal to this thread is handled before the call returns. One to the process may be
+	// handled by another thread later, when RunInstance has returned and its handler is gone.
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	require.NoError(t, syscall.Tgkill(os.Getpid(), syscall.Gettid(), syscall.SIGHUP))
 	_, err = f.WriteString("unknown-setting = 1\n")
 	require.NoError(t, err)
 	require.NoError(t, f.Close())
