internal/screener: processes keep together to the limit that an upstream states

What was seen: an upstream in need states in Server-Limit how many requests per second it takes from all instances together, and got more than one and a half times that and 5 in 4 s.

Cause: nothing read the header, so only the balancer's division kept to a limit, by chance.

Admission counts a limited upstream with limit x mean duration slots, as a cold one; these are now summed as fractions, since many upstreams with less than one slot each count as well.

The choice of senders keeps the rank of a process for each upstream, since their number differs between limits, and does not sort the list of processes where it has not changed.

--- a/internal/composer/relayer.go
+++ b/internal/composer/relayer.go
@@ -92,7 +92,7 @@
 			if !pauser.Pause(ctx, _cleanUpInterval) {
 				return
 			}
-			cleanUp(rl.Pool, b, c, time.Now())
+			cleanUp(rl, c, time.Now())
 			sc.SetProcesses(processNames(e.Members()), time.Now())
 			rl.ExpireTotalLoad(time.Now())
 		}
@@ -132,11 +132,12 @@
 	return min(1, maxImbalance/float64(e.Count()))
 }
 
-// cleanUp closes expired connections and removes the balancer's data of upstreams that
-// are no longer listed.
-func cleanUp(p *forwarder.Pool, b *balancer.Balancer, c *cataloguer.Catalogue, now time.Time) {
-	p.CloseExpired(now)
+// cleanUp closes expired connections, and removes the balancer's data of upstreams that
+// are no longer listed and limits that are no longer stated.
+func cleanUp(rl *relayer.Relayer, c *cataloguer.Catalogue, now time.Time) {
+	rl.Pool.CloseExpired(now)
 	if f := c.Fleet(); f != nil {
-		b.Forget(f)
+		rl.Balancer.Forget(f)
+		rl.ForgetLimits(f, now)
 	}
 }
--- a/internal/composer/screener.go
+++ b/internal/composer/screener.go
@@ -11,15 +11,15 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/screener"
 )
 
-// _coldStartDelay is how long after its start a process sends no requests to cold upstreams:
-// other processes may learn of it that much later, and an earlier run of it may just have
+// _limitedStartDelay is how long after its start a process sends no requests to cold and
+// limited upstreams: other processes may learn of it that much later, and an earlier run of it may just have
 // sent some.
-const _coldStartDelay = 6 * time.Second
+const _limitedStartDelay = 6 * time.Second
 
 // buildScreener builds the screener, which decides which upstreams may take requests.
 func buildScreener(k *kernel) error {
 	s := &screener.Screener{
-		Name: k.settings.Name(), ColdFrom: time.Now().Add(_coldStartDelay),
+		Name: k.settings.Name(), LimitedFrom: time.Now().Add(_limitedStartDelay),
 		ColdLimit: screener.ColdLimit{Overage: k.settings.ColdOverage(), Slack: k.settings.ColdSlack()},
 	}
 	return k.services.Register(NameScreener, s)
@@ -82,6 +82,7 @@
 		state             screener.State
 		name, description string
 	}{
+		{screener.StateLimited, "upstreams_limited", "Upstreams that state how many requests they take."},
 		{screener.StateCold, "upstreams_cold", "Upstreams that take requests at a limited rate, since they are cold."},
 		{screener.StateWaiting, "upstreams_waiting", "Upstreams that asked this process to wait."},
 		{screener.StateLeaving, "upstreams_leaving", "Upstreams that are leaving."},
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -29,6 +29,7 @@
 	requests      metric.Int64Counter
 	refusals      metric.Int64Counter
 	invalidWaits  metric.Int64Counter
+	invalidLimits metric.Int64Counter
 	probes        metric.Int64Counter
 	platformCalls metric.Int64Counter
 	firstToken    metric.Float64Histogram
@@ -55,6 +56,7 @@
 		{&m.requests, "requests", "Requests of callers that ended, by organisation and outcome."},
 		{&m.refusals, "refusals", "Requests refused, by code."},
 		{&m.invalidWaits, "invalid_waits", "Responses of upstreams with a Retry-After that can't be read."},
+		{&m.invalidLimits, "invalid_limits", "Responses of upstreams that state a limit that can't be read."},
 		{&m.probes, "probes", "Probes of instances, by result."},
 		{&m.platformCalls, "platform_calls", "Calls of the platform's object API, by call and result."},
 	}
@@ -125,6 +127,13 @@
 	}
 }
 
+// CountInvalidLimit counts a response of an upstream that states a limit that can't be read.
+func (m *Meter) CountInvalidLimit() {
+	if m.invalidLimits != nil {
+		m.invalidLimits.Add(context.Background(), 1)
+	}
+}
+
 // ObserveFirstToken records the time from a request's arrival to the first token of its
 // streamed answer.
 func (m *Meter) ObserveFirstToken(organisation string, delay time.Duration) {
--- a/internal/relayer/admission.go
+++ b/internal/relayer/admission.go
@@ -1,11 +1,13 @@
 package relayer
 
 import (
+	"math"
 	"net/http"
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/admitter"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/screener"
 )
 
 // admit decides whether the request may use the slots of its model's groups. If
@@ -69,26 +71,30 @@
 	}
 	selection, slots := c.selection(now)
 	usable, inFlight := c.Balancer.Usable(selection.Serving, now)
-	cold, coldInFlight := c.Balancer.Usable(selection.Cold, now)
+	bounded, boundedInFlight := c.Balancer.Usable(selection.Bounded, now)
 	demand := totalLoad.Demand[c.modelKey()]
 	// The total load includes the returning requests that this process counted at the
 	// last exchange. The current count replaces that count.
 	returning := max(demand.Returning-totalLoad.OwnLoad.Demand[c.modelKey()].Returning, 0) + int(c.model.returning.Load())
 	meanDuration := time.Duration(c.model.meanDuration.Load())
-	total := usable*slots + cold*coldSlots(slots, selection.ColdRate, meanDuration)
+	total := usable*slots + boundedSlots(selection, bounded, slots, meanDuration)
 	return c.admitter.AdmitByTotalLoad(admitter.Capacity{Slots: total}, admitter.TotalLoad{
-		InFlight: float64(inFlight + coldInFlight - returning), Returning: float64(returning), ArrivalRate: demand.ArrivalRate, CompletionRate: demand.CompletionRate,
+		InFlight: float64(inFlight + boundedInFlight - returning), Returning: float64(returning), ArrivalRate: demand.ArrivalRate, CompletionRate: demand.CompletionRate,
 		MeanDuration: meanDuration, Offered: demand.Offered,
 	}, c.priorityClass, c.returning)
 }
 
-// coldSlots returns how many slots of a cold upstream are in use at most, where requests
-// come at rate per second.
-func coldSlots(slots int, rate float64, meanDuration time.Duration) int {
+// boundedSlots returns how many slots of the cold and limited upstreams are in use at most,
+// by the rates at which requests come, if count of them are usable.
+func boundedSlots(s screener.Selection, count, slots int, meanDuration time.Duration) int {
 	if meanDuration <= 0 {
-		return slots
+		return count * slots
 	}
-	return min(slots, int(rate*meanDuration.Seconds()))
+	sum := 0.0
+	for _, rate := range s.Rates {
+		sum += min(float64(slots), rate*meanDuration.Seconds())
+	}
+	return int(math.Ceil(sum * float64(count) / float64(max(len(s.Rates), 1))))
 }
 
 // endReturningWait records that a returning request no longer waits for its first event.
@@ -130,7 +136,7 @@
 	}
 	if c.Catalogue.Fleet() != nil && c.service.Engine != nil {
 		selection, slots := c.selection(time.Now())
-		capacity.Slots = (len(selection.Serving) + len(selection.Cold)) * slots
+		capacity.Slots = (len(selection.Serving) + len(selection.Bounded)) * slots
 	}
 	return capacity
 }
--- a/internal/relayer/protocol.go
+++ b/internal/relayer/protocol.go
@@ -66,6 +66,11 @@
 	Wait time.Duration
 	// WaitInvalid is true if the response states a wait that can't be read.
 	WaitInvalid bool
+	// Limit is the number of requests per second that the upstream takes from all processes
+	// together, if LimitStated is true. LimitInvalid is true if it states one that can't be
+	// read.
+	Limit                     float64
+	LimitStated, LimitInvalid bool
 }
 
 // Protocol reads and writes the headers of callers and upstreams.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -44,6 +44,8 @@
 	CountRefusal(code string)
 	// CountInvalidWait counts a response that asks to wait for a time that can't be read.
 	CountInvalidWait()
+	// CountInvalidLimit counts a response that states a limit that can't be read.
+	CountInvalidLimit()
 }
 
 // Relayer is the HTTP handler for the requests of callers. Set its exported fields
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -53,8 +53,8 @@
 	return u, reason
 }
 
-// acquireFrom acquires a slot at a candidate of the selection. A cold candidate may have
-// reached its limit since the selection was made; another one is then chosen.
+// acquireFrom acquires a slot at a candidate of the selection. A cold or limited candidate may
+// have reached its limit since the selection was made; another one is then chosen.
 func (c *call) acquireFrom(s screener.Selection, limit int, now time.Time) (cataloguer.Upstream, balancer.Reason) {
 	exclude := c.tried
 	for {
@@ -76,8 +76,16 @@
 	if upstreams, _ := c.upstreams(); len(upstreams) == 0 {
 		return balancer.ReasonNone
 	}
-	if s.Excluded == screener.StateWaiting {
+	switch s.Excluded {
+	case screener.StateWaiting:
 		c.freeAt = s.FreeAt
+	case screener.StateLimited:
+		// Other callers take the next turns, so retries are spread as after any refusal.
+		if at := time.Now().Add(c.retryAfter()); at.After(s.FreeAt) {
+			c.freeAt = at
+		} else {
+			c.freeAt = s.FreeAt
+		}
 	}
 	return balancer.Reason(s.Excluded.String())
 }
--- a/internal/relayer/total_load.go
+++ b/internal/relayer/total_load.go
@@ -112,7 +112,7 @@
 	out := sharer.Load{
 		InFlight: s.Balancer.InFlightByUpstream(), Activity: s.Balancer.Activity(now),
 		Demand: make(map[sharer.ModelKey]sharer.Demand), SilentHeads: make(map[sharer.SilentHead]int),
-		Evidence: s.Quarantine.Share(now), Departures: s.Screener.RecentDepartures(now),
+		Evidence: s.Quarantine.Share(now), Departures: s.Screener.RecentDepartures(now), Limits: s.Screener.OwnLimits(now),
 	}
 	for id, epoch := range s.Balancer.SilentEpochs(now) {
 		out.SilentHeads[sharer.SilentHead{Upstream: id, Epoch: epoch}] = 1
@@ -144,6 +144,7 @@
 	now := time.Now()
 	s.receiveEvidence(total.Evidence, now)
 	s.receiveDepartures(total.Departures, now.Sub(total.At), now)
+	s.receiveLimits(total.Limits, now.Sub(total.At), now)
 	for head, n := range total.SilentHeads {
 		if n <= total.OwnLoad.SilentHeads[head] || !s.Balancer.MarkSilentByPeer(head.Upstream, head.Epoch, now) {
 			continue
--- /dev/null
+++ b/internal/screener/limits.go
@@ -0,0 +1,314 @@
+package screener
+
+import (
+	"maps"
+	"time"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
+)
+
+const (
+	// _limitLifetime is how long a limit holds after the newest evidence of it. It is a
+	// multiple of _maxSendInterval, so that a sender that fails does not end it.
+	_limitLifetime = time.Minute
+	// _limitEndShareTime is how long the end of a limit is told to other processes.
+	_limitEndShareTime = 10 * time.Second
+	// _peerAgeError is the error of the age of a peer's evidence at most, which lacks the
+	// time on the way.
+	_peerAgeError = 300 * time.Millisecond
+	// _maxLimits is the largest number of limits that are remembered.
+	_maxLimits = 8192
+	// _limitChange is the change of a limit, as a fraction, that is reported.
+	_limitChange = 0.1
+
+	// _spareLimitSenders is the number of senders beyond one for each request per second of
+	// the limit: some may have failed or have no callers.
+	_spareLimitSenders = 3
+	_maxLimitSenders   = 16
+	// _sendTolerance is the fraction of the interval between two requests by which a
+	// sender that was late may send the next ones early, and _minSendTolerance the shortest
+	// such time: requests don't arrive evenly.
+	_sendTolerance    = 0.25
+	_minSendTolerance = 200 * time.Millisecond
+	// _maxSendInterval is the longest interval between two requests of a sender. An
+	// upstream that takes no requests gets some, so that the end of its limit is noticed.
+	_maxSendInterval = 30 * time.Second
+)
+
+// LimitNotice is evidence of the limit of an upstream: the requests per second that it takes
+// from all processes together, or that it states none.
+type LimitNotice struct {
+	// Rate is in requests per second; it has no meaning if Ended is true.
+	Rate  float64
+	Ended bool
+	// Age is the time since the evidence.
+	Age time.Duration
+}
+
+// LimitChange is what a piece of evidence changes about the limit of an upstream.
+type LimitChange int
+
+// Changes of a limit. A change of a few per cent is not reported.
+const (
+	LimitUnchanged LimitChange = iota
+	LimitBegun
+	LimitChanged
+	LimitEnded
+)
+
+// String returns the name of the change as logs show it.
+func (c LimitChange) String() string {
+	return [...]string{"unchanged", "begun", "changed", "ended"}[c]
+}
+
+// limit is the newest evidence of the limit of an upstream.
+type limit struct {
+	rate   float64
+	ended  bool
+	source Source
+	// since is when the limit began or ended, and at the time of the newest evidence.
+	since, at time.Time
+	// reported is the rate that was last reported as begun or changed.
+	reported float64
+	// lastSend is from when the interval until this process's next request counts.
+	lastSend time.Time
+}
+
+func (l *limit) isInForce(now time.Time) bool {
+	return !l.ended && now.Sub(l.at) < _limitLifetime
+}
+
+// interval returns the time between two requests of one of count senders.
+func (l *limit) interval(count int) time.Duration {
+	if l.rate*_maxSendInterval.Seconds() <= float64(count) {
+		return _maxSendInterval
+	}
+	return time.Duration(float64(count) / l.rate * float64(time.Second))
+}
+
+// tolerance returns how much earlier than the interval says one of count senders may send.
+func (l *limit) tolerance(count int) time.Duration {
+	return max(time.Duration(_sendTolerance*float64(l.interval(count))), _minSendTolerance)
+}
+
+// senders returns the number of processes that send requests to the upstream, of count.
+func (l *limit) senders(count int) int {
+	if l.rate >= _maxLimitSenders-_spareLimitSenders {
+		return min(count, _maxLimitSenders)
+	}
+	return min(count, int(l.rate)+_spareLimitSenders)
+}
+
+// limits holds the evidence of upstreams that state a limit, or did lately.
+type limits struct {
+	byLife map[Life]*limit
+}
+
+// find returns the limit of an upstream that is in force, or nil.
+func (l *limits) find(u *cataloguer.Upstream, now time.Time) *limit {
+	if len(l.byLife) == 0 {
+		return nil
+	}
+	if x := l.byLife[LifeOf(u)]; x != nil && x.isInForce(now) {
+		return x
+	}
+	return nil
+}
+
+// begin records a stated limit.
+func (l *limits) begin(life Life, rate float64, source Source, at, now time.Time) LimitChange {
+	x := l.byLife[life]
+	if x == nil || !x.isInForce(now) {
+		l.insert(life, &limit{rate: rate, source: source, since: now, at: at, reported: rate})
+		return LimitBegun
+	}
+	x.rate, x.source, x.at = rate, source, at
+	if difference := rate - x.reported; difference > _limitChange*x.reported || -difference > _limitChange*x.reported {
+		x.reported = rate
+		return LimitChanged
+	}
+	return LimitUnchanged
+}
+
+// end records that an upstream states no limit any more.
+func (l *limits) end(life Life, source Source, at, now time.Time) LimitChange {
+	x := l.byLife[life]
+	if x == nil {
+		return LimitUnchanged
+	}
+	wasInForce := x.isInForce(now)
+	if wasInForce {
+		x.since = now
+	}
+	x.ended, x.source, x.at = true, source, at
+	if wasInForce {
+		return LimitEnded
+	}
+	return LimitUnchanged
+}
+
+func (l *limits) insert(life Life, x *limit) {
+	if l.byLife == nil {
+		l.byLife = make(map[Life]*limit)
+	}
+	if _, ok := l.byLife[life]; !ok && len(l.byLife) >= _maxLimits {
+		l.dropOldest()
+	}
+	l.byLife[life] = x
+}
+
+func (l *limits) dropOldest() {
+	var oldest Life
+	var at time.Time
+	for life, x := range l.byLife {
+		if at.IsZero() || x.at.Before(at) {
+			oldest, at = life, x.at
+		}
+	}
+	delete(l.byLife, oldest)
+}
+
+// RecordLimit records that an upstream stated a limit in a response to this process.
+func (s *Screener) RecordLimit(life Life, rate float64, now time.Time) LimitChange {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change := s.limits.begin(life, rate, SourceResponse, now, now)
+	s.startSending(life, change, now)
+	return change
+}
+
+// RecordNoLimit records that an upstream stated no limit in the response to a request of
+// this process that was sent at the given time. A request that was sent before the newest
+// evidence of a limit does not end it.
+func (s *Screener) RecordNoLimit(life Life, sentAt, now time.Time) LimitChange {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x := s.limits.byLife[life]
+	if x == nil || !sentAt.After(x.at) || x.ended && now.Sub(x.since) >= _limitEndShareTime {
+		return LimitUnchanged
+	}
+	return s.limits.end(life, SourceResponse, now, now)
+}
+
+// ReceiveLimit records what another process saw of an upstream's limit. Evidence that is not
+// newer than that of this process changes nothing.
+func (s *Screener) ReceiveLimit(life Life, n LimitNotice, now time.Time) LimitChange {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := now.Add(-n.Age)
+	newest := time.Time{}
+	if x := s.limits.byLife[life]; x != nil {
+		newest = x.at
+		if x.source == SourceResponse {
+			newest = newest.Add(_peerAgeError)
+		}
+	}
+	if !at.After(newest) || n.Age >= _limitLifetime {
+		return LimitUnchanged
+	}
+	if n.Ended {
+		return s.limits.end(life, SourcePeer, at, now)
+	}
+	change := s.limits.begin(life, n.Rate, SourcePeer, at, now)
+	s.startSending(life, change, now)
+	return change
+}
+
+// startSending sets when this process may send its first request to an upstream whose limit
+// has begun: the senders begin one after the other. The caller holds the lock.
+func (s *Screener) startSending(life Life, change LimitChange, now time.Time) {
+	if change != LimitBegun {
+		return
+	}
+	x := s.limits.byLife[life]
+	count := max(x.senders(s.senders.count()), 1)
+	turn := float64(min(s.senders.rank(s.Name, life.Upstream), count-1)+1) / float64(count)
+	interval := x.interval(count)
+	x.lastSend = now.Add(-interval + time.Duration(turn*float64(interval)))
+}
+
+// OwnLimits returns the limits, and the recent ends of limits, of which this process itself
+// had the newest evidence.
+func (s *Screener) OwnLimits(now time.Time) map[Life]LimitNotice {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[Life]LimitNotice)
+	for life, x := range s.limits.byLife {
+		isTold := x.isInForce(now) || x.ended && now.Sub(x.since) < _limitEndShareTime
+		if x.source == SourceResponse && isTold {
+			out[life] = LimitNotice{Rate: x.rate, Ended: x.ended, Age: now.Sub(x.at)}
+		}
+	}
+	return out
+}
+
+// ForgetLimits removes the limits of upstreams that have started again, and those without
+// recent evidence. It returns the limits that lapse, by upstream, with the age of the
+// evidence.
+func (s *Screener) ForgetLimits(f *cataloguer.Fleet, now time.Time) map[Life]time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lapsed := make(map[Life]time.Duration)
+	maps.DeleteFunc(s.limits.byLife, func(life Life, x *limit) bool {
+		u, listed := f.Upstreams[life.Upstream]
+		isOld := now.Sub(x.at) >= _limitLifetime
+		isOver := listed && u.StartedMs > life.StartedMs
+		if (isOld || isOver) && !x.ended {
+			lapsed[life] = now.Sub(x.at)
+		}
+		return isOld || isOver
+	})
+	return lapsed
+}
+
+// limitedTurn reports whether this process is among the senders of a limited upstream, and
+// from when it may send its next request to it. The caller holds the lock.
+func (s *Screener) limitedTurn(u *cataloguer.Upstream, x *limit) (from time.Time, isSender bool) {
+	count := x.senders(s.senders.count())
+	if count == 0 || !s.senders.include(s.Name, u.ID, count) {
+		return time.Time{}, false
+	}
+	from = x.lastSend.Add(x.interval(count))
+	if from.Before(s.LimitedFrom) {
+		from = s.LimitedFrom
+	}
+	return from, true
+}
+
+// delayNewSenders lets this process begin only an interval later to send to those limited
+// upstreams of which it was no sender before the list of processes changed: the senders
+// before it may have sent just now. wasSender reports whether it was. The caller holds the
+// lock.
+func (s *Screener) delayNewSenders(wasSender map[Life]bool, now time.Time) {
+	for life, x := range s.limits.byLife {
+		if x.isInForce(now) && !wasSender[life] {
+			x.lastSend = now
+		}
+	}
+}
+
+// sending returns the limited upstreams of which this process is a sender. The caller holds
+// the lock.
+func (s *Screener) sending(now time.Time) map[Life]bool {
+	out := make(map[Life]bool)
+	for life, x := range s.limits.byLife {
+		if x.isInForce(now) && s.senders.include(s.Name, life.Upstream, x.senders(s.senders.count())) {
+			out[life] = true
+		}
+	}
+	return out
+}
+
+// takeLimited counts a request to a limited upstream, and reports whether it may be sent.
+// The caller holds the lock.
+func (s *Screener) takeLimited(u *cataloguer.Upstream, x *limit, now time.Time) bool {
+	from, isSender := s.limitedTurn(u, x)
+	if !isSender || now.Before(from) {
+		return false
+	}
+	x.lastSend = from
+	if earliest := now.Add(-x.tolerance(x.senders(s.senders.count()))); x.lastSend.Before(earliest) {
+		x.lastSend = earliest
+	}
+	return true
+}
--- a/internal/screener/screener.go
+++ b/internal/screener/screener.go
@@ -15,7 +15,10 @@
 const (
 	// StateReady is the state of an upstream that takes requests.
 	StateReady State = iota
-	// StateCold is the state of an upstream that takes requests at a limited rate.
+	// StateLimited is the state of an upstream that states how many requests it takes.
+	StateLimited
+	// StateCold is the state of an upstream that takes requests at a limited rate, since it
+	// has just started or had no requests.
 	StateCold
 	// StateWaiting is the state of an upstream that asked this process to wait.
 	StateWaiting
@@ -27,7 +30,7 @@
 
 // String returns the name of the state as logs and refusals show it.
 func (s State) String() string {
-	return [...]string{"ready", "cold", "asked-to-wait", "leaving", "evacuated"}[s]
+	return [...]string{"ready", "limited", "cold", "asked-to-wait", "leaving", "evacuated"}[s]
 }
 
 // Source is where the evidence for a state comes from.
@@ -60,15 +63,17 @@
 	Name string
 	// ColdLimit limits the requests to cold upstreams. Its zero value sets no limit.
 	ColdLimit ColdLimit
-	// ColdFrom is when this process may begin to send requests to cold upstreams: an
-	// earlier run of it may have sent some just before. The zero time means at once.
-	ColdFrom time.Time
+	// LimitedFrom is when this process may begin to send requests to cold and limited
+	// upstreams: an earlier run of it may have sent some just before. The zero time means at
+	// once.
+	LimitedFrom time.Time
 
 	mu sync.Mutex
 	// evacuated holds when this process learned of the evacuation of each data centre,
 	// and returned when it learned of its end.
 	evacuated, returned map[string]time.Time
 	departures          departures
+	limits              limits
 	// waits holds until when upstreams asked this process to wait, by their id.
 	waits map[string]wait
 	// services holds the limits for cold upstreams of each service that has one.
@@ -176,71 +181,10 @@
 	if p, ok := s.coldPhase(u); ok && now.Before(p.until) {
 		return Verdict{State: StateCold, Source: p.source, Since: p.since, Until: p.until}
 	}
-	return Verdict{}
-}
-
-// Selection holds the upstreams of a list that may take requests.
-type Selection struct {
-	// Candidates are those to which this process may send a request now.
-	Candidates []cataloguer.Upstream
-	// Serving are those to which processes may send any number of requests, and Cold
-	// those to which all processes together send ColdRate requests per second each.
-	Serving, Cold []cataloguer.Upstream
-	ColdRate      float64
-	// Excluded is the least restrictive state of the upstreams that are not among
-	// Candidates; it has no meaning if all are.
-	Excluded State
-	// FreeAt is when the first of those that asked this process to wait may take requests
-	// again; zero if none did.
-	FreeAt time.Time
-}
-
-// Select returns which of the given upstreams of one service may take requests.
-func (s *Screener) Select(upstreams []cataloguer.Upstream, now time.Time) Selection {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.isUnrestricted(upstreams) {
-		return Selection{Candidates: upstreams, Serving: upstreams}
-	}
-	out := Selection{Excluded: StateEvacuated}
-	for i := range upstreams {
-		u := &upstreams[i]
-		v := s.verdict(u, now)
-		mayTake := v.State == StateReady
-		switch v.State {
-		case StateReady:
-			out.Serving = append(out.Serving, *u)
-		case StateWaiting:
-			// Only this process is asked to wait.
-			out.Serving = append(out.Serving, *u)
-			if out.FreeAt.IsZero() || v.Until.Before(out.FreeAt) {
-				out.FreeAt = v.Until
-			}
-		case StateCold:
-			out.Cold, out.ColdRate = append(out.Cold, *u), s.services[u.Service].totalRate()
-			mayTake = s.maySendCold(u, now)
-		}
-		if mayTake {
-			out.Candidates = append(out.Candidates, *u)
-		} else {
-			out.Excluded = min(out.Excluded, v.State)
-		}
-	}
-	return out
-}
-
-// isUnrestricted reports whether nothing is known that restricts any upstream of a list.
-// The caller holds the lock.
-func (s *Screener) isUnrestricted(upstreams []cataloguer.Upstream) bool {
-	if len(s.evacuated) > 0 || len(s.returned) > 0 || len(s.departures.byLife) > 0 || len(s.waits) > 0 || len(s.cold) > 0 {
-		return false
-	}
-	for i := range upstreams {
-		if upstreams[i].Draining {
-			return false
-		}
+	if x := s.limits.find(u, now); x != nil {
+		return Verdict{State: StateLimited, Source: x.source, Since: x.since}
 	}
-	return true
+	return Verdict{}
 }
 
 // Take counts a request to an upstream that Select has returned as a candidate, and
@@ -251,13 +195,23 @@
 	switch s.verdict(u, now).State {
 	case StateReady:
 		return true
-	case StateCold:
-		return s.takeCold(u, now)
+	case StateCold, StateLimited:
+		return s.takeBounded(u, now)
 	default:
 		return false
 	}
 }
 
+// takeBounded is Take for an upstream that is cold, limited or both. The caller holds the
+// lock.
+func (s *Screener) takeBounded(u *cataloguer.Upstream, now time.Time) bool {
+	isCold, x := s.isCold(u, now), s.limits.find(u, now)
+	if isCold && !s.maySendCold(u, now) || x != nil && !s.takeLimited(u, x, now) {
+		return false
+	}
+	return !isCold || s.takeCold(u, now)
+}
+
 // Count returns the number of upstreams in each state but StateReady.
 func (s *Screener) Count(f *cataloguer.Fleet, now time.Time) map[State]int64 {
 	s.mu.Lock()
--- a/internal/screener/screener_test.go
+++ b/internal/screener/screener_test.go
@@ -32,12 +32,18 @@
 //	evacuate DC... | restore         evacuate these data centres, or none
 //	leaving ID STARTED SOURCE        record that an upstream, in the life that began then, is leaving
 //	wait ID DURATION                 record that an upstream asked to wait
+//	limit ID RATE CHANGE             record a stated limit in a response, and expect this change
+//	nolimit ID AGO CHANGE            record a response without a limit to a request sent so long ago
+//	told ID RATE|end AGE CHANGE      receive what another process saw of a limit
+//	next DURATION                    expect after what time this process may send to the first limited one
 //	pass DURATION                    let time pass; the list is read again
 //	expect ID STATE [SOURCE]         expect the state of an upstream
 //	select ID...|none [EXCLUDED]     expect the candidates, and the state of the others
 //	free DURATION                    expect after what time the first that asked to wait is free
 //	take ID N OK                     try to send N requests to an upstream; expect OK of them
 //	shared N                         expect the departures that are told to other processes
+//	limits N                         expect the limits and their ends that are told to other processes
+//	forget N                         expect this number of limits to lapse
 func TestScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
 	require.NoError(t, err)
@@ -94,6 +100,8 @@
 	case "wait":
 		u := s.upstreams[words[0]]
 		s.RecordWait(&u, parseDuration(t, words[1]), 0, s.now)
+	case "limit", "nolimit", "told":
+		s.recordLimit(t, line, command, words)
 	case "pass":
 		s.now = s.now.Add(parseDuration(t, words[0]))
 		s.observe()
@@ -116,6 +124,12 @@
 			}
 		}
 		assert.Equal(t, parseInt(t, words[2]), taken, "line %d", line)
+	case "next":
+		assert.Equal(t, parseDuration(t, words[0]), s.Select(s.list(), s.now).FreeAt.Sub(s.now), "line %d", line)
+	case "limits":
+		assert.Len(t, s.OwnLimits(s.now), parseInt(t, words[0]), "line %d", line)
+	case "forget":
+		assert.Len(t, s.ForgetLimits(cataloguer.NewFleet(1, s.upstreams), s.now), parseInt(t, words[0]), "line %d", line)
 	case "shared":
 		assert.Len(t, s.RecentDepartures(s.now), parseInt(t, words[0]), "line %d", line)
 	default:
@@ -123,6 +137,31 @@
 	}
 }
 
+func (s *script) recordLimit(t *testing.T, line int, command string, words []string) {
+	u := s.upstreams[words[0]]
+	life, last := screener.LifeOf(&u), words[len(words)-1]
+	change := screener.LimitUnchanged
+	switch command {
+	case "limit":
+		change = s.RecordLimit(life, parseRate(t, words[1]), s.now)
+	case "nolimit":
+		change = s.RecordNoLimit(life, s.now.Add(-parseDuration(t, words[1])), s.now)
+	default:
+		n := screener.LimitNotice{Age: parseDuration(t, words[2]), Ended: words[1] == "end"}
+		if !n.Ended {
+			n.Rate = parseRate(t, words[1])
+		}
+		change = s.ReceiveLimit(life, n, s.now)
+	}
+	assert.Equal(t, last, change.String(), "line %d", line)
+}
+
+func parseRate(t *testing.T, text string) float64 {
+	rate, err := strconv.ParseFloat(text, 64)
+	require.NoError(t, err)
+	return rate
+}
+
 // observe passes the list to the screener.
 func (s *script) observe() {
 	upstreams := make(map[string]cataloguer.Upstream)
--- a/internal/sharer/load.go
+++ b/internal/sharer/load.go
@@ -44,6 +44,8 @@
 	Evidence quarantiner.Evidence
 	// Departures are the upstreams that told the processes lately that they are leaving.
 	Departures map[screener.Life]bool
+	// Limits is the newest evidence of the processes of upstreams that state a limit.
+	Limits map[screener.Life]screener.LimitNotice
 	// Processes is the number of processes whose loads are summed.
 	Processes int
 }
@@ -111,5 +113,19 @@
 		l.Departures = make(map[screener.Life]bool, len(o.Departures))
 	}
 	maps.Copy(l.Departures, o.Departures)
+	l.addLimits(o.Limits, age)
 	l.Processes += o.Processes
 }
+
+// addLimits adds evidence of limits that was received the given time ago.
+func (l *Load) addLimits(limits map[screener.Life]screener.LimitNotice, age time.Duration) {
+	if len(limits) > 0 && l.Limits == nil {
+		l.Limits = make(map[screener.Life]screener.LimitNotice, len(limits))
+	}
+	for life, n := range limits {
+		n.Age += age
+		if known, ok := l.Limits[life]; !ok || n.Age < known.Age {
+			l.Limits[life] = n
+		}
+	}
+}
--- a/internal/sharer/system_test.go
+++ b/internal/sharer/system_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"testing"
@@ -13,6 +14,7 @@
 
 	"github.com/lycheebarrow/lycheebarrow/internal/enumerator"
 	"github.com/lycheebarrow/lycheebarrow/internal/reflector"
+	"github.com/lycheebarrow/lycheebarrow/internal/screener"
 	"github.com/lycheebarrow/lycheebarrow/internal/sharer"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
 )
@@ -250,6 +252,13 @@
 	return s.peers[i]
 }
 
+// _ownLimits is what some processes saw of limits of upstreams.
+var _ownLimits = map[string]map[screener.Life]screener.LimitNotice{
+	"a2": {{Upstream: "u", StartedMs: 7}: {Rate: 5, Age: time.Second}, {Upstream: "v", StartedMs: 8}: {Rate: 0.25, Age: 100 * time.Millisecond}},
+	"b1": {{Upstream: "u", StartedMs: 7}: {Rate: 2, Age: 100 * time.Millisecond}},
+	"b2": {{Upstream: "v", StartedMs: 8}: {Ended: true, Age: time.Second}, {Upstream: "u", StartedMs: 9}: {Ended: true}, {Upstream: "w"}: {Rate: math.NaN()}, {Upstream: "x"}: {Rate: -1}},
+}
+
 // start runs a process, which knows nothing at first, until ctx ends.
 func (s *system) start(ctx context.Context, p enumerator.Peer) {
 	x := &process{Sharer: &sharer.Sharer{
@@ -259,6 +268,7 @@
 			if p.Name == "b1" {
 				l.Activity = map[string]time.Duration{"u": 10 * time.Millisecond}
 			}
+			l.Limits = _ownLimits[p.Name]
 			return l
 		},
 	}}
