--- a/internal/relayer/notices.go
+++ b/internal/relayer/notices.go
@@ -46,19 +46,28 @@
 	if a.LimitInvalid || isFromOther {
 		return
 	}
-	change, limit := screener.LimitUnchanged, a.Limit
+	change := screener.LimitUnchanged
 	switch {
 	case a.LimitStated:
-		change = c.Screener.RecordLimit(screener.LifeOf(u), limit, now)
+		change = c.Screener.RecordLimit(screener.LifeOf(u), a.Limit, now)
 	case a.ID == c.request.ID && status != http.StatusMisdirectedRequest:
 		change = c.Screener.RecordNoLimit(screener.LifeOf(u), c.sentAt, now)
 	}
-	if change != screener.LimitUnchanged {
-		c.Log.Event("upstream-limit", logger.Fields{
-			"request": c.request.ID, "upstream": u.ID, "service": u.Service, "data_centre": u.DataCentre, "source": screener.SourceResponse, "age_ms": 0,
-			"per_second": limit, "outcome": change,
-		})
+	if change == screener.LimitUnchanged {
+		return
+	}
+	c.logLimit(change, a.Limit, logger.Fields{
+		"request": c.request.ID, "upstream": u.ID, "service": u.Service, "data_centre": u.DataCentre, "source": screener.SourceResponse, "age_ms": 0,
+	})
+}
+
+// logLimit logs a change of an upstream's limit.
+func (s *Relayer) logLimit(change screener.LimitChange, limit float64, fields logger.Fields) {
+	if change != screener.LimitEnded {
+		fields["per_second"] = limit
 	}
+	fields["outcome"] = change
+	s.Log.Event("upstream-limit", fields)
 }
 
 // receiveLimits takes what other processes saw of upstreams that state a limit.
@@ -66,9 +75,7 @@
 	for life, n := range limits {
 		n.Age += age
 		if change := s.Screener.ReceiveLimit(life, n, now); change != screener.LimitUnchanged {
-			s.Log.Event("upstream-limit", logger.Fields{
-				"upstream": life.Upstream, "source": screener.SourcePeer, "age_ms": n.Age.Milliseconds(), "per_second": n.Rate, "outcome": change,
-			})
+			s.logLimit(change, n.Rate, logger.Fields{"upstream": life.Upstream, "source": screener.SourcePeer, "age_ms": n.Age.Milliseconds()})
 		}
 	}
 }
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -341,8 +341,9 @@
 		return
 	}
 	s.receiveMembers(answer, time.Now())
-	s.deliver(answer, r, gatherer)
+	// Limits of upstreams must be known before the upstreams are.
 	s.Publish(TotalLoad{Load: decode(answer), OwnLoad: own, UnansweredDataCentres: answer.GetUnansweredDataCentres(), At: now})
+	s.deliver(answer, r, gatherer)
 }
 
 // receiveMembers takes the list of processes in the gatherer's answer, if it has one.
