internal/conductor: reports of upstreams tell of limits as well

An upstream may state its limit in any of its responses. The process that checks the members of groups reads it in their reports, as it does for departures, so that all processes know of the limit before the first request, and that it does not lapse while no caller's request comes. A report without one ends nothing.

--- a/internal/cataloguer/upstream.go
+++ b/internal/cataloguer/upstream.go
@@ -80,8 +80,12 @@
 	Orders uint64
 	// Leaving is true if the upstream has announced that it is leaving.
 	Leaving bool
-	Waiting int // queued requests
-	Running int // requests being processed
+	// Limit is the number of requests per second that the upstream takes from all
+	// processes together, if LimitStated is true.
+	Limit       float64
+	LimitStated bool
+	Waiting     int // queued requests
+	Running     int // requests being processed
 	// TimeFactor multiplies the upstream's times; it is over 1 if the upstream is
 	// slow.
 	TimeFactor float64
--- a/internal/conductor/checks.go
+++ b/internal/conductor/checks.go
@@ -142,6 +142,7 @@
 			}
 			c.recordAnswer(u, k, now)
 			c.recordLeaving(u, r, now)
+			c.recordLimit(u, r, now)
 			c.recordReport(now, u.ID, r)
 			c.orderCounts.observe(u.ID, r, now)
 		})
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -132,6 +132,8 @@
 	IsLeaving(u *cataloguer.Upstream) bool
 	// RecordLeaving records that an upstream is leaving, and reports whether that is new.
 	RecordLeaving(life screener.Life, source screener.Source, now time.Time) bool
+	// RecordLimit records that an upstream states how many requests per second it takes.
+	RecordLimit(life screener.Life, rate float64, now time.Time) screener.LimitChange
 }
 
 // Conductor gives the orders for all services with engines. Its exported fields must
