internal/grouper: a plan that waits for loads gives way to staged upstreams

Cause: a group was planned with spares that had only begun to load the model, and no plan was given up. The upstreams that had crashed were back after three seconds with the model staged, but could not help: their group's other members were reserved by the plan for the rest of the load, 12 to 16 s.

Change: once as many free upstreams of the domain have the model as the plan still waits for, it is replaced by a plan of members that all have it, which opens within a warm-up. A plan without loads is never replaced, so replacements are bounded. The upstreams that load go on as spares, and the group of the dropped plan, which never opened, no longer holds them.

--- a/internal/grouper/decision.go
+++ b/internal/grouper/decision.go
@@ -168,7 +168,8 @@
 // lose a member, and reserves the members of a group that must stay as it is.
 func (d *decision) updateGroup(x *group) {
 	mayLoseMembers := d.mayLoseMembers(x)
-	disbanded := (d.dropped[x.key] || mayLoseMembers) && x.head != nil && x.head.Group.State != cataloguer.MemberOpen
+	disbanded := (d.dropped[x.key] || mayLoseMembers) && x.head != nil && x.head.Group.State != cataloguer.MemberOpen ||
+		d.dropped[x.key] && x.head == nil
 	switch {
 	case d.snapshot.Evacuated[x.members[0].DataCentre]:
 		d.reserve(x)
--- a/internal/grouper/form.go
+++ b/internal/grouper/form.go
@@ -298,7 +298,7 @@
 func (d *decision) newPlan(domain, dataCentre string, m cataloguer.Model, members []cataloguer.Upstream) *plan {
 	p := &plan{
 		domain: domain, dataCentre: dataCentre, model: m, startedAt: d.now, accepted: make(map[string]bool),
-		observed: make(map[string]cataloguer.Membership),
+		loadedAt: make(map[string]time.Time), observed: make(map[string]cataloguer.Membership),
 	}
 	for _, u := range members {
 		p.members = append(p.members, u.ID)
@@ -315,8 +315,14 @@
 	d.plans[epoch] = p
 	for _, id := range p.members {
 		d.reserved[id] = true
-		if u := d.snapshot.Fleet.Upstreams[id]; !d.hasOrStagesModel(u, p.model) {
+		u := d.snapshot.Fleet.Upstreams[id]
+		switch {
+		case hasModel(u, p.model):
+		case d.staging[id].model == p.model.Name:
+			p.loadedAt[id] = d.staging[id].until.Add(-_joinMargin)
+		default:
 			d.recordLoad(id, p.model)
+			p.loadedAt[id] = d.loadingUntil[id]
 		}
 		delete(d.staging, id)
 	}
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -191,6 +191,9 @@
 	members    []string // ids, the head first
 	startedAt  time.Time
 	accepted   map[string]bool // members that have begun to join or have joined, by id
+	// loadedAt is when the members that lacked the model are expected to have loaded it,
+	// by id.
+	loadedAt map[string]time.Time
 	// refusedJoins is the number of the plan's joins that were refused.
 	refusedJoins int
 	// observed holds the members' memberships when the plan was made, by id.
@@ -248,6 +251,7 @@
 	for _, x := range d.groups {
 		d.updateGroup(x)
 	}
+	d.replaceSlowPlans()
 	d.formGroups()
 	d.stageSpares()
 	d.orderStandbys()
--- a/internal/grouper/grouper_test.go
+++ b/internal/grouper/grouper_test.go
@@ -26,6 +26,7 @@
 //	busy                  callers begin to send requests
 //	run DURATION          advance the time
 //	kill SELECTOR         an upstream is lost for good
+//	crash DURATION SELECTOR   an upstream crashes, and runs again after DURATION
 //	dark                  no upstream can be reached
 //	cut SELECTOR          an upstream that still runs can't be reached
 //	heal                  all upstreams can be reached again
@@ -82,6 +83,10 @@
 		u := s.find(rest)
 		require.NotNil(t, u, "line %d: no %s", line, rest)
 		u.dead, u.unreachable, u.Draining, u.unlisted = words[0] == "kill", words[0] == "cut", words[0] == "drain", words[0] == "unlist"
+	case "crash":
+		u := s.find(strings.Join(words[2:], " "))
+		require.NotNil(t, u, "line %d: no %s", line, rest)
+		s.crash(u, parseDuration(t, words[1]))
 	case "dark":
 		for _, u := range s.upstreams {
 			u.unreachable = true
--- a/internal/grouper/simulation_test.go
+++ b/internal/grouper/simulation_test.go
@@ -55,7 +55,9 @@
 	// still runs.
 	unreachable bool
 	// unlisted means that the upstream is missing from the platform's list.
-	unlisted     bool
+	unlisted bool
+	// backAt is when an upstream that crashed runs again, with what is staged on its host.
+	backAt       time.Time
 	lastModel    string    // the model of its latest group
 	readyAt      time.Time // when its join ends
 	stagedAt     time.Time // when the staging of stagingModel ends
@@ -287,6 +289,9 @@
 // advanceUpstreams ends the loads, joins and stalls that are due.
 func (s *simulation) advanceUpstreams() {
 	for _, u := range s.upstreams {
+		if u.dead && !u.backAt.IsZero() && !s.now.Before(u.backAt) {
+			u.dead, u.backAt = false, time.Time{}
+		}
 		if u.stagingModel != "" && !s.now.Before(u.stagedAt) {
 			u.StagedModels, u.stagingModel = []string{u.stagingModel}, ""
 		}
@@ -298,6 +303,13 @@
 	}
 }
 
+// crash ends an upstream, which runs again after d. It then is in no group.
+func (s *simulation) crash(u *upstream, d time.Duration) {
+	u.dead, u.backAt = true, s.now.Add(d)
+	u.Group, u.lastModel, u.stagingModel = cataloguer.Membership{}, "", ""
+	u.orderCount, u.highestEpoch = 0, 0
+}
+
 // endDrained ends a draining upstream that leaves by itself: after two seconds, or while
 // the head of its group is open, after ten.
 func (s *simulation) endDrained(u *upstream) {
