internal/forwarder: a connection carries the id of a request only once

Callers were refused although their request had run, requests that may run only once ran twice, repeatable ones ran more often than the route's attempts, and an upstream was taken out because of a Retry-After that it had not sent again.

Cause: a response on a kept connection was taken for that of the request under way if it had its id. A late copy of a refusal has the id of the refused request. Where that request is sent again over the same connection, which the pool prefers as the one used last, the copy passes for the response to the second send, and the request counts as not run.

The pool now remembers which ids a connection has carried, as 64-bit hashes, and passes idle connections over that have carried the id of the request; they stay idle for others. A connection ends after 512 requests, so that nothing is forgotten (4 KB). HasIdle asks for the id too, so that the balancer doesn't prefer an upstream for a connection that this request can't use. No response on a connection can then be that of an earlier send of the same request, whichever way the id came there twice: another upstream id at one address, a caller's own repeat, a resumed stream.

--- /dev/null
+++ b/internal/forwarder/copies_test.go
@@ -0,0 +1,125 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/forwarder"
+	"github.com/lycheebarrow/lycheebarrow/internal/networker"
+)
+
+// newCopyingUpstream returns an upstream that refuses the first request with an id that
+// begins with "r" and runs all others. On each connection it precedes a response with a
+// copy of the last refusal.
+func newCopyingUpstream(t *testing.T) *scriptedUpstream {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	u := &scriptedUpstream{address: l.Addr().String()}
+	var arrived sync.Map
+	serve := func(c net.Conn) {
+		defer c.Close()
+		lastRefusal := ""
+		for r := bufio.NewReader(c); ; {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			id := req.Header.Get("Id")
+			response := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 3\r\n\r\nran", id)
+			_, again := arrived.LoadOrStore(id, true)
+			refused := strings.HasPrefix(id, "r") && !again
+			if refused {
+				response = fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nContent-Length: 7\r\n\r\nrefused", id)
+			}
+			if _, err := io.WriteString(c, lastRefusal+response); err != nil {
+				return
+			}
+			if refused {
+				lastRefusal = response
+			}
+		}
+	}
+	go func() {
+		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+			u.accepted.Add(1)
+			go serve(c)
+		}
+	}()
+	return u
+}
+
+// sendID sends a request with an id and returns the body of the response.
+func sendID(t *testing.T, p *forwarder.Pool, u *scriptedUpstream, id string) string {
+	x, err := p.Send(t.Context(), u.address, &forwarder.Request{
+		Method: http.MethodGet, Target: "/", Host: "h", ID: id, Header: http.Header{"Id": {id}},
+		Matches: func(h http.Header, _ bool) bool { return h.Get("Id") == id },
+	})
+	require.NoError(t, err)
+	body, err := io.ReadAll(x)
+	require.NoError(t, err)
+	require.NoError(t, x.Close())
+	return string(body)
+}
+
+func TestCopyOfRefusalIsNotTheResponseToTheNextSend(t *testing.T) {
+	testCases := []struct {
+		name, ids, want string
+		connections     int32
+	}{
+		{name: "other requests", ids: "r1 a r2 b", want: "refused ran refused ran", connections: 1},
+		{name: "repeat at once", ids: "r1 r1", want: "refused ran", connections: 2},
+		{name: "repeat after another request", ids: "r1 a r1", want: "refused ran ran", connections: 2},
+		{name: "repeat of all", ids: "r1 r2 r1 r2 r1", want: "refused refused ran ran ran", connections: 3},
+		{name: "repeat of a request that ran", ids: "a r1 a", want: "ran refused ran", connections: 2},
+		{name: "first connection goes on", ids: "r1 r1 a b", want: "refused ran ran ran", connections: 2},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			u := newCopyingUpstream(t)
+			p := &forwarder.Pool{Network: networker.System{}}
+			defer p.Close()
+			var got []string
+			for id := range strings.FieldsSeq(tc.ids) {
+				got = append(got, sendID(t, p, u, id))
+			}
+			assert.Equal(t, tc.want, strings.Join(got, " "))
+			assert.Equal(t, tc.connections, u.accepted.Load())
+		})
+	}
+}
+
+// A connection that the request has travelled over doesn't count as idle for it.
+func TestHasIdle(t *testing.T) {
+	u := newCopyingUpstream(t)
+	p := &forwarder.Pool{Network: networker.System{}}
+	defer p.Close()
+	assert.False(t, p.HasIdle(u.address, "a", time.Now()))
+	sendID(t, p, u, "a")
+	assert.False(t, p.HasIdle(u.address, "a", time.Now()))
+	assert.True(t, p.HasIdle(u.address, "b", time.Now()))
+	assert.False(t, p.HasIdle(u.address, "b", time.Now().Add(time.Minute)))
+}
+
+// A connection is closed before it forgets an id.
+func TestConnectionIsClosedAfterManyRequests(t *testing.T) {
+	u := newCopyingUpstream(t)
+	p := &forwarder.Pool{Network: networker.System{}}
+	defer p.Close()
+	for n := range 512 {
+		sendID(t, p, u, fmt.Sprint(n))
+	}
+	assert.Equal(t, int32(1), u.accepted.Load())
+	sendID(t, p, u, "0")
+	assert.Equal(t, int32(2), u.accepted.Load())
+}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -18,6 +18,10 @@
 	// Target is the path and query, exactly as the caller sent them.
 	Target string
 	Host   string
+	// ID identifies the request, also when it is sent again. A connection carries an id
+	// once: a late copy of a response has the id of its request, and could otherwise not be
+	// told from the response to the next send.
+	ID string
 	// Header must not contain hop-by-hop fields such as Connection.
 	Header http.Header
 	Body   []byte
@@ -69,7 +73,7 @@
 // Send sends a request to an upstream and waits for the header of the response.
 // If ctx ends, the connection is closed, also while the body is being read.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Exchange, error) {
-	c, err := p.acquireConn(ctx, address)
+	c, err := p.acquireConn(ctx, address, r.ID)
 	if err != nil {
 		return nil, &ExchangeError{Step: "connect to", Peer: address, Err: err}
 	}
@@ -83,6 +87,7 @@
 		}
 		return &ExchangeError{Step: step, Peer: address, Sent: sent, Reused: c.reused, Err: err}
 	}
+	c.carried.add(r.ID)
 	if sent, err := r.write(c); err != nil {
 		return nil, fail("write to", sent, err)
 	}
@@ -128,7 +133,7 @@
 // to its end and nothing followed it.
 func (x *Exchange) Close() error {
 	running := x.stop()
-	if !running || !x.ended || x.Response.Close || x.Response.ProtoMinor == 0 || x.conn.reader.Buffered() > 0 {
+	if !running || !x.allowsReuse() {
 		return x.conn.Close()
 	}
 	x.conn.idleLimit = idleLimit(x.Response.Header)
@@ -136,6 +141,11 @@
 	return nil
 }
 
+// allowsReuse reports whether another request may be sent on the connection.
+func (x *Exchange) allowsReuse() bool {
+	return x.ended && !x.Response.Close && x.Response.ProtoMinor > 0 && x.conn.reader.Buffered() == 0 && !x.conn.carried.isFull()
+}
+
 // idleLimit returns how long a connection may stay idle: three fifths of the
 // timeout in the Keep-Alive field, but at most _idleLimit. The margin avoids sending a
 // request while the upstream closes the connection. idleLimit returns a quarter of
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -24,6 +25,7 @@
 type scriptedUpstream struct {
 	address  string
 	accepted atomic.Int32
+	sends    atomic.Int32
 	requests chan string
 }
 
@@ -72,10 +74,11 @@
 	}
 }
 
-// send sends a request that accepts only a response with the header Id: 1.
+// send sends a request, each with another id, that accepts only a response with the header
+// Id: 1.
 func send(t *testing.T, p *forwarder.Pool, u *scriptedUpstream) (*forwarder.Exchange, error) {
 	return p.Send(t.Context(), u.address, &forwarder.Request{
-		Method: http.MethodPost, Target: "/a/b?c=%20d", Host: "h", Header: http.Header{"X": {"y"}}, Body: []byte("body"),
+		Method: http.MethodPost, Target: "/a/b?c=%20d", Host: "h", ID: strconv.Itoa(int(u.sends.Add(1))), Header: http.Header{"X": {"y"}}, Body: []byte("body"),
 		Matches: func(h http.Header, _ bool) bool { return h.Get("Id") == "1" },
 	})
 }
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,12 +50,15 @@
 	idleLimit time.Duration
 	// reused says that a response was received on this connection before.
 	reused bool
+	// carried has the ids of all requests that were sent on this connection.
+	carried carriedIDs
 }
 
-// acquireConn returns an idle connection that is still usable, or a new one.
-func (p *Pool) acquireConn(ctx context.Context, address string) (*conn, error) {
+// acquireConn returns an idle connection that is still usable, or a new one. The
+// connection has not carried a request with that id.
+func (p *Pool) acquireConn(ctx context.Context, address, id string) (*conn, error) {
 	for {
-		c := p.pop(address)
+		c := p.pop(address, id)
 		if c == nil {
 			break
 		}
@@ -77,30 +81,29 @@
 	return c, nil
 }
 
-// pop returns the idle connection that was used last, or nil if there is none.
-func (p *Pool) pop(address string) *conn {
+// pop returns the idle connection that was used last among those that have not carried a
+// request with that id, or nil if there is none.
+func (p *Pool) pop(address, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !c.carried.has(id) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
-// HasIdle reports whether an idle connection to an upstream can be reused now, unless
-// the upstream has closed it.
-func (p *Pool) HasIdle(address string, now time.Time) bool {
+// HasIdle reports whether a request with that id can reuse an idle connection to an
+// upstream now, unless the upstream has closed it.
+func (p *Pool) HasIdle(address, id string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[address]
-	if len(list) == 0 {
-		return false
-	}
-	last := list[len(list)-1]
-	return now.Sub(last.idleSince) < last.idleLimit
+	return slices.ContainsFunc(p.idle[address], func(c *conn) bool {
+		return now.Sub(c.idleSince) < c.idleLimit && !c.carried.has(id)
+	})
 }
 
 // put makes a connection idle after a complete response.
--- /dev/null
+++ b/internal/relayer/copies_test.go
@@ -0,0 +1,129 @@
+package relayer_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/balancer"
+	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
+)
+
+// copyingUpstream is an upstream that refuses the first request with an id, asks to wait,
+// and runs any later one. It precedes the response to a later request with a copy of the
+// refusal, if that was sent on the same connection.
+type copyingUpstream struct {
+	arrived sync.Map
+	runs    atomic.Int32
+}
+
+// start returns the address that the upstream listens on.
+func (u *copyingUpstream) start(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+			go u.serve(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (u *copyingUpstream) serve(c net.Conn) {
+	defer c.Close()
+	refusals := make(map[string]string)
+	for r := bufio.NewReader(c); ; {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		id := req.Header.Get("Id")
+		if _, again := u.arrived.LoadOrStore(id, true); !again {
+			refusals[id] = fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nNot-Run: 1\r\nAsk: 1h\r\nContent-Length: 0\r\n\r\n", id)
+			_, _ = io.WriteString(c, refusals[id])
+			continue
+		}
+		u.runs.Add(1)
+		body := "id: 1\ndata: x\n\n"
+		fmt.Fprintf(c, "%sHTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: %d\r\n\r\n%s", refusals[id], id, len(body), body)
+	}
+}
+
+// startRelayerOf starts a relayer with one route to upstreams with the given ids, which
+// are tried in this order, all at one address.
+func startRelayerOf(t *testing.T, kind cataloguer.Kind, resumable bool, address string, ids ...string) *httptest.Server {
+	k, b := &cataloguer.Catalogue{}, &balancer.Balancer{}
+	service := cataloguer.Service{Name: "s"}
+	if kind == cataloguer.KindStream {
+		service.Engine = &cataloguer.Engine{Slots: 9}
+	}
+	c := &cataloguer.Configuration{
+		Version: 1, Services: map[string]cataloguer.Service{"s": service},
+		Routes: []cataloguer.Route{{
+			Name: "r", Host: "127.0.0.1", Prefix: "/", Kind: kind, Timeout: 5 * time.Second, LatencyTarget: time.Second,
+			Split: []cataloguer.ServiceWeight{{Service: "s", Weight: 1}}, Attempts: 2, Resumable: resumable,
+		}},
+	}
+	c.Index()
+	k.SetConfiguration(c)
+	fleet := make(map[string]cataloguer.Upstream)
+	for n, id := range ids {
+		u := cataloguer.Upstream{ID: id, Service: "s", Address: address, Slots: 9, Group: cataloguer.Membership{Name: "g", State: cataloguer.MemberOpen}}
+		fleet[id] = u
+		for range n {
+			b.Acquire([]cataloguer.Upstream{u}, balancer.Query{})
+		}
+	}
+	k.SetFleet(cataloguer.NewFleet(1, fleet))
+	s := httptest.NewServer(newRelayer(k, b))
+	t.Cleanup(s.Close)
+	return s
+}
+
+// A request that an upstream refused is sent to the same address under another id, where
+// the copy of the refusal comes before the response.
+func TestCopyOfRefusalIsNoPromise(t *testing.T) {
+	testCases := []struct {
+		name      string
+		kind      cataloguer.Kind
+		resumable bool
+		// ids are those of the upstreams.
+		ids []string
+	}{
+		{name: "unsafe, refused although it ran", kind: cataloguer.KindUnsafe, ids: []string{"u", "v"}},
+		{name: "unsafe, run twice", kind: cataloguer.KindUnsafe, ids: []string{"u", "v", "w"}},
+		{name: "safe, refused although it ran", kind: cataloguer.KindSafe, ids: []string{"u", "v"}},
+		{name: "safe, run again beyond its attempts", kind: cataloguer.KindSafe, ids: []string{"u", "v", "w"}},
+		{name: "stream, run twice", kind: cataloguer.KindStream, ids: []string{"u", "v", "w"}},
+		{name: "resumable stream, run again beyond its attempts", kind: cataloguer.KindStream, resumable: true, ids: []string{"u", "v", "w"}},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			var u copyingUpstream
+			s := startRelayerOf(t, tc.kind, tc.resumable, u.start(t), tc.ids...)
+			assert.Equal(t, "200 1", sendRequest(t, s, "/x", ""))
+			assert.Equal(t, int32(1), u.runs.Load())
+		})
+	}
+}
+
+// The notices of a copied refusal say nothing of the upstream that the request is sent to.
+func TestCopyOfRefusalAsksForNoWait(t *testing.T) {
+	var u copyingUpstream
+	s := startRelayerOf(t, cataloguer.KindUnsafe, false, u.start(t), "u", "v")
+	assert.Equal(t, "200 1", sendRequest(t, s, "/x", ""))
+	u.arrived.Store("2", true)
+	assert.Equal(t, "200 1", sendRequestWith(t, s, "/x", http.Header{"Id": {"2"}}))
+}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -45,7 +45,8 @@
 }
 
 func (protocol) Response(h http.Header) relayer.Response {
-	return relayer.Response{ID: h.Get("Id"), Signed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != ""}
+	wait, _ := time.ParseDuration(h.Get("Ask"))
+	return relayer.Response{ID: h.Get("Id"), Signed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "", Wait: wait}
 }
 
 func (protocol) Refuse(h http.Header, _ string, after time.Duration) {
