--- a/internal/composer/kernel.go
+++ b/internal/composer/kernel.go
@@ -152,11 +152,19 @@
 // beforeShutdown unless that is nil, and waits until no connection is left or the drain
 // limit has passed.
 func (k *kernel) serve(name string, l net.Listener, h http.Handler, beforeShutdown func()) {
-	k.serveLimited(name, l, h, &drainer.Drainer{}, beforeShutdown)
+	k.serveLimited(name, l, h, &drainer.Drainer{}, shutdownHooks{begin: beforeShutdown})
+}
+
+// shutdownHooks are called while a server shuts down, unless they are nil.
+type shutdownHooks struct {
+	// begin is called before the server waits for its requests in progress.
+	begin func()
+	// cut is called before the responses that are still open are cut off.
+	cut func()
 }
 
 // serveLimited is serve with the connections of a drainer, which may limit their number.
-func (k *kernel) serveLimited(name string, l net.Listener, h http.Handler, d *drainer.Drainer, beforeShutdown func()) {
+func (k *kernel) serveLimited(name string, l net.Listener, h http.Handler, d *drainer.Drainer, hooks shutdownHooks) {
 	s := newServer(h)
 	l = d.Attach(s, l)
 	k.lifecycle.Append(fx.Hook{
@@ -170,14 +178,17 @@
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
-			if beforeShutdown != nil {
-				beforeShutdown()
+			if hooks.begin != nil {
+				hooks.begin()
 			}
 			ctx, cancel := k.drainContext(ctx)
 			defer cancel()
 			k.log.Event("drain", logger.Fields{"service": name, "connections": d.Open()})
 			if err := d.Drain(ctx); err != nil {
 				k.log.Failure("drain-cut", err, logger.Fields{"service": name})
+				if hooks.cut != nil {
+					hooks.cut()
+				}
 			}
 			return s.Close()
 		},
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -53,7 +53,7 @@
 	}
 	defer func() { _ = x.Close() }() // the connection is not reused if closing fails
 	c.Balancer.RecordActivity(u.ID, time.Now())
-	body, err := c.bodies.read(x)
+	body, err := c.bodies.read(dataReader{x, &c.progress})
 	status := x.Response.StatusCode
 	switch {
 	case a.NotRun:
@@ -93,6 +93,7 @@
 	copyHeader(c.w.Header(), x.Response.Header)
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	c.status, c.outcome, c.headWritten, c.headWrittenAt, c.lastErr = status, "answered", true, time.Now(), nil
+	c.progress.recordBegun()
 	c.w.WriteHeader(status)
 	if _, err := c.w.Write(body); err != nil {
 		c.lastErr, c.outcome = err, "caller-left"
--- /dev/null
+++ b/internal/relayer/progress.go
@@ -0,0 +1,136 @@
+package relayer
+
+import (
+	"io"
+	"sync"
+	"time"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+)
+
+// progress is how far a request has come. The goroutine that serves the request records it,
+// and a shutdown reads it. It is safe for concurrent use.
+type progress struct {
+	mu    sync.Mutex
+	state state
+}
+
+// state is the state of a request. A time is zero until its event.
+type state struct {
+	id        string
+	arrivedAt time.Time
+	// completeAt is when the request was read whole.
+	completeAt time.Time
+	deadline   time.Time
+	// sends counts the sends, and upstream is that of the latest one.
+	sends    int
+	upstream string
+	// headReceived is true once that upstream has sent the head of its response.
+	headReceived bool
+	// dataAt is when that upstream last sent data; the time of the send before that.
+	dataAt time.Time
+	// bytes counts what upstreams have sent of bodies.
+	bytes int
+	// events counts the events that were passed on to the caller.
+	events int
+	// begun is true once a response to the caller has begun.
+	begun bool
+}
+
+// update changes the state.
+func (p *progress) update(change func(s *state)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(&p.state)
+}
+
+// get returns the state.
+func (p *progress) get() state {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state
+}
+
+// recordSend records that a send to an upstream begins.
+func (p *progress) recordSend(upstream string, now time.Time) {
+	p.update(func(s *state) {
+		s.sends++
+		s.upstream, s.dataAt, s.headReceived = upstream, now, false
+	})
+}
+
+// recordHead records that the upstream has sent the head of its response.
+func (p *progress) recordHead(now time.Time) {
+	p.update(func(s *state) { s.dataAt, s.headReceived = now, true })
+}
+
+// recordBegun records that a response to the caller begins.
+func (p *progress) recordBegun() { p.update(func(s *state) { s.begun = true }) }
+
+// dataReader records the data that an upstream sends.
+type dataReader struct {
+	reader   io.Reader
+	progress *progress
+}
+
+// Read reads data of the upstream.
+func (r dataReader) Read(b []byte) (int, error) {
+	n, err := r.reader.Read(b)
+	if n > 0 {
+		r.progress.update(func(s *state) {
+			s.dataAt = time.Now()
+			s.bytes += n
+		})
+	}
+	return n, err
+}
+
+// cutFields returns the fields of the log line of a request whose response a shutdown that
+// began at beganAt cuts off at now.
+func (s state) cutFields(beganAt, now time.Time) logger.Fields {
+	f := logger.Fields{
+		"request": s.id, "age_ms": now.Sub(s.arrivedAt).Milliseconds(), "sends": s.sends, "upstream": s.upstream,
+		"head": s.headReceived, "begun": s.begun, "bytes": s.bytes, "events": s.events,
+	}
+	if !s.completeAt.IsZero() {
+		f["complete_ms"] = s.completeAt.Sub(beganAt).Milliseconds()
+		f["left_ms"] = s.deadline.Sub(now).Milliseconds()
+	}
+	if s.sends > 0 {
+		f["silent_ms"] = now.Sub(s.dataAt).Milliseconds()
+	}
+	return f
+}
+
+// requestSet holds the requests that are open. The zero value is ready for use. It is safe
+// for concurrent use.
+type requestSet struct {
+	mu       sync.Mutex
+	requests map[*progress]struct{}
+}
+
+func (r *requestSet) add(p *progress) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.requests == nil {
+		r.requests = make(map[*progress]struct{})
+	}
+	r.requests[p] = struct{}{}
+}
+
+func (r *requestSet) remove(p *progress) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.requests, p)
+}
+
+// list returns the open requests.
+func (r *requestSet) list() []*progress {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]*progress, 0, len(r.requests))
+	for p := range r.requests {
+		out = append(out, p)
+	}
+	return out
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -82,8 +82,9 @@
 	requests atomic.Int64
 	arrivals rateMeter
 	// drain is nil until the process shuts down.
-	drain  atomic.Pointer[drain]
+	drain  atomic.Pointer[Shutdown]
 	bodies bodyReader
+	open   requestSet
 }
 
 // TrafficStarted returns true once a request has been read whole and has passed
@@ -97,6 +98,8 @@
 // ServeHTTP serves one request.
 func (s *Relayer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := s.newCall(w, r)
+	s.open.add(&c.progress)
+	defer s.open.remove(&c.progress)
 	defer c.logEnd()
 	defer c.releaseBody()
 	if s.drain.Load() != nil {
@@ -132,6 +135,7 @@
 // call is one request of a caller, from its arrival to the end of its response.
 type call struct {
 	*Relayer
+	progress  progress
 	w         http.ResponseWriter
 	r         *http.Request
 	ctx       context.Context
@@ -199,7 +203,9 @@
 }
 
 func (s *Relayer) newCall(w http.ResponseWriter, r *http.Request) *call {
-	return &call{Relayer: s, w: w, r: r, arrivedAt: time.Now(), request: s.Protocol.Request(r.Header)}
+	c := &call{Relayer: s, w: w, r: r, arrivedAt: time.Now(), request: s.Protocol.Request(r.Header)}
+	c.progress.state = state{id: c.request.ID, arrivedAt: c.arrivedAt}
+	return c
 }
 
 // logEnd logs and counts the finished request.
@@ -232,6 +238,9 @@
 	if c.resumes > 0 {
 		fields["resumed"] = c.resumes
 	}
+	if d := c.drain.Load(); d != nil {
+		fields["shutdown_ms"] = now.Sub(d.BeganAt).Milliseconds()
+	}
 	if c.Meter != nil {
 		c.Meter.CountRequest(c.organisation, c.outcome)
 	}
@@ -297,6 +306,7 @@
 	c.arrivals.count(c.arrivedAt)
 	c.Budget.RecordRequest(c.service.Name, c.arrivedAt)
 	c.deadline = c.arrivedAt.Add(c.timeout())
+	c.progress.update(func(s *state) { s.completeAt, s.deadline = time.Now(), c.deadline })
 	return true
 }
 
@@ -356,6 +366,7 @@
 func (c *call) respond(status int, reason string) {
 	c.status, c.outcome = status, reason
 	c.headWritten = true
+	c.progress.recordBegun()
 	c.boundDiscard()
 	h := c.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -122,6 +122,7 @@
 	c.sends++
 	c.sentAt, c.sendEvents, c.brokenOff = time.Now(), 0, false
 	c.tried = append(c.tried, u.ID)
+	c.progress.recordSend(u.ID, c.sentAt)
 	h := c.Protocol.Forward(c.r.Header, Forward{
 		TimeLeft: time.Until(c.deadline), Upstream: u.ID, Organisation: c.organisation, LastEvent: lastEvent, Priority: c.sendPriority(lastEvent > 0 || c.sends > 1),
 	})
@@ -141,6 +142,7 @@
 		c.lastErr = err
 		return nil, Response{}, err
 	}
+	c.progress.recordHead(time.Now())
 	a := c.Protocol.Response(x.Response.Header)
 	if !a.NotRun {
 		c.mayHaveRun = true
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -136,7 +136,7 @@
 // relayError passes on the error response of an upstream. It returns false and the
 // reason if the caller must not receive that response.
 func (c *call) relayError(x *forwarder.Exchange, a Response, status int) (bool, string) {
-	body, err := c.bodies.read(x)
+	body, err := c.bodies.read(dataReader{x, &c.progress})
 	if err != nil || promisesNotRun(status) || !a.Signed {
 		c.lastErr = errors.Join(err, fmt.Errorf("relayer: upstream responded with status %d", status))
 		return false, "failed-by-upstream"
@@ -164,9 +164,10 @@
 // the reason if the stream breaks off before that.
 func (c *call) relayEvents(ctx context.Context, x *forwarder.Exchange, watch *Watch, p *position) (bool, string) {
 	var s splitter
+	data := dataReader{x, &c.progress}
 	buffer := make([]byte, _streamBuffer)
 	for {
-		n, err := x.Read(buffer)
+		n, err := data.Read(buffer)
 		if n > 0 {
 			before := *p
 			s.add(buffer[:n])
@@ -241,6 +242,7 @@
 		return fault
 	}
 	c.recordPassed(time.Now())
+	c.progress.update(func(s *state) { s.events = p.events })
 	c.Quarantine.RecordActivity(c.life, c.lastEventsAt)
 	if err := http.NewResponseController(c.w).Flush(); err != nil {
 		c.lastErr = err
@@ -262,6 +264,7 @@
 	copyHeader(c.w.Header(), x.Response.Header)
 	c.status, c.headWritten, c.headWrittenAt = x.Response.StatusCode, true, time.Now()
 	c.endReturningWait()
+	c.progress.recordBegun()
 	c.w.WriteHeader(c.status)
 	if c.sends == 1 && !c.returning {
 		c.admitter.ObserveFirstEvent(c.headWrittenAt, c.capacity, c.headWrittenAt.Sub(c.sentAt), c.route.LatencyTarget)
