internal/relayer: a shutdown responds to requests that wait at its limit

Cause: the limit closed all connections, whatever state their requests were in. A request that has no response yet can still get a final one, so this broke a promise for nothing.

300 ms before the limit the process now settles them: their contexts are cancelled with a cause, and the handlers respond, 503 with Retry-After where nothing was sent or each upstream said that it had not run the request, else 502. Nothing is written from another goroutine. Requests whose upstream has sent data in the last 200 ms are left until 100 ms before the limit. Where the process got no processor time, the 300 ms begin late but last as long; the stop margin of 1 s bears it. Responses that begin during a shutdown close their connection, also where the request came before SIGTERM, so that the drain need not wait until it is quiet.

Streams that have begun and whose upstream is silent are cut at the limit as before; the watchdog continues them elsewhere where attempts and budget allow.

--- a/internal/composer/kernel.go
+++ b/internal/composer/kernel.go
@@ -40,6 +40,12 @@
 	_headerTimeout = 10 * time.Second
 	// _maxHeaderBytes limits the headers of a request, in bytes.
 	_maxHeaderBytes = 64 << 10
+	// _settleTime is the time before the limit of a shutdown in which open requests get a
+	// final response. It is long enough for a process that is short of processor time.
+	_settleTime = 300 * time.Millisecond
+	// _lastSettleTime is the part of _settleTime that is left for the responses of the
+	// requests that are settled last.
+	_lastSettleTime = 100 * time.Millisecond
 )
 
 // kernel holds the settings and resources that services are built from, and starts and
@@ -129,6 +135,15 @@
 	return k.stopBeganAt.Add(k.settings.DrainLimit() - _stopMargin)
 }
 
+// settleDeadline returns when an instance that shuts down settles its open requests; the
+// zero time means never.
+func (k *kernel) settleDeadline() time.Time {
+	if k.settings.DrainLimit() == 0 {
+		return time.Time{}
+	}
+	return k.drainDeadline().Add(-_settleTime)
+}
+
 // run runs a service's loop while the application runs. The loop must return when its ctx
 // ends.
 func (k *kernel) run(loop func(ctx context.Context)) {
@@ -159,6 +174,9 @@
 type shutdownHooks struct {
 	// begin is called before the server waits for its requests in progress.
 	begin func()
+	// settle is called _settleTime before the limit. It makes the requests whose responses
+	// have not begun end with a final response, the last of them when ctx ends.
+	settle func(ctx context.Context)
 	// cut is called before the responses that are still open are cut off.
 	cut func()
 }
@@ -181,10 +199,8 @@
 			if hooks.begin != nil {
 				hooks.begin()
 			}
-			ctx, cancel := k.drainContext(ctx)
-			defer cancel()
 			k.log.Event("drain", logger.Fields{"service": name, "connections": d.Open()})
-			if err := d.Drain(ctx); err != nil {
+			if err := k.drain(ctx, d, hooks.settle); err != nil {
 				k.log.Failure("drain-cut", err, logger.Fields{"service": name})
 				if hooks.cut != nil {
 					hooks.cut()
@@ -195,6 +211,36 @@
 	})
 }
 
+// drain waits until no connection of a server is left, or returns an error if the limit of
+// the shutdown has passed. It calls settle before that unless it is nil.
+func (k *kernel) drain(ctx context.Context, d *drainer.Drainer, settle func(ctx context.Context)) error {
+	limit, cancel := k.drainContext(ctx)
+	defer cancel()
+	if settle == nil {
+		return d.Drain(limit)
+	}
+	beforeSettle := limit
+	if deadline, ok := limit.Deadline(); ok {
+		beforeSettle, cancel = context.WithDeadline(limit, deadline.Add(-_settleTime))
+		defer cancel()
+	}
+	if d.Drain(beforeSettle) == nil {
+		return nil
+	}
+	// Where the process got no processor time, the limit may have passed already. The
+	// responses still need theirs.
+	var settling sync.WaitGroup
+	defer settling.Wait()
+	last, cancel := context.WithTimeout(ctx, _settleTime)
+	defer cancel()
+	settling.Go(func() {
+		ctx, cancel := context.WithTimeout(last, _settleTime-_lastSettleTime)
+		defer cancel()
+		settle(ctx)
+	})
+	return d.Drain(last)
+}
+
 // newServer returns a server that bounds the headers of requests and the time that
 // callers may take to send them.
 func newServer(h http.Handler) *http.Server {
--- a/internal/composer/relayer.go
+++ b/internal/composer/relayer.go
@@ -102,7 +102,7 @@
 	if err := registerCallerGauges(m, &rl.Bodies, d); err != nil {
 		return err
 	}
-	k.serveLimited("callers", l, rl, d, shutdownHooks{cut: func() { rl.LogCutRequests(time.Now()) }})
+	k.serveLimited("callers", l, rl, d, shutdownHooks{settle: rl.SettleRequests, cut: func() { rl.LogCutRequests(time.Now()) }})
 	return k.services.Register(NameRelayer, rl)
 }
 
--- a/internal/relayer/body.go
+++ b/internal/relayer/body.go
@@ -30,6 +30,12 @@
 		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	}
 	past := time.Unix(1, 0)
+	c.progress.onInterrupt(func() {
+		c.settle()
+		_ = control.SetReadDeadline(past) // an error means that the connection is closed
+	})
+	// Runs before the deadline is reset, which a late interrupt must not set again.
+	defer c.progress.onInterrupt(c.settle)
 	c.bodyMemory = c.Bodies.Open(c.organisation, func() { _ = control.SetReadDeadline(past) }, c.arrivedAt)
 	return c.bodyMemory.Read(http.MaxBytesReader(c.w, c.r.Body, limit), c.r.ContentLength)
 }
@@ -48,6 +54,8 @@
 	c.w.Header().Set("Connection", "close")
 	var large *http.MaxBytesError
 	switch {
+	case c.isSettled():
+		c.refuseFor(http.StatusServiceUnavailable, "draining", _drainRetryAfter)
 	case errors.Is(err, reserver.ErrFull):
 		c.refuse(http.StatusServiceUnavailable, "body-memory-full")
 	case errors.Is(err, reserver.ErrRevoked):
--- a/internal/relayer/drain.go
+++ b/internal/relayer/drain.go
@@ -1,10 +1,13 @@
 package relayer
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/pauser"
 )
 
 const (
@@ -13,14 +16,20 @@
 	_drainRetryAfter = 100 * time.Millisecond
 	// _maxCutLines bounds the log lines for the requests that a shutdown cuts off.
 	_maxCutLines = 50
+	// _settleInterval is the time between two searches for requests to settle.
+	_settleInterval = 50 * time.Millisecond
 )
 
+// errDraining is the cause with which a shutdown cancels the context of a request.
+var errDraining = errors.New("relayer: shutdown reached its limit before a response began")
+
 // Shutdown is a shutdown of the process.
 type Shutdown struct {
 	BeganAt time.Time
 	// NoticeEnd is until when requests are served as usual.
 	NoticeEnd time.Time
-	// End is when responses are cut off; the zero time means never.
+	// End is from when open requests are settled and responses are cut off; the zero time
+	// means never.
 	End time.Time
 }
 
@@ -35,6 +44,38 @@
 // if their deadline is later than the shutdown's end.
 func (s *Relayer) StartDraining(d Shutdown) { s.drain.Store(&d) }
 
+// SettleRequests makes the requests whose responses have not begun at their callers end with
+// a final response, so that a shutdown does not cut them off without one. Until ctx ends it
+// leaves those alone whose upstreams send data, and then settles them too.
+func (s *Relayer) SettleRequests(ctx context.Context) {
+	for pauses := true; pauses; {
+		s.settleRequests(time.Now(), false)
+		pauses = pauser.Pause(ctx, _settleInterval)
+	}
+	s.settleRequests(time.Now(), true)
+}
+
+func (s *Relayer) settleRequests(now time.Time, all bool) {
+	for _, p := range s.open.list() {
+		p.settle(now, all)
+	}
+}
+
+// settle ends what the request waits for, because of a shutdown.
+func (c *call) settle() { c.cancel(errDraining) }
+
+// beginResponse records that the response to the caller begins. During a shutdown it closes
+// the connection. It returns false if the shutdown has settled the request.
+func (c *call) beginResponse() bool {
+	if c.drain.Load() != nil {
+		c.w.Header().Set("Connection", "close")
+	}
+	return c.progress.begin()
+}
+
+// isSettled reports whether the shutdown has settled the request.
+func (c *call) isSettled() bool { return errors.Is(context.Cause(c.ctx), errDraining) }
+
 // LogCutRequests logs the requests that are open when a shutdown cuts off their responses.
 func (s *Relayer) LogCutRequests(now time.Time) {
 	d := s.drain.Load()
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -93,7 +93,7 @@
 	copyHeader(c.w.Header(), x.Response.Header)
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	c.status, c.outcome, c.headWritten, c.headWrittenAt, c.lastErr = status, "answered", true, time.Now(), nil
-	c.progress.recordBegun()
+	c.beginResponse()
 	c.w.WriteHeader(status)
 	if _, err := c.w.Write(body); err != nil {
 		c.lastErr, c.outcome = err, "caller-left"
--- a/internal/relayer/progress.go
+++ b/internal/relayer/progress.go
@@ -13,8 +13,15 @@
 type progress struct {
 	mu    sync.Mutex
 	state state
+	// interrupt ends what the request waits for.
+	interrupt func()
+	// settled is true once a shutdown has interrupted the request.
+	settled bool
 }
 
+// _sendingGap is how long an upstream that is sending data may pause, at a shutdown's limit.
+const _sendingGap = 200 * time.Millisecond
+
 // state is the state of a request. A time is zero until its event.
 type state struct {
 	id        string
@@ -64,8 +71,33 @@
 	p.update(func(s *state) { s.dataAt, s.headReceived = now, true })
 }
 
-// recordBegun records that a response to the caller begins.
-func (p *progress) recordBegun() { p.update(func(s *state) { s.begun = true }) }
+// begin records that a response to the caller begins. It returns false if a shutdown has
+// settled the request, so that only a final response may be sent.
+func (p *progress) begin() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state.begun = true
+	return !p.settled
+}
+
+// onInterrupt sets what ends the request's waiting.
+func (p *progress) onInterrupt(interrupt func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.interrupt = interrupt
+}
+
+// settle interrupts the request if a shutdown may settle it: any request if all is true, or
+// else those whose upstream sends no data.
+func (p *progress) settle(now time.Time, all bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.settled || p.state.begun || !all && now.Sub(p.state.dataAt) < _sendingGap {
+		return
+	}
+	p.settled = true
+	p.interrupt()
+}
 
 // dataReader records the data that an upstream sends.
 type dataReader struct {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -102,13 +102,14 @@
 	defer s.open.remove(&c.progress)
 	defer c.logEnd()
 	defer c.releaseBody()
+	defer c.cancel(nil)
 	if s.drain.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	if !c.prepare() || c.refuseDraining() {
 		return
 	}
-	ctx, cancel := context.WithDeadlineCause(r.Context(), c.deadline, errTimeout)
+	ctx, cancel := context.WithDeadlineCause(c.ctx, c.deadline, errTimeout)
 	defer cancel()
 	c.ctx = ctx
 	if c.route.Kind == cataloguer.KindStream {
@@ -139,6 +140,7 @@
 	w         http.ResponseWriter
 	r         *http.Request
 	ctx       context.Context
+	cancel    context.CancelCauseFunc
 	arrivedAt time.Time
 	request   Request
 	route     *cataloguer.Route
@@ -204,6 +206,8 @@
 
 func (s *Relayer) newCall(w http.ResponseWriter, r *http.Request) *call {
 	c := &call{Relayer: s, w: w, r: r, arrivedAt: time.Now(), request: s.Protocol.Request(r.Header)}
+	c.ctx, c.cancel = context.WithCancelCause(r.Context())
+	c.progress.onInterrupt(c.settle)
 	c.progress.state = state{id: c.request.ID, arrivedAt: c.arrivedAt}
 	return c
 }
@@ -366,7 +370,7 @@
 func (c *call) respond(status int, reason string) {
 	c.status, c.outcome = status, reason
 	c.headWritten = true
-	c.progress.recordBegun()
+	c.beginResponse()
 	c.boundDiscard()
 	h := c.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -55,10 +55,11 @@
 // upstreamHandler returns an upstream's handler that responds as behaviour says, and
 // counts the requests that it runs. For plain services, behaviour is one of "ok",
 // "500", "503", "not-run" (refuses the request), "cut" (closes the connection without
-// a response), "unsigned" and "endless" (sends a body without end). For streams it is "N", the number of events, alone or
+// a response), "unsigned", "silent" (never responds), "stalled" (sends the head alone) and
+// "endless" (sends a body without end). For streams it is "N", the number of events, alone or
 // followed by "cut" (closes the connection after the last event), "torn" (closes the
 // connection in the middle of another event), "endless" (sends another event without
-// end), "skip" (gives the last event an id that is one too high) or "unframed" (sends
+// end), "stalled" (sends nothing more), "skip" (gives the last event an id that is one too high) or "unframed" (sends
 // neither a length nor chunks and closes the connection), which may also be torn.
 func upstreamHandler(behaviour string, runs *atomic.Int32) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -73,6 +74,9 @@
 		if word == "cut" {
 			panic(http.ErrAbortHandler)
 		}
+		if word == "silent" {
+			waitForClose(r)
+		}
 		if word != "unsigned" {
 			w.Header().Set("Seal", "s")
 		}
@@ -84,6 +88,10 @@
 			sendEndless(w)
 			return
 		}
+		if word == "stalled" {
+			_ = http.NewResponseController(w).Flush()
+			waitForClose(r)
+		}
 		count, err := strconv.Atoi(word)
 		if err != nil {
 			_, _ = io.WriteString(w, "done")
@@ -102,6 +110,8 @@
 			_ = http.NewResponseController(w).Flush()
 		}
 		switch ending {
+		case "stalled":
+			waitForClose(r)
 		case "endless":
 			sendEndless(w)
 		case "torn":
@@ -114,6 +124,14 @@
 	})
 }
 
+// waitForClose waits until the relayer closes the connection, and ends the handler.
+func waitForClose(r *http.Request) {
+	// The close is noticed only once the body has been read.
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
 // sendUnframed sends the events after from up to count, on a connection that ends with
 // them. If torn is true, it ends in the middle of another event.
 func sendUnframed(w http.ResponseWriter, from, count int, torn bool) {
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -179,10 +179,14 @@
 	switch {
 	case c.r.Context().Err() != nil:
 		c.outcome = "caller-left"
+	case !c.mayHaveRun && c.isSettled():
+		c.refuseFor(http.StatusServiceUnavailable, "draining", _drainRetryAfter)
 	case !c.mayHaveRun && !c.freeAt.IsZero():
 		c.refuseFor(http.StatusServiceUnavailable, reason, time.Until(c.freeAt)+rand.N(_returnSpread))
 	case !c.mayHaveRun:
 		c.refuse(http.StatusServiceUnavailable, reason)
+	case c.isSettled():
+		c.fail(http.StatusBadGateway, "draining")
 	case c.ctx.Err() != nil:
 		c.fail(http.StatusGatewayTimeout, "timeout")
 	default:
--- a/internal/relayer/start.go
+++ b/internal/relayer/start.go
@@ -25,7 +25,7 @@
 
 // awaitComplete waits for the catalogue to be complete, for a moment.
 func (c *call) awaitComplete() {
-	ctx, cancel := context.WithTimeout(c.r.Context(), _catalogueWait)
+	ctx, cancel := context.WithTimeout(c.ctx, _catalogueWait)
 	defer cancel()
 	for {
 		changed := c.Catalogue.Changed()
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -224,6 +224,10 @@
 			fault = "answer-broken"
 			break
 		}
+		if !c.headWritten && !c.beginResponse() {
+			c.lastErr = errDraining
+			return "draining"
+		}
 		if !c.headWritten {
 			c.writeHead(x)
 		}
@@ -264,7 +268,6 @@
 	copyHeader(c.w.Header(), x.Response.Header)
 	c.status, c.headWritten, c.headWrittenAt = x.Response.StatusCode, true, time.Now()
 	c.endReturningWait()
-	c.progress.recordBegun()
 	c.w.WriteHeader(c.status)
 	if c.sends == 1 && !c.returning {
 		c.admitter.ObserveFirstEvent(c.headWrittenAt, c.capacity, c.headWrittenAt.Sub(c.sentAt), c.route.LatencyTarget)
