--- a/internal/relayer/drain.go
+++ b/internal/relayer/drain.go
@@ -1,34 +1,94 @@
 package relayer
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"time"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/pauser"
+)
+
+const (
+	// _drainRetryAfter is when a caller that a shutdown refuses should retry. Other processes
+	// can serve it at once.
+	_drainRetryAfter = 100 * time.Millisecond
+	// _maxCutLines bounds the log lines for the requests that a shutdown cuts off.
+	_maxCutLines = 50
+	// _settleInterval is the time between two searches for requests to settle.
+	_settleInterval = 50 * time.Millisecond
 )
 
-// _drainRetryAfter is when a caller that a shutdown refuses should retry. Other processes
-// can serve it at once.
-const _drainRetryAfter = 100 * time.Millisecond
+// errDraining is the cause with which a shutdown cancels the context of a request.
+var errDraining = errors.New("relayer: shutdown reached its limit before a response began")
 
-// drain is a shutdown of the process.
-type drain struct {
-	// noticeEnd is until when requests are served as usual.
-	noticeEnd time.Time
-	// end is when responses are cut off; the zero time means never.
-	end time.Time
+// Shutdown is a shutdown of the process.
+type Shutdown struct {
+	BeganAt time.Time
+	// NoticeEnd is until when requests are served as usual.
+	NoticeEnd time.Time
+	// End is from when open requests are settled and responses are cut off; the zero time
+	// means never.
+	End time.Time
 }
 
 // mayCut reports whether the shutdown may cut off the response to a request that arrives
 // after the notice.
-func (d drain) mayCut(arrivedAt, deadline time.Time) bool {
-	return !d.end.IsZero() && arrivedAt.After(d.noticeEnd) && deadline.After(d.end)
+func (d Shutdown) mayCut(arrivedAt, deadline time.Time) bool {
+	return !d.End.IsZero() && arrivedAt.After(d.NoticeEnd) && deadline.After(d.End)
 }
 
 // StartDraining makes each response close its connection, so that callers connect to
-// another process before this one ends. Requests that arrive after noticeEnd are refused
-// if their deadline is later than end, the time at which the process cuts responses off; a
-// zero end sets no limit.
-func (s *Relayer) StartDraining(noticeEnd, end time.Time) {
-	s.drain.Store(&drain{noticeEnd: noticeEnd, end: end})
+// another process before this one ends. Requests that arrive after the notice are refused
+// if their deadline is later than the shutdown's end.
+func (s *Relayer) StartDraining(d Shutdown) { s.drain.Store(&d) }
+
+// SettleRequests makes the requests whose responses have not begun at their callers end with
+// a final response, so that a shutdown does not cut them off without one. Until ctx ends it
+// leaves those alone whose upstreams send data, and then settles them too.
+func (s *Relayer) SettleRequests(ctx context.Context) {
+	for pauses := true; pauses; {
+		s.settleRequests(time.Now(), false)
+		pauses = pauser.Pause(ctx, _settleInterval)
+	}
+	s.settleRequests(time.Now(), true)
+}
+
+func (s *Relayer) settleRequests(now time.Time, all bool) {
+	for _, p := range s.open.list() {
+		p.settle(now, all)
+	}
+}
+
+// settle ends what the request waits for, because of a shutdown.
+func (c *call) settle() { c.cancel(errDraining) }
+
+// beginResponse records that the response to the caller begins. During a shutdown it closes
+// the connection. It returns false if the shutdown has settled the request.
+func (c *call) beginResponse() bool {
+	if c.drain.Load() != nil {
+		c.w.Header().Set("Connection", "close")
+	}
+	return c.progress.begin()
+}
+
+// isSettled reports whether the shutdown has settled the request.
+func (c *call) isSettled() bool { return errors.Is(context.Cause(c.ctx), errDraining) }
+
+// LogCutRequests logs the requests that are open when a shutdown cuts off their responses.
+func (s *Relayer) LogCutRequests(now time.Time) {
+	d := s.drain.Load()
+	if d == nil {
+		return
+	}
+	open := s.open.list()
+	for _, p := range open[:min(len(open), _maxCutLines)] {
+		s.Log.Warn("request-cut", p.get().cutFields(d.BeganAt, now))
+	}
+	if unlogged := len(open) - _maxCutLines; unlogged > 0 {
+		s.Log.Warn("request-cut", logger.Fields{"others": unlogged})
+	}
 }
 
 // refuseDraining refuses the request if the shutdown may cut off its response. It returns
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -82,8 +82,9 @@
 	requests atomic.Int64
 	arrivals rateMeter
 	// drain is nil until the process shuts down.
-	drain  atomic.Pointer[drain]
+	drain  atomic.Pointer[Shutdown]
 	bodies bodyReader
+	open   requestSet
 }
 
 // TrafficStarted returns true once a request has been read whole and has passed
@@ -97,15 +98,18 @@
 // ServeHTTP serves one request.
 func (s *Relayer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := s.newCall(w, r)
+	s.open.add(&c.progress)
+	defer s.open.remove(&c.progress)
 	defer c.logEnd()
 	defer c.releaseBody()
+	defer c.cancel(nil)
 	if s.drain.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	if !c.prepare() || c.refuseDraining() {
 		return
 	}
-	ctx, cancel := context.WithDeadlineCause(r.Context(), c.deadline, errTimeout)
+	ctx, cancel := context.WithDeadlineCause(c.ctx, c.deadline, errTimeout)
 	defer cancel()
 	c.ctx = ctx
 	if c.route.Kind == cataloguer.KindStream {
@@ -132,9 +136,11 @@
 // call is one request of a caller, from its arrival to the end of its response.
 type call struct {
 	*Relayer
+	progress  progress
 	w         http.ResponseWriter
 	r         *http.Request
 	ctx       context.Context
+	cancel    context.CancelCauseFunc
 	arrivedAt time.Time
 	request   Request
 	route     *cataloguer.Route
@@ -199,7 +205,11 @@
 }
 
 func (s *Relayer) newCall(w http.ResponseWriter, r *http.Request) *call {
-	return &call{Relayer: s, w: w, r: r, arrivedAt: time.Now(), request: s.Protocol.Request(r.Header)}
+	c := &call{Relayer: s, w: w, r: r, arrivedAt: time.Now(), request: s.Protocol.Request(r.Header)}
+	c.ctx, c.cancel = context.WithCancelCause(r.Context())
+	c.progress.onInterrupt(c.settle)
+	c.progress.state = state{id: c.request.ID, arrivedAt: c.arrivedAt}
+	return c
 }
 
 // logEnd logs and counts the finished request.
@@ -232,6 +242,9 @@
 	if c.resumes > 0 {
 		fields["resumed"] = c.resumes
 	}
+	if d := c.drain.Load(); d != nil {
+		fields["shutdown_ms"] = now.Sub(d.BeganAt).Milliseconds()
+	}
 	if c.Meter != nil {
 		c.Meter.CountRequest(c.organisation, c.outcome)
 	}
@@ -297,6 +310,7 @@
 	c.arrivals.count(c.arrivedAt)
 	c.Budget.RecordRequest(c.service.Name, c.arrivedAt)
 	c.deadline = c.arrivedAt.Add(c.timeout())
+	c.progress.update(func(s *state) { s.completeAt, s.deadline = time.Now(), c.deadline })
 	return true
 }
 
@@ -356,6 +370,7 @@
 func (c *call) respond(status int, reason string) {
 	c.status, c.outcome = status, reason
 	c.headWritten = true
+	c.beginResponse()
 	c.boundDiscard()
 	h := c.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -122,6 +122,7 @@
 	c.sends++
 	c.sentAt, c.sendEvents, c.brokenOff = time.Now(), 0, false
 	c.tried = append(c.tried, u.ID)
+	c.progress.recordSend(u.ID, c.sentAt)
 	h := c.Protocol.Forward(c.r.Header, Forward{
 		TimeLeft: time.Until(c.deadline), Upstream: u.ID, Organisation: c.organisation, LastEvent: lastEvent, Priority: c.sendPriority(lastEvent > 0 || c.sends > 1),
 	})
@@ -141,6 +142,7 @@
 		c.lastErr = err
 		return nil, Response{}, err
 	}
+	c.progress.recordHead(time.Now())
 	a := c.Protocol.Response(x.Response.Header)
 	if !a.NotRun {
 		c.mayHaveRun = true
@@ -177,10 +179,14 @@
 	switch {
 	case c.r.Context().Err() != nil:
 		c.outcome = "caller-left"
+	case !c.mayHaveRun && c.isSettled():
+		c.refuseFor(http.StatusServiceUnavailable, "draining", _drainRetryAfter)
 	case !c.mayHaveRun && !c.freeAt.IsZero():
 		c.refuseFor(http.StatusServiceUnavailable, reason, time.Until(c.freeAt)+rand.N(_returnSpread))
 	case !c.mayHaveRun:
 		c.refuse(http.StatusServiceUnavailable, reason)
+	case c.isSettled():
+		c.fail(http.StatusBadGateway, "draining")
 	case c.ctx.Err() != nil:
 		c.fail(http.StatusGatewayTimeout, "timeout")
 	default:
