internal/conductor: a test waits for the timers whose counts it reads

TestFirstChecksOfLargeFleet failed with the race detector in 3 of 35 runs of the whole package beside other work (never in 70 runs of the test alone): its timers write counts after they have released the mutex that would order the writes before the reads at the end. synctest.Wait orders them.

--- a/internal/conductor/large_fleet_test.go
+++ b/internal/conductor/large_fleet_test.go
@@ -59,6 +59,7 @@
 			})
 		}
 		runWithSetup(&cataloguer.Catalogue{}, 4100*time.Millisecond, u, lease{}, func(bool) {}, setup, list...)
+		synctest.Wait() // orders the timers' writes before the reads that follow
 		for i, n := range counts {
 			assert.LessOrEqual(t, n, 30+30*(i+1), "tenth %d", i)
 		}
@@ -87,6 +88,7 @@
 			})
 		}
 		runWithSetup(&k, seconds*time.Second, u, lease{}, func(bool) {}, setup, list...)
+		synctest.Wait() // orders the timers' writes before the reads that follow
 		assert.LessOrEqual(t, counting.reads.Load(), int64(seconds*50+1))
 		// The first check of each member begins at once.
 		assert.LessOrEqual(t, u.reportCount, 3*groups+seconds*320)
