internal/conductor: a member that has started again is lost to its group

Cause: a check that a later life of a member answered counted as an answer of the member. An upstream that is cut off from the platform can't correct its entry in the list, so its old group kept a member that no longer was in it.

--- a/internal/conductor/checks.go
+++ b/internal/conductor/checks.go
@@ -48,8 +48,8 @@
 	}
 }
 
-// lostMembers returns the members that failed their latest checks, and those of them
-// that are being checked again.
+// lostMembers returns the members that failed their latest checks or have restarted, and
+// those of them that are being checked again.
 func (c *Conductor) lostMembers() (lost, rechecking map[string]bool) {
 	lost, rechecking = make(map[string]bool), make(map[string]bool)
 	for id, k := range c.checks {
@@ -58,6 +58,9 @@
 			rechecking[id] = !k.recheckSince.IsZero()
 		}
 	}
+	for id := range c.restarts {
+		lost[id] = true
+	}
 	return lost, rechecking
 }
 
@@ -141,6 +144,7 @@
 				return
 			}
 			c.recordAnswer(u, k, now)
+			c.recordRestart(u, r)
 			c.recordLeaving(u, r, now)
 			c.recordReport(now, u.ID, r)
 			c.orderCounts.observe(u.ID, r, now)
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -133,6 +133,9 @@
 	// reports holds the latest report of each upstream that has given one while the
 	// platform's list is stale, by id.
 	reports map[string]cataloguer.Report
+	// restarts holds when upstreams started that have done so since the platform's list
+	// showed them, as in cataloguer.Upstream, by id.
+	restarts map[string]int64
 	// latestTerm is the latest term of the groups that upstreams have reported.
 	latestTerm uint64
 	// listUnavailableAt is when the platform's list was last found unavailable.
@@ -155,6 +158,7 @@
 func (c *Conductor) Run(ctx context.Context) {
 	c.groupers, c.checks = make(map[string]*grouper.Grouper), make(map[string]*check)
 	c.members, c.reports = make(map[string]member), make(map[string]cataloguer.Report)
+	c.restarts = make(map[string]int64)
 	checksPerSecond := max(_maxChecksPerCore*cmp.Or(c.ProcessorShare, 1), _maxChecksPerSecond)
 	c.checkLimiter = rate.NewLimiter(rate.Limit(checksPerSecond), int(checksPerSecond*_checkBurst))
 	c.results = make(chan func(time.Time))
@@ -253,11 +257,13 @@
 		clear(c.checks)
 		clear(c.members)
 		clear(c.reports)
+		clear(c.restarts)
 		clear(c.censuses)
 		return
 	}
 	evacuated := c.evacuated()
 	fleet = c.withDepartures(fleet)
+	c.pruneRestarts(fleet)
 	for name, s := range configuration.Services {
 		if s.Engine == nil {
 			continue
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -66,6 +66,37 @@
 	})
 }
 
+// A member that has started again is lost to its group, although it answers and the
+// platform's list still shows it as it was before.
+func TestRestartedMemberIsLost(t *testing.T) {
+	for _, tc := range []struct {
+		restarted, ordered string
+		operation          grouper.Operation
+	}{
+		{restarted: "c", ordered: "a", operation: grouper.OperationClose},
+		{restarted: "a", ordered: "b", operation: grouper.OperationLeave},
+	} {
+		t.Run(tc.restarted, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				list := threeUpstreams()
+				u := &upstreams{reports: make(map[string]cataloguer.Report)}
+				for i := range list {
+					list[i].StartedMs = 1000
+					u.reports[list[i].ID] = cataloguer.Report{Group: list[i].Group, StartedMs: 1000}
+				}
+				u.reports[tc.restarted] = cataloguer.Report{StartedMs: 9000}
+				start := time.Now()
+				runConductor(5*time.Second, u, list...)
+				at := u.timesOf(tc.operation, tc.ordered)
+				if assert.NotEmpty(t, at) {
+					assert.Less(t, at[0].Sub(start), 2*time.Second)
+				}
+				assert.Empty(t, u.ordersTo(grouper.OperationJoin, tc.restarted))
+			})
+		})
+	}
+}
+
 // A group that sends data to callers is not closed because the lease holder can't reach
 // one of its members. It is closed soon after it has stopped.
 func TestGroupThatSendsDataStaysOpen(t *testing.T) {
