internal/forwarder: a request that may run only once waits for no bytes of another response

That was not the test alone.

A request that may run only once is now sent on a connection whose last response ended at least 2 ms ago, longer than a round trip, or on a new one. What still arrives later makes the send fail with an unknown outcome, as before; "not run" is never said.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -22,6 +22,10 @@
 	// once: a late copy of a response has the id of its request, and could otherwise not be
 	// told from the response to the next send.
 	ID string
+	// Once says that the request may run only once. It is not sent on a connection whose
+	// last response has only just ended: unexpected bytes may follow that response, and
+	// would leave the outcome of the request unknown.
+	Once bool
 	// Header must not contain hop-by-hop fields such as Connection.
 	Header http.Header
 	Body   []byte
@@ -73,7 +77,7 @@
 // Send sends a request to an upstream and waits for the header of the response.
 // If ctx ends, the connection is closed, also while the body is being read.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Exchange, error) {
-	c, err := p.acquireConn(ctx, address, r.ID)
+	c, err := p.acquireConn(ctx, address, r)
 	if err != nil {
 		return nil, &ExchangeError{Step: "connect to", Peer: address, Err: err}
 	}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -77,8 +77,13 @@
 // send sends a request, each with another id, that accepts only a response with the header
 // Id: 1.
 func send(t *testing.T, p *forwarder.Pool, u *scriptedUpstream) (*forwarder.Exchange, error) {
+	return sendOnce(t, p, u, false)
+}
+
+// sendOnce is send for a request that may run only once if once is true.
+func sendOnce(t *testing.T, p *forwarder.Pool, u *scriptedUpstream, once bool) (*forwarder.Exchange, error) {
 	return p.Send(t.Context(), u.address, &forwarder.Request{
-		Method: http.MethodPost, Target: "/a/b?c=%20d", Host: "h", ID: strconv.Itoa(int(u.sends.Add(1))), Header: http.Header{"X": {"y"}}, Body: []byte("body"),
+		Method: http.MethodPost, Target: "/a/b?c=%20d", Host: "h", ID: strconv.Itoa(int(u.sends.Add(1))), Once: once, Header: http.Header{"X": {"y"}}, Body: []byte("body"),
 		Matches: func(h http.Header, _ bool) bool { return h.Get("Id") == "1" },
 	})
 }
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -21,6 +21,10 @@
 	_idleLimit = 4 * time.Second
 	// _idlePerHost is the largest number of idle connections to one upstream.
 	_idlePerHost = 24
+	// _quietTime is how long a connection must have been idle to carry a request that may
+	// run only once. It is longer than a round trip, so that bytes that an upstream sends
+	// just behind a response have arrived.
+	_quietTime = 2 * time.Millisecond
 	// _readBuffer is the size of a connection's read buffer, in bytes.
 	_readBuffer = 4 << 10
 )
@@ -54,11 +58,11 @@
 	carried carriedIDs
 }
 
-// acquireConn returns an idle connection that is still usable, or a new one. The
-// connection has not carried a request with that id.
-func (p *Pool) acquireConn(ctx context.Context, address, id string) (*conn, error) {
+// acquireConn returns an idle connection that is still usable and may carry the request,
+// or a new one.
+func (p *Pool) acquireConn(ctx context.Context, address string, r *Request) (*conn, error) {
 	for {
-		c := p.pop(address, id)
+		c := p.pop(address, r, time.Now())
 		if c == nil {
 			break
 		}
@@ -81,14 +85,14 @@
 	return c, nil
 }
 
-// pop returns the idle connection that was used last among those that have not carried a
-// request with that id, or nil if there is none.
-func (p *Pool) pop(address, id string) *conn {
+// pop returns the idle connection that was used last among those that may carry a request,
+// or nil if there is none.
+func (p *Pool) pop(address string, r *Request, now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
 	for i, c := range slices.Backward(list) {
-		if !c.carried.has(id) {
+		if c.mayCarry(r, now) {
 			p.idle[address] = slices.Delete(list, i, i+1)
 			return c
 		}
@@ -96,6 +100,12 @@
 	return nil
 }
 
+// mayCarry reports whether a response on the idle connection could only be that to r, as
+// far as can be known.
+func (c *conn) mayCarry(r *Request, now time.Time) bool {
+	return !c.carried.has(r.ID) && (!r.Once || now.Sub(c.idleSince) >= _quietTime)
+}
+
 // HasIdle reports whether a request with that id can reuse an idle connection to an
 // upstream now, unless the upstream has closed it.
 func (p *Pool) HasIdle(address, id string, now time.Time) bool {
--- a/internal/relayer/copies_test.go
+++ b/internal/relayer/copies_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -61,9 +62,9 @@
 	}
 }
 
-// startRelayerOf starts a relayer with one route to upstreams with the given ids, which
-// are tried in this order, all at one address.
-func startRelayerOf(t *testing.T, kind cataloguer.Kind, resumable bool, address string, ids ...string) *httptest.Server {
+// startRelayerOf starts a relayer with one route to upstreams at the given addresses, which
+// are tried in this order.
+func startRelayerOf(t *testing.T, kind cataloguer.Kind, resumable bool, addresses ...string) *httptest.Server {
 	k, b := &cataloguer.Catalogue{}, &balancer.Balancer{}
 	service := cataloguer.Service{Name: "s"}
 	if kind == cataloguer.KindStream {
@@ -79,7 +80,8 @@
 	c.Index()
 	k.SetConfiguration(c)
 	fleet := make(map[string]cataloguer.Upstream)
-	for n, id := range ids {
+	for n, address := range addresses {
+		id := fmt.Sprint(n)
 		u := cataloguer.Upstream{ID: id, Service: "s", Address: address, Slots: 9, Group: cataloguer.Membership{Name: "g", State: cataloguer.MemberOpen}}
 		fleet[id] = u
 		for range n {
@@ -99,20 +101,20 @@
 		name      string
 		kind      cataloguer.Kind
 		resumable bool
-		// ids are those of the upstreams.
-		ids []string
+		// upstreams is the number of upstream ids at the address.
+		upstreams int
 	}{
-		{name: "unsafe, refused although it ran", kind: cataloguer.KindUnsafe, ids: []string{"u", "v"}},
-		{name: "unsafe, run twice", kind: cataloguer.KindUnsafe, ids: []string{"u", "v", "w"}},
-		{name: "safe, refused although it ran", kind: cataloguer.KindSafe, ids: []string{"u", "v"}},
-		{name: "safe, run again beyond its attempts", kind: cataloguer.KindSafe, ids: []string{"u", "v", "w"}},
-		{name: "stream, run twice", kind: cataloguer.KindStream, ids: []string{"u", "v", "w"}},
-		{name: "resumable stream, run again beyond its attempts", kind: cataloguer.KindStream, resumable: true, ids: []string{"u", "v", "w"}},
+		{name: "unsafe, refused although it ran", kind: cataloguer.KindUnsafe, upstreams: 2},
+		{name: "unsafe, run twice", kind: cataloguer.KindUnsafe, upstreams: 3},
+		{name: "safe, refused although it ran", kind: cataloguer.KindSafe, upstreams: 2},
+		{name: "safe, run again beyond its attempts", kind: cataloguer.KindSafe, upstreams: 3},
+		{name: "stream, run twice", kind: cataloguer.KindStream, upstreams: 3},
+		{name: "resumable stream, run again beyond its attempts", kind: cataloguer.KindStream, resumable: true, upstreams: 3},
 	}
 	for _, tc := range testCases {
 		t.Run(tc.name, func(t *testing.T) {
 			var u copyingUpstream
-			s := startRelayerOf(t, tc.kind, tc.resumable, u.start(t), tc.ids...)
+			s := startRelayerOf(t, tc.kind, tc.resumable, slices.Repeat([]string{u.start(t)}, tc.upstreams)...)
 			assert.Equal(t, "200 1", sendRequest(t, s, "/x", ""))
 			assert.Equal(t, int32(1), u.runs.Load())
 		})
@@ -122,7 +124,8 @@
 // The notices of a copied refusal say nothing of the upstream that the request is sent to.
 func TestCopyOfRefusalAsksForNoWait(t *testing.T) {
 	var u copyingUpstream
-	s := startRelayerOf(t, cataloguer.KindUnsafe, false, u.start(t), "u", "v")
+	address := u.start(t)
+	s := startRelayerOf(t, cataloguer.KindUnsafe, false, address, address)
 	assert.Equal(t, "200 1", sendRequest(t, s, "/x", ""))
 	u.arrived.Store("2", true)
 	assert.Equal(t, "200 1", sendRequestWith(t, s, "/x", http.Header{"Id": {"2"}}))
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -126,7 +126,7 @@
 		TimeLeft: time.Until(c.deadline), Upstream: u.ID, Organisation: c.organisation, LastEvent: lastEvent, Priority: c.sendPriority(lastEvent > 0 || c.sends > 1),
 	})
 	x, err := c.Pool.Send(ctx, u.Address, &forwarder.Request{
-		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, ID: c.request.ID, Header: h, Body: c.body,
+		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, ID: c.request.ID, Once: !c.route.Repeatable(), Header: h, Body: c.body,
 		Matches: func(h http.Header, reused bool) bool {
 			id := c.Protocol.Response(h).ID
 			// A response without an id may be a late copy of an earlier one.
