internal/forwarder: a response whose head begins with a part of another one is not believed

A second way in which a request that ran counts as refused: an upstream sends a part of a copy of a refusal, and then the complete response. Up to the line with the request's id, the parts make up one head: the status or the "not run" of the copy, and the id of the response. The id matches, so the caller is told that its request has not run.

TestTornCopyOfRefusalIsNoPartOfTheResponse, with a copy torn at each of its bytes, failed before for the tears from "HTTP/1.1 503 " to the end of that line, and after any colon of a field before the id.

A head in which a status line stands behind its beginning is now an error; whether the request ran is then unknown.

--- a/internal/forwarder/copies_test.go
+++ b/internal/forwarder/copies_test.go
@@ -123,3 +123,24 @@
 	sendID(t, p, u, "0")
 	assert.Equal(t, int32(2), u.accepted.Load())
 }
+
+// A copy of a refusal that breaks off at any byte, and is followed by a response, does not
+// lend its status or its fields to that response.
+func TestTornCopyOfRefusalIsNoPartOfTheResponse(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nDate: x\r\nId: 0\r\nContent-Length: 7\r\n\r\nrefused"
+	for cut := range len(refusal) {
+		u := newUpstream(t, refusal[:cut]+_completeResponse+"!")
+		p := &forwarder.Pool{Network: networker.System{}}
+		x, err := send(t, p, u)
+		if err != nil {
+			var f *forwarder.ExchangeError
+			require.ErrorAs(t, err, &f)
+			assert.True(t, f.Sent)
+			continue
+		}
+		assert.Equal(t, http.StatusOK, x.Response.StatusCode, "%q", refusal[:cut])
+		assert.Empty(t, x.Response.Header.Get("Not-Run"), "%q", refusal[:cut])
+		require.NoError(t, x.Close())
+		require.NoError(t, p.Close())
+	}
+}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -101,6 +101,9 @@
 		if err != nil {
 			return nil, fail("read the response of", true, err)
 		}
+		if isSpliced(res) {
+			return nil, fail("read the response of", true, errors.New("the head of the response contains another one"))
+		}
 		if r.Matches == nil || r.Matches(res.Header, c.reused) {
 			c.head.end()
 			x.Response = res
