--- a/internal/composer/relayer.go
+++ b/internal/composer/relayer.go
@@ -65,6 +65,9 @@
 	if err := m.RegisterGauge("quarantined_parts", "Parts of prompts that are not sent, since upstreams crash under them.", rl.Quarantine.Count); err != nil {
 		return err
 	}
+	if err := registerPoolGauges(m, rl.Pool); err != nil {
+		return err
+	}
 	rl.Bodies.Limit = k.settings.MemoryLimit() / _memoryPerBodyMemory
 	rl.CallerShare = func() float64 { return callerShare(e) }
 	rl.StartsUntil = time.Now().Add(_startTime)
@@ -106,6 +109,14 @@
 	return k.services.Register(NameRelayer, rl)
 }
 
+// registerPoolGauges registers what shows that upstreams send responses twice.
+func registerPoolGauges(m *meter.Meter, p *forwarder.Pool) error {
+	if err := m.RegisterGauge("responses_skipped", "Responses to earlier requests that came on a connection in use again.", p.Skipped); err != nil {
+		return err
+	}
+	return m.RegisterGauge("connections_passed_over", "Idle connections not used for a request since they had carried it before.", p.PassedOver)
+}
+
 // counter counts the running instances.
 type counter interface {
 	Count() int
--- a/internal/forwarder/copies_test.go
+++ b/internal/forwarder/copies_test.go
@@ -76,13 +76,15 @@
 	testCases := []struct {
 		name, ids, want string
 		connections     int32
+		// skipped and passedOver are counts of the pool.
+		skipped, passedOver int64
 	}{
-		{name: "other requests", ids: "r1 a r2 b", want: "refused ran refused ran", connections: 1},
-		{name: "repeat at once", ids: "r1 r1", want: "refused ran", connections: 2},
-		{name: "repeat after another request", ids: "r1 a r1", want: "refused ran ran", connections: 2},
-		{name: "repeat of all", ids: "r1 r2 r1 r2 r1", want: "refused refused ran ran ran", connections: 3},
-		{name: "repeat of a request that ran", ids: "a r1 a", want: "ran refused ran", connections: 2},
-		{name: "first connection goes on", ids: "r1 r1 a b", want: "refused ran ran ran", connections: 2},
+		{name: "other requests", ids: "r1 a r2 b", want: "refused ran refused ran", connections: 1, skipped: 3, passedOver: 0},
+		{name: "repeat at once", ids: "r1 r1", want: "refused ran", connections: 2, skipped: 0, passedOver: 1},
+		{name: "repeat after another request", ids: "r1 a r1", want: "refused ran ran", connections: 2, skipped: 1, passedOver: 1},
+		{name: "repeat of all", ids: "r1 r2 r1 r2 r1", want: "refused refused ran ran ran", connections: 3, skipped: 1, passedOver: 3},
+		{name: "repeat of a request that ran", ids: "a r1 a", want: "ran refused ran", connections: 2, skipped: 0, passedOver: 1},
+		{name: "first connection goes on", ids: "r1 r1 a b", want: "refused ran ran ran", connections: 2, skipped: 0, passedOver: 1},
 	}
 	for _, tc := range testCases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -95,6 +97,8 @@
 			}
 			assert.Equal(t, tc.want, strings.Join(got, " "))
 			assert.Equal(t, tc.connections, u.accepted.Load())
+			assert.Equal(t, tc.skipped, p.Skipped())
+			assert.Equal(t, tc.passedOver, p.PassedOver())
 		})
 	}
 }
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -72,8 +72,14 @@
 	stop func() bool
 	// ended is true once the body was read to its end.
 	ended bool
+	// skipped counts the responses to earlier requests before Response.
+	skipped int
 }
 
+// Skipped returns how many responses to earlier requests came on the connection before the
+// one to this request.
+func (x *Exchange) Skipped() int { return x.skipped }
+
 // Send sends a request to an upstream and waits for the header of the response.
 // If ctx ends, the connection is closed, also while the body is being read.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Exchange, error) {
@@ -96,7 +102,7 @@
 		return nil, fail("write to", sent, err)
 	}
 	c.head.start()
-	for skipped := 0; ; skipped++ {
+	for ; ; x.skipped++ {
 		res, err := x.readHead(r.Method)
 		if err != nil {
 			return nil, fail("read the response of", true, err)
@@ -109,7 +115,8 @@
 			x.Response = res
 			return x, nil
 		}
-		if _, err := io.Copy(io.Discard, res.Body); err != nil || skipped >= _maxStaleResponses || res.Close {
+		p.skipped.Add(1)
+		if _, err := io.Copy(io.Discard, res.Body); err != nil || x.skipped >= _maxStaleResponses || res.Close {
 			return nil, fail("read the response of", true, errors.New("the response belongs to another request"))
 		}
 	}
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/networker"
@@ -39,8 +40,19 @@
 	mu     sync.Mutex
 	idle   map[string][]*conn
 	closed bool
+
+	// skipped and passedOver are the values of Skipped and PassedOver.
+	skipped, passedOver atomic.Int64
 }
 
+// Skipped returns how many responses to earlier requests came in the place of another
+// response.
+func (p *Pool) Skipped() int64 { return p.skipped.Load() }
+
+// PassedOver returns how often an idle connection was not used for a request because it had
+// carried the request before.
+func (p *Pool) PassedOver() int64 { return p.passedOver.Load() }
+
 // conn is a connection to an upstream.
 type conn struct {
 	net.Conn
@@ -92,7 +104,10 @@
 	defer p.mu.Unlock()
 	list := p.idle[address]
 	for i, c := range slices.Backward(list) {
-		if c.mayCarry(r, now) {
+		switch {
+		case c.carried.has(r.ID):
+			p.passedOver.Add(1)
+		case !r.Once || now.Sub(c.idleSince) >= _quietTime:
 			p.idle[address] = slices.Delete(list, i, i+1)
 			return c
 		}
@@ -100,12 +115,6 @@
 	return nil
 }
 
-// mayCarry reports whether a response on the idle connection could only be that to r, as
-// far as can be known.
-func (c *conn) mayCarry(r *Request, now time.Time) bool {
-	return !c.carried.has(r.ID) && (!r.Once || now.Sub(c.idleSince) >= _quietTime)
-}
-
 // HasIdle reports whether a request with that id can reuse an idle connection to an
 // upstream now, unless the upstream has closed it.
 func (p *Pool) HasIdle(address, id string, now time.Time) bool {
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -141,6 +141,9 @@
 		c.lastErr = err
 		return nil, Response{}, err
 	}
+	if n := x.Skipped(); n > 0 {
+		c.Log.Event("responses-skipped", logger.Fields{"request": c.request.ID, "upstream": u.ID, "send": c.sends, "count": n})
+	}
 	a := c.Protocol.Response(x.Response.Header)
 	if !a.NotRun {
 		c.mayHaveRun = true
