internal/forwarder: a request without an id gets a new connection

A caller whose request has no id could get the response to another caller's request: a late copy that has lost its id, on a kept connection, matches a request without one. Seen failing before: TestStaleResponseToRequestWithoutID, "200 1" instead of "200 2", the first caller's body for the second.

Without an id nothing tells a late response from the request's own, so such a request is sent on a new connection. The test passes 50 times with the race detector.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -20,7 +20,7 @@
 	Host   string
 	// ID identifies the request, also when it is sent again. A connection carries an id
 	// once: a late copy of a response has the id of its request, and could otherwise not be
-	// told from the response to the next send.
+	// told from the response to the next send. Without an ID, a new connection is opened.
 	ID string
 	// Once says that the request may run only once. It is not sent on a connection whose
 	// last response has only just ended: unexpected bytes may follow that response, and
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -102,6 +102,9 @@
 func (p *Pool) pop(address string, r *Request, now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if r.ID == "" {
+		return nil
+	}
 	list := p.idle[address]
 	for i, c := range slices.Backward(list) {
 		switch {
@@ -120,7 +123,7 @@
 func (p *Pool) HasIdle(address, id string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.idle[address], func(c *conn) bool {
+	return id != "" && slices.ContainsFunc(p.idle[address], func(c *conn) bool {
 		return now.Sub(c.idleSince) < c.idleLimit && !c.carried.has(id)
 	})
 }
--- a/internal/relayer/copies_test.go
+++ b/internal/relayer/copies_test.go
@@ -130,3 +130,41 @@
 	u.arrived.Store("2", true)
 	assert.Equal(t, "200 1", sendRequestWith(t, s, "/x", http.Header{"Id": {"2"}}))
 }
+
+// startRepeatingUpstream starts an upstream that precedes each response on a connection with
+// a copy of the one before, without its id. It returns its address.
+func startRepeatingUpstream(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	serve := func(c net.Conn) {
+		defer c.Close()
+		stale := ""
+		for r := bufio.NewReader(c); ; {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			body := fmt.Sprintf("id: %s\n\n", req.Header.Get("Event"))
+			response := fmt.Sprintf("Seal: s\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			fmt.Fprintf(c, "%sHTTP/1.1 200 OK\r\nId: %s\r\n%s", stale, req.Header.Get("Id"), response)
+			stale = "HTTP/1.1 200 OK\r\n" + response
+		}
+	}
+	go func() {
+		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+			go serve(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// A request without an id does not get the late response to another one.
+func TestStaleResponseToRequestWithoutID(t *testing.T) {
+	s := startRelayerOf(t, cataloguer.KindSafe, false, startRepeatingUpstream(t))
+	assert.Equal(t, "200 1", sendRequestWith(t, s, "/x", http.Header{"Id": {"a"}, "Event": {"1"}}))
+	assert.Equal(t, "200 2", sendRequestWith(t, s, "/x", http.Header{"Event": {"2"}}))
+	assert.Equal(t, "200 3", sendRequestWith(t, s, "/x", http.Header{"Event": {"3"}}))
+	assert.Equal(t, "200 4", sendRequestWith(t, s, "/x", http.Header{"Id": {"b"}, "Event": {"4"}}))
+}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -37,7 +37,7 @@
 }
 
 func (protocol) Forward(h http.Header, f relayer.Forward) http.Header {
-	out := http.Header{"Id": h["Id"], "Priority": {strconv.Itoa(f.Priority)}}
+	out := http.Header{"Id": h["Id"], "Event": h["Event"], "Priority": {strconv.Itoa(f.Priority)}}
 	if f.LastEvent > 0 {
 		out.Set("Last", strconv.FormatUint(f.LastEvent, 10))
 	}
