internal/forwarder: a late response without a length does not hold up the next request

A late response to another request that ends with its connection, with neither a length nor chunks, was read to its end before the next one was looked for. Nothing can follow it, and an upstream that keeps the connection open held the request until its deadline: callers of requests that may run only once waited for all of their time, others for half of it.

Such a response, and one that announces the close of its connection, now fails the send at once, with an unknown outcome. The error of reading a skipped response is no longer dropped.

It passes 50 times with the race detector.

--- a/internal/forwarder/copies_test.go
+++ b/internal/forwarder/copies_test.go
@@ -148,3 +148,17 @@
 		require.NoError(t, p.Close())
 	}
 }
+
+// A stale response that ends with its connection fails the send at once, since no other
+// response can follow it.
+func TestStaleResponseWithoutLengthFailsAtOnce(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 200 OK\r\nId: 0\r\n\r\nopen end", "HTTP/1.1 200 OK\r\nId: 0\r\nConnection: close\r\nContent-Length: 9\r\n\r\nhalf"} {
+		u := newUpstream(t, head)
+		p := &forwarder.Pool{Network: networker.System{}}
+		defer p.Close()
+		_, err := send(t, p, u)
+		var f *forwarder.ExchangeError
+		require.ErrorAs(t, err, &f)
+		assert.True(t, f.Sent)
+	}
+}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -102,7 +102,7 @@
 		return nil, fail("write to", sent, err)
 	}
 	c.head.start()
-	for ; ; x.skipped++ {
+	for {
 		res, err := x.readHead(r.Method)
 		if err != nil {
 			return nil, fail("read the response of", true, err)
@@ -115,13 +115,26 @@
 			x.Response = res
 			return x, nil
 		}
-		p.skipped.Add(1)
-		if _, err := io.Copy(io.Discard, res.Body); err != nil || x.skipped >= _maxStaleResponses || res.Close {
-			return nil, fail("read the response of", true, errors.New("the response belongs to another request"))
+		if err := x.skip(res); err != nil {
+			return nil, fail("read the response of", true, err)
 		}
 	}
 }
 
+// skip reads a response to an earlier request to its end. It fails if no other response
+// can follow it, or if too many came.
+func (x *Exchange) skip(res *http.Response) error {
+	x.pool.skipped.Add(1)
+	if res.Close || x.skipped >= _maxStaleResponses {
+		return errors.New("the response belongs to another request")
+	}
+	x.skipped++
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		return fmt.Errorf("skip the response to another request: %w", err)
+	}
+	return nil
+}
+
 // readHead reads the header of a final response and skips interim (1xx) ones.
 func (x *Exchange) readHead(method string) (*http.Response, error) {
 	const minFinalStatus = 200
