--- a/internal/forwarder/copies_test.go
+++ b/internal/forwarder/copies_test.go
@@ -76,13 +76,15 @@
 	testCases := []struct {
 		name, ids, want string
 		connections     int32
+		// skipped and passedOver are counts of the pool.
+		skipped, passedOver int64
 	}{
-		{name: "other requests", ids: "r1 a r2 b", want: "refused ran refused ran", connections: 1},
-		{name: "repeat at once", ids: "r1 r1", want: "refused ran", connections: 2},
-		{name: "repeat after another request", ids: "r1 a r1", want: "refused ran ran", connections: 2},
-		{name: "repeat of all", ids: "r1 r2 r1 r2 r1", want: "refused refused ran ran ran", connections: 3},
-		{name: "repeat of a request that ran", ids: "a r1 a", want: "ran refused ran", connections: 2},
-		{name: "first connection goes on", ids: "r1 r1 a b", want: "refused ran ran ran", connections: 2},
+		{name: "other requests", ids: "r1 a r2 b", want: "refused ran refused ran", connections: 1, skipped: 3, passedOver: 0},
+		{name: "repeat at once", ids: "r1 r1", want: "refused ran", connections: 2, skipped: 0, passedOver: 1},
+		{name: "repeat after another request", ids: "r1 a r1", want: "refused ran ran", connections: 2, skipped: 1, passedOver: 1},
+		{name: "repeat of all", ids: "r1 r2 r1 r2 r1", want: "refused refused ran ran ran", connections: 3, skipped: 1, passedOver: 3},
+		{name: "repeat of a request that ran", ids: "a r1 a", want: "ran refused ran", connections: 2, skipped: 0, passedOver: 1},
+		{name: "first connection goes on", ids: "r1 r1 a b", want: "refused ran ran ran", connections: 2, skipped: 0, passedOver: 1},
 	}
 	for _, tc := range testCases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -95,6 +97,8 @@
 			}
 			assert.Equal(t, tc.want, strings.Join(got, " "))
 			assert.Equal(t, tc.connections, u.accepted.Load())
+			assert.Equal(t, tc.skipped, p.Skipped())
+			assert.Equal(t, tc.passedOver, p.PassedOver())
 		})
 	}
 }
@@ -123,3 +127,38 @@
 	sendID(t, p, u, "0")
 	assert.Equal(t, int32(2), u.accepted.Load())
 }
+
+// A copy of a refusal that breaks off at any byte, and is followed by a response, does not
+// lend its status or its fields to that response.
+func TestTornCopyOfRefusalIsNoPartOfTheResponse(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nDate: x\r\nId: 0\r\nContent-Length: 7\r\n\r\nrefused"
+	for cut := range len(refusal) {
+		u := newUpstream(t, refusal[:cut]+_completeResponse+"!")
+		p := &forwarder.Pool{Network: networker.System{}}
+		x, err := send(t, p, u)
+		if err != nil {
+			var f *forwarder.ExchangeError
+			require.ErrorAs(t, err, &f)
+			assert.True(t, f.Sent)
+			continue
+		}
+		assert.Equal(t, http.StatusOK, x.Response.StatusCode, "%q", refusal[:cut])
+		assert.Empty(t, x.Response.Header.Get("Not-Run"), "%q", refusal[:cut])
+		require.NoError(t, x.Close())
+		require.NoError(t, p.Close())
+	}
+}
+
+// A stale response that ends with its connection fails the send at once, since no other
+// response can follow it.
+func TestStaleResponseWithoutLengthFailsAtOnce(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 200 OK\r\nId: 0\r\n\r\nopen end", "HTTP/1.1 200 OK\r\nId: 0\r\nConnection: close\r\nContent-Length: 9\r\n\r\nhalf"} {
+		u := newUpstream(t, head)
+		p := &forwarder.Pool{Network: networker.System{}}
+		defer p.Close()
+		_, err := send(t, p, u)
+		var f *forwarder.ExchangeError
+		require.ErrorAs(t, err, &f)
+		assert.True(t, f.Sent)
+	}
+}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -20,8 +20,12 @@
 	Host   string
 	// ID identifies the request, also when it is sent again. A connection carries an id
 	// once: a late copy of a response has the id of its request, and could otherwise not be
-	// told from the response to the next send.
+	// told from the response to the next send. Without an ID, a new connection is opened.
 	ID string
+	// Once says that the request may run only once. It is not sent on a connection whose
+	// last response has only just ended: unexpected bytes may follow that response, and
+	// would leave the outcome of the request unknown.
+	Once bool
 	// Header must not contain hop-by-hop fields such as Connection.
 	Header http.Header
 	Body   []byte
@@ -68,12 +72,18 @@
 	stop func() bool
 	// ended is true once the body was read to its end.
 	ended bool
+	// skipped counts the responses to earlier requests before Response.
+	skipped int
 }
 
+// Skipped returns how many responses to earlier requests came on the connection before the
+// one to this request.
+func (x *Exchange) Skipped() int { return x.skipped }
+
 // Send sends a request to an upstream and waits for the header of the response.
 // If ctx ends, the connection is closed, also while the body is being read.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Exchange, error) {
-	c, err := p.acquireConn(ctx, address, r.ID)
+	c, err := p.acquireConn(ctx, address, r)
 	if err != nil {
 		return nil, &ExchangeError{Step: "connect to", Peer: address, Err: err}
 	}
@@ -92,22 +102,39 @@
 		return nil, fail("write to", sent, err)
 	}
 	c.head.start()
-	for skipped := 0; ; skipped++ {
+	for {
 		res, err := x.readHead(r.Method)
 		if err != nil {
 			return nil, fail("read the response of", true, err)
 		}
+		if isSpliced(res) {
+			return nil, fail("read the response of", true, errors.New("the head of the response contains another one"))
+		}
 		if r.Matches == nil || r.Matches(res.Header, c.reused) {
 			c.head.end()
 			x.Response = res
 			return x, nil
 		}
-		if _, err := io.Copy(io.Discard, res.Body); err != nil || skipped >= _maxStaleResponses || res.Close {
-			return nil, fail("read the response of", true, errors.New("the response belongs to another request"))
+		if err := x.skip(res); err != nil {
+			return nil, fail("read the response of", true, err)
 		}
 	}
 }
 
+// skip reads a response to an earlier request to its end. It fails if no other response
+// can follow it, or if too many came.
+func (x *Exchange) skip(res *http.Response) error {
+	x.pool.skipped.Add(1)
+	if res.Close || x.skipped >= _maxStaleResponses {
+		return errors.New("the response belongs to another request")
+	}
+	x.skipped++
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		return fmt.Errorf("skip the response to another request: %w", err)
+	}
+	return nil
+}
+
 // readHead reads the header of a final response and skips interim (1xx) ones.
 func (x *Exchange) readHead(method string) (*http.Response, error) {
 	const minFinalStatus = 200
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/networker"
@@ -21,6 +22,10 @@
 	_idleLimit = 4 * time.Second
 	// _idlePerHost is the largest number of idle connections to one upstream.
 	_idlePerHost = 24
+	// _quietTime is how long a connection must have been idle to carry a request that may
+	// run only once. It is longer than a round trip, so that bytes that an upstream sends
+	// just behind a response have arrived.
+	_quietTime = 2 * time.Millisecond
 	// _readBuffer is the size of a connection's read buffer, in bytes.
 	_readBuffer = 4 << 10
 )
@@ -35,8 +40,19 @@
 	mu     sync.Mutex
 	idle   map[string][]*conn
 	closed bool
+
+	// skipped and passedOver are the values of Skipped and PassedOver.
+	skipped, passedOver atomic.Int64
 }
 
+// Skipped returns how many responses to earlier requests came in the place of another
+// response.
+func (p *Pool) Skipped() int64 { return p.skipped.Load() }
+
+// PassedOver returns how often an idle connection was not used for a request because it had
+// carried the request before.
+func (p *Pool) PassedOver() int64 { return p.passedOver.Load() }
+
 // conn is a connection to an upstream.
 type conn struct {
 	net.Conn
@@ -54,11 +70,11 @@
 	carried carriedIDs
 }
 
-// acquireConn returns an idle connection that is still usable, or a new one. The
-// connection has not carried a request with that id.
-func (p *Pool) acquireConn(ctx context.Context, address, id string) (*conn, error) {
+// acquireConn returns an idle connection that is still usable and may carry the request,
+// or a new one.
+func (p *Pool) acquireConn(ctx context.Context, address string, r *Request) (*conn, error) {
 	for {
-		c := p.pop(address, id)
+		c := p.pop(address, r, time.Now())
 		if c == nil {
 			break
 		}
@@ -81,14 +97,20 @@
 	return c, nil
 }
 
-// pop returns the idle connection that was used last among those that have not carried a
-// request with that id, or nil if there is none.
-func (p *Pool) pop(address, id string) *conn {
+// pop returns the idle connection that was used last among those that may carry a request,
+// or nil if there is none.
+func (p *Pool) pop(address string, r *Request, now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if r.ID == "" {
+		return nil
+	}
 	list := p.idle[address]
 	for i, c := range slices.Backward(list) {
-		if !c.carried.has(id) {
+		switch {
+		case c.carried.has(r.ID):
+			p.passedOver.Add(1)
+		case !r.Once || now.Sub(c.idleSince) >= _quietTime:
 			p.idle[address] = slices.Delete(list, i, i+1)
 			return c
 		}
@@ -101,7 +123,7 @@
 func (p *Pool) HasIdle(address, id string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.idle[address], func(c *conn) bool {
+	return id != "" && slices.ContainsFunc(p.idle[address], func(c *conn) bool {
 		return now.Sub(c.idleSince) < c.idleLimit && !c.carried.has(id)
 	})
 }
