internal/relayer: a request is late at a shutdown by when its body was complete

Callers whose bodies came in chunks, the last one after the notice of a shutdown, were taken in although the limit would cut their responses off: the refusal of late requests went by the time at which the head had arrived. Such a request is counted as sent when its last byte was, so nothing excuses the cut.

The decision now goes by when the request was read whole. It is refused at once as not run, like others that come after the notice.

--- a/internal/relayer/drain.go
+++ b/internal/relayer/drain.go
@@ -33,15 +33,15 @@
 	End time.Time
 }
 
-// mayCut reports whether the shutdown may cut off the response to a request that arrives
-// after the notice.
-func (d Shutdown) mayCut(arrivedAt, deadline time.Time) bool {
-	return !d.End.IsZero() && arrivedAt.After(d.NoticeEnd) && deadline.After(d.End)
+// mayCut reports whether the shutdown may cut off the response to a request that was read
+// whole after the notice.
+func (d Shutdown) mayCut(completeAt, deadline time.Time) bool {
+	return !d.End.IsZero() && completeAt.After(d.NoticeEnd) && deadline.After(d.End)
 }
 
 // StartDraining makes each response close its connection, so that callers connect to
-// another process before this one ends. Requests that arrive after the notice are refused
-// if their deadline is later than the shutdown's end.
+// another process before this one ends. Requests that are complete only after the notice are
+// refused if their deadline is later than the shutdown's end.
 func (s *Relayer) StartDraining(d Shutdown) { s.drain.Store(&d) }
 
 // SettleRequests makes the requests whose responses have not begun at their callers end with
@@ -95,7 +95,7 @@
 // whether it did.
 func (c *call) refuseDraining() bool {
 	d := c.drain.Load()
-	if d == nil || !d.mayCut(c.arrivedAt, c.deadline) {
+	if d == nil || !d.mayCut(c.progress.get().completeAt, c.deadline) {
 		return false
 	}
 	c.refuseFor(http.StatusServiceUnavailable, "draining", _drainRetryAfter)
