internal/server: an entry responds to requests that wait at its drain-limit

By default entries have no such limit.

Shortly before the limit the contexts of requests whose responses have not begun are cancelled with a cause, also those of unrepeatable calls, which otherwise go on without their caller. A chat that waited for a slot gets 503 with Retry-After and the outcome not-run, one that was sent to a replica 502 with outcome unknown, a call what its outcome allows. Refusals during a shutdown close their connection. Not changed: a body that is still arriving at the limit is cut, and so are streams that have begun.

Seen before: session shutdown_limit, "c1: no answer" instead of "c1: 502 draining outcome=unknown retry"; without the cancellation TestShutdownSettlesCalls fails with "no response at the limit".

--- a/internal/composer/common.go
+++ b/internal/composer/common.go
@@ -133,6 +133,6 @@
 		return self
 	}
 	a.Processes = r.Processes
-	k.serve("operator", k.operatorListener, a.Handler(), nil)
+	k.serve("operator", k.operatorListener, a.Handler(), shutdownHooks{})
 	return k.services.Register(NameOperator, a)
 }
--- a/internal/composer/entry.go
+++ b/internal/composer/entry.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		return err
 	}
-	k.serve("callers", l, s.Handler(), s.Drain)
+	k.serve("callers", l, s.Handler(), shutdownHooks{begin: s.Drain, settle: s.Settle})
 	return k.services.Register(NameServer, s)
 }
 
--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -125,7 +125,7 @@
 		return err
 	}
 	k.health.ReadyPath = a.ReadinessPath
-	k.serve("metrics", l, k.health.Handler(m), nil)
+	k.serve("metrics", l, k.health.Handler(m), shutdownHooks{})
 	if err := k.services.Register(NameMeter, m); err != nil {
 		return err
 	}
--- a/internal/composer/kernel.go
+++ b/internal/composer/kernel.go
@@ -163,11 +163,10 @@
 	return l, nil
 }
 
-// serve serves h on l while the application runs. When the application stops, it calls
-// beforeShutdown unless that is nil, and waits until no connection is left or the drain
-// limit has passed.
-func (k *kernel) serve(name string, l net.Listener, h http.Handler, beforeShutdown func()) {
-	k.serveLimited(name, l, h, &drainer.Drainer{}, shutdownHooks{begin: beforeShutdown})
+// serve serves h on l while the application runs. When the application stops, it waits
+// until no connection is left or the drain limit has passed.
+func (k *kernel) serve(name string, l net.Listener, h http.Handler, hooks shutdownHooks) {
+	k.serveLimited(name, l, h, &drainer.Drainer{}, hooks)
 }
 
 // shutdownHooks are called while a server shuts down, unless they are nil.
--- a/internal/composer/meter.go
+++ b/internal/composer/meter.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		return err
 	}
-	k.serve("metrics", l, k.health.Handler(m), nil)
+	k.serve("metrics", l, k.health.Handler(m), shutdownHooks{})
 	return k.services.Register(NameMeter, m)
 }
 
--- a/internal/server/complete.go
+++ b/internal/server/complete.go
@@ -47,6 +47,7 @@
 	}
 	var progress streamer.Progress
 	var resumeDeadline time.Time // zero until an attempt breaks
+	outcome := responder.NotRun
 	for withoutProgress := 0; withoutProgress < _maxAttemptsWithoutProgress; withoutProgress++ {
 		slot, err := s.Dispatcher.Acquire(ctx, request)
 		if len(request.Tried) > 0 && errors.Is(err, scheduler.ErrNoReplica) && time.Now().Before(resumeDeadline) {
@@ -55,6 +56,9 @@
 			request.Deadline = resumeDeadline
 			continue
 		}
+		if err != nil && isDraining(ctx) {
+			return drainingProblem(outcome)
+		}
 		if err != nil {
 			return s.acquireProblem(ctx, err, progress.Tokens() > 0)
 		}
@@ -84,6 +88,10 @@
 			return nil
 		}
 		slot.Release(0)
+		outcome = responder.Unknown
+		if errors.Is(err, errDraining) {
+			return drainingProblem(outcome)
+		}
 		if errors.Is(err, streamer.ErrCallerGone) {
 			return &responder.Problem{Status: http.StatusBadRequest, Code: "caller-gone", Message: err.Error(), Outcome: responder.Ran}
 		}
--- a/internal/server/fakes_test.go
+++ b/internal/server/fakes_test.go
@@ -189,6 +189,7 @@
 // entry is one process that serves plain services.
 type entry struct {
 	recorder *recorder.Recorder
+	server   *server.Server
 	handler  http.Handler
 }
 
@@ -199,7 +200,7 @@
 	}
 	r := recorder.New(store, logger.Logger{})
 	s := &server.Server{Configuration: c, ServiceClient: services, Recorder: r, ServicePoller: leaving, Process: name, DataCentre: "near", MaxBodyBytes: 1 << 20}
-	return &entry{recorder: r, handler: s.Handler()}
+	return &entry{recorder: r, server: s, handler: s.Handler()}
 }
 
 // callOptions describe a call; the zero value is a POST to lodgement without an
--- a/internal/server/keyed.go
+++ b/internal/server/keyed.go
@@ -74,7 +74,9 @@
 	}
 	// The call continues when its caller hangs up, so that its outcome becomes
 	// known.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.Request.Context()), call.service.Timeout())
+	ctx, release := s.settler.attach(context.WithoutCancel(c.Request.Context()))
+	defer release()
+	ctx, cancel := context.WithTimeout(ctx, call.service.Timeout())
 	defer cancel()
 	call.sendable = func() bool { return claim.Sendable(time.Now()) }
 	result, err := s.sendCall(ctx, c, call)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -74,6 +74,7 @@
 	WriteLimit time.Duration
 
 	draining atomic.Bool
+	settler  settler
 	balancer servicebalancer.Balancer
 }
 
@@ -89,7 +90,7 @@
 	gin.SetMode(gin.ReleaseMode)
 	e := gin.New()
 	e.HandleMethodNotAllowed = true
-	e.Use(gin.CustomRecoveryWithWriter(nil, s.handlePanic), s.measure, s.identify)
+	e.Use(gin.CustomRecoveryWithWriter(nil, s.handlePanic), s.measure, s.settleable, s.identify)
 	e.POST("/v1/chat/completions", s.handleChat)
 	e.GET("/v1/models", s.handleModels)
 	e.Any("/services/:name/*path", s.handleService)
@@ -108,13 +109,6 @@
 	return e
 }
 
-// Drain makes the server refuse new requests from now on; requests in flight
-// continue.
-func (s *Server) Drain() { s.draining.Store(true) }
-
-// Draining reports whether new requests are refused.
-func (s *Server) Draining() bool { return s.draining.Load() }
-
 // handlePanic logs a handler's panic and refuses the request. It passes on
 // http.ErrAbortHandler, with which net/http closes the connection.
 func (s *Server) handlePanic(c *gin.Context, cause any) {
@@ -135,11 +129,7 @@
 	c.Header(HeaderRequest, id.request)
 	c.Set(_identityKey, id)
 	if s.draining.Load() {
-		c.Header("Connection", "close")
-		s.refuse(c, &responder.Problem{
-			Status: http.StatusServiceUnavailable, Code: "draining", Message: "this entry is shutting down",
-			Outcome: responder.NotRun, Remedy: "send the request again; another entry will handle it", RetryAfter: time.Second,
-		})
+		s.refuse(c, drainingProblem(responder.NotRun))
 		return
 	}
 	organisation, ok := authenticator.Organisation(c.Request, s.Configuration.Current().Document())
@@ -167,6 +157,9 @@
 
 // refuse logs, counts and writes a refusal, and ends the request.
 func (s *Server) refuse(c *gin.Context, p *responder.Problem) {
+	if s.draining.Load() {
+		c.Header("Connection", "close")
+	}
 	id := identityOf(c)
 	p.RequestID = id.request
 	s.Log.Event("refuse", logger.Fields{
--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -68,7 +68,9 @@
 	if call.service.Unrepeatable {
 		// The call continues when its caller hangs up, so that it isn't cut off
 		// half-way.
-		ctx = context.WithoutCancel(ctx)
+		var release func() bool
+		ctx, release = s.settler.attach(context.WithoutCancel(ctx))
+		defer release()
 	}
 	ctx, cancel := context.WithTimeout(ctx, call.service.Timeout())
 	defer cancel()
--- a/internal/server/writer.go
+++ b/internal/server/writer.go
@@ -76,6 +76,9 @@
 	c := chunk{ID: "chatcmpl-" + identityOf(w.gin).request, Object: "chat.completion.chunk", Created: time.Now().Unix(), Model: w.model}
 	c.Choices = []engineclient.ChunkChoice{{Delta: engineclient.Delta{Content: p.Text}}}
 	if !w.sentFirst {
+		if !beginStream(w.gin) {
+			return errDraining
+		}
 		w.sentFirst = true
 		c.Choices[0].Delta.Role = "assistant"
 		w.gin.Header("Content-Type", "text/event-stream")
--- a/internal/session/commands_test.go
+++ b/internal/session/commands_test.go
@@ -34,6 +34,7 @@
 //	                                 start an engine and list it on the platform
 //	service NAME DATA-CENTRE         start a plain service and list it on the platform
 //	entry NAME DATA-CENTRE           start an entry
+//	drain-limit DURATION             set the drain limit of the entries started later
 //	placer NAME DATA-CENTRE          start a placer
 //	patch ENTRY BASE ID FILE         send a configuration patch that is based on the
 //	                                 configuration number BASE; print the new number
@@ -67,9 +68,10 @@
 func commands() map[string]func(ts *testscript.TestScript, neg bool, args []string) {
 	table := map[string]command{
 		"engine": engineCommand, "service": func(_ *testscript.TestScript, d *deployment, a []string) { d.startService(a[0], a[1]) },
-		"entry":  processCommand(loader.RoleEntry),
-		"placer": processCommand(loader.RolePlacer),
-		"patch":  patchCommand, "sleep": sleepCommand, "await": awaitCommand,
+		"entry":       processCommand(loader.RoleEntry),
+		"placer":      processCommand(loader.RolePlacer),
+		"drain-limit": func(_ *testscript.TestScript, d *deployment, a []string) { d.drainLimit = a[0] },
+		"patch":       patchCommand, "sleep": sleepCommand, "await": awaitCommand,
 		"chat": draftCommand(true), "chat-unstreamed": draftCommand(false), "call": callCommand, "join": joinCommand,
 		"fault": faultCommand, "platform-list": platformListCommand, "runs": runsCommand, "log": logCommand,
 		"crash": eachCommand((*deployment).kill), "shutdown": eachCommand((*deployment).shutDown),
--- a/internal/session/deployment_test.go
+++ b/internal/session/deployment_test.go
@@ -72,6 +72,8 @@
 	results    map[string]chan string // by name of the request
 	client     *http.Client
 	goroutines sync.WaitGroup
+	// drainLimit is the drain limit of the entries that are started; empty means none.
+	drainLimit string
 }
 
 func newDeployment() *deployment {
@@ -161,6 +163,9 @@
 	args = append(args, "-peer-seeds", strings.Join(seeds, ","))
 	if role == loader.RoleEntry {
 		args = append(args, "-callers-listen", ip+_callersPort)
+		if d.drainLimit != "" {
+			args = append(args, "-drain-limit", d.drainLimit)
+		}
 	}
 	return args
 }
