internal/relayer: a stream without events closes its connection during a shutdown

The only response that began without being recorded as such: it neither closed the connection nor kept a shutdown from settling the request. Found by reading; no caller lost a response by it.

--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -190,6 +190,7 @@
 			c.status, c.outcome, c.lastErr = http.StatusOK, "answered", nil
 			c.Quarantine.RecordOutput(c.parts)
 			if !c.headWritten {
+				c.beginResponse()
 				c.writeHead(x)
 			}
 			return true, ""
