internal/conductor: a holder without the store yields to a later term that a peer has

Cause: two processes gave orders. The lease holder was cut off from the store at 23 s; another one took the lease at 25.8 s with term 2; at 27.0 s the first one went on without the lease ("conductor leading=true store_away=true term=1"), since no upstream that it knew showed an order of a later term: the first orders of term 2 went to upstreams that its old list did not have. For 2.3 s each undid the other's groups. Class of fault: evidence of a later leader is looked for in one place only, where it may not show.

Change: processes tell each other the latest term of the lease with their loads (two to eleven bytes a round), and a holder that can't reach the store does not go on beside a later term. A process that is cut off from its peers as well goes on as before.

--- a/internal/composer/sharer.go
+++ b/internal/composer/sharer.go
@@ -9,6 +9,7 @@
 	"net"
 	"time"
 
+	"github.com/lycheebarrow/lycheebarrow/internal/conductor"
 	"github.com/lycheebarrow/lycheebarrow/internal/enumerator"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 	"github.com/lycheebarrow/lycheebarrow/internal/pauser"
@@ -59,10 +60,19 @@
 	a := find[Adapter](f, NameAdapter)
 	sh := find[*sharer.Sharer](f, NameSharer)
 	rl := find[*relayer.Relayer](f, NameRelayer)
+	cd := find[*conductor.Conductor](f, NameConductor)
 	if f.err != nil {
 		return f.err
 	}
-	sh.OwnLoad, sh.Publish = rl.OwnLoad, rl.SetTotalLoad
+	sh.OwnLoad = func() sharer.Load {
+		l := rl.OwnLoad()
+		l.LeaseTerm = cd.Lease.Term()
+		return l
+	}
+	sh.Publish = func(t sharer.TotalLoad) {
+		rl.SetTotalLoad(t)
+		cd.ObserveTerm(t.LeaseTerm)
+	}
 	if k.settings.PeerListen() == "" {
 		return nil
 	}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -136,8 +137,10 @@
 	// restarts holds when upstreams started that have done so since the platform's list
 	// showed them, as in cataloguer.Upstream, by id.
 	restarts map[string]int64
-	// latestTerm is the latest term of the groups that upstreams have reported.
+	// latestTerm is the latest term of the groups that upstreams have reported, and peerTerm
+	// that of ObserveTerm.
 	latestTerm uint64
+	peerTerm   atomic.Uint64
 	// listUnavailableAt is when the platform's list was last found unavailable.
 	listUnavailableAt time.Time
 	// leaseHeldAt is when this process was last found to hold the lease.
@@ -209,6 +212,12 @@
 	}
 }
 
+// ObserveTerm records the latest term under which a process has held the lease, as the other
+// processes tell. It is safe for concurrent use, but not with itself.
+func (c *Conductor) ObserveTerm(term uint64) {
+	c.peerTerm.Store(max(c.peerTerm.Load(), term))
+}
+
 // applyResults applies the results that are waiting.
 func (c *Conductor) applyResults() {
 	for {
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -257,6 +257,39 @@
 	})
 }
 
+// A holder that can't reach the store gives no orders beside the process that has taken the
+// lease, although no upstream that it can reach shows an order of that process.
+func TestLeadingWithoutLeaseEndsAtTermOfPeer(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		toldAt  time.Duration
+		changes []bool
+	}{
+		{name: "before it would continue", changes: nil},
+		{name: "later", toldAt: 6 * time.Second, changes: []bool{true, false}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a, b, c := threeMembers()
+				u := &upstreams{reports: map[string]cataloguer.Report{"a": {Group: a.Group}, "b": {Group: b.Group}, "c": {Group: c.Group}}}
+				var k cataloguer.Catalogue
+				k.SetListUnavailable(true)
+				setup := func(x *conductor.Conductor) {
+					x.ObserveTerm(7)
+					if tc.toldAt == 0 {
+						x.ObserveTerm(8)
+						return
+					}
+					time.AfterFunc(tc.toldAt, func() { x.ObserveTerm(8) })
+				}
+				var changes []bool
+				runWithSetup(&k, 10*time.Second, u, lease{expired: true}, func(leading bool) { changes = append(changes, leading) }, setup, a, b, c)
+				assert.Equal(t, tc.changes, changes)
+			})
+		})
+	}
+}
+
 // An order carries the number of orders that the upstream has accepted, including
 // those that its report does not show yet.
 func TestOrderExpectsNumberOfAcceptedOrders(t *testing.T) {
--- a/internal/conductor/unlisted.go
+++ b/internal/conductor/unlisted.go
@@ -159,14 +159,15 @@
 
 // mayKeepLeading reports whether this process may continue to give orders although
 // its lease has expired, because it can't reach the store. Either no process can reach
-// the store, so none can take the lease, or another process has taken it, and then
-// the orders of both can't harm a group. mayKeepLeading returns false once an upstream
-// shows an order of a later term.
+// the store, so none can take the lease, or another process has taken it without this one
+// knowing. The orders of both can't make a group serve that lacks a member, but they undo
+// each other's groups. mayKeepLeading returns false once an upstream shows an order of a
+// later term, or another process tells of one.
 func (c *Conductor) mayKeepLeading() bool {
 	if !c.Catalogue.ListUnavailable() || !c.Lease.WasLastHolder() {
 		return false
 	}
-	return c.latestTerm <= c.Lease.Term()
+	return max(c.latestTerm, c.peerTerm.Load()) <= c.Lease.Term()
 }
 
 // watchMembers checks the members of all groups without giving orders, to see whether
--- a/internal/sharer/codec.go
+++ b/internal/sharer/codec.go
@@ -28,7 +28,7 @@
 	for x := range l.Departures {
 		r.Departures = append(r.Departures, &wire.Departure{Upstream: x.Upstream, StartedMs: x.StartedMs})
 	}
-	r.Limits = encodeLimits(l.Limits)
+	r.Limits, r.LeaseTerm = encodeLimits(l.Limits), l.LeaseTerm
 	return r
 }
 
@@ -79,7 +79,7 @@
 		}
 		l.Departures[screener.Life{Upstream: x.GetUpstream(), StartedMs: x.GetStartedMs()}] = true
 	}
-	l.Limits = decodeLimits(r.GetLimits())
+	l.Limits, l.LeaseTerm = decodeLimits(r.GetLimits()), r.GetLeaseTerm()
 	return l
 }
 
--- a/internal/sharer/load.go
+++ b/internal/sharer/load.go
@@ -46,6 +46,9 @@
 	Departures map[screener.Life]bool
 	// Limits is the newest evidence of the processes of upstreams that state a limit.
 	Limits map[screener.Life]screener.LimitNotice
+	// LeaseTerm is the latest term under which one of the processes has held the lease whose
+	// holder gives orders to upstreams; 0 if none has.
+	LeaseTerm uint64
 	// Processes is the number of processes whose loads are summed.
 	Processes int
 }
@@ -114,6 +117,7 @@
 	}
 	maps.Copy(l.Departures, o.Departures)
 	l.addLimits(o.Limits, age)
+	l.LeaseTerm = max(l.LeaseTerm, o.LeaseTerm)
 	l.Processes += o.Processes
 }
 
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -462,7 +462,7 @@
 	return &wire.Round{
 		Sender: sum.GetSender(), DataCentre: sum.GetDataCentre(), Processes: sum.GetProcesses(),
 		Loads: sum.GetLoads(), Demands: sum.GetDemands(), Silences: sum.GetSilences(),
-		Crashes: sum.GetCrashes(), Verdicts: sum.GetVerdicts(), Departures: sum.GetDepartures(), Limits: sum.GetLimits(),
+		Crashes: sum.GetCrashes(), Verdicts: sum.GetVerdicts(), Departures: sum.GetDepartures(), Limits: sum.GetLimits(), LeaseTerm: sum.GetLeaseTerm(),
 	}
 }
 
--- a/internal/sharer/system_test.go
+++ b/internal/sharer/system_test.go
@@ -269,6 +269,7 @@
 				l.Activity = map[string]time.Duration{"u": 10 * time.Millisecond}
 			}
 			l.Limits = _ownLimits[p.Name]
+			l.LeaseTerm = map[string]uint64{"a2": 3, "b1": 5}[p.Name]
 			return l
 		},
 	}}
