internal/quarantiner: parts of prompts are identified by hashes

Groundwork for parts with long ids and for many parts. A part was its service and id: ids of up to 64 bytes, each kept as a piece of the request's header, so that one remembered part could keep a whole header in memory.

Refusals name the part as before, and its hash; the warning on quarantine has the hash only.

--- a/internal/quarantiner/evidence.go
+++ b/internal/quarantiner/evidence.go
@@ -5,9 +5,6 @@
 	"time"
 )
 
-// Part is a part of the prompts of a service that several requests may share.
-type Part struct{ Service, ID string }
-
 // Life is an upstream as the head of a group, from the group's forming to its end: an
 // upstream crashes once in a life.
 type Life struct {
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -274,7 +274,7 @@
 			return left, p
 		}
 	}
-	return 0, Part{}
+	return 0, 0
 }
 
 // MayResend reports whether a request whose response broke off before its first output may
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -122,7 +122,7 @@
 func parts(ids []string) []quarantiner.Part {
 	var out []quarantiner.Part
 	for _, id := range ids {
-		out = append(out, quarantiner.Part{Service: "engines", ID: id})
+		out = append(out, quarantiner.NewPart("engines", id))
 	}
 	return out
 }
--- a/internal/relayer/quarantine.go
+++ b/internal/relayer/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/forwarder"
@@ -19,13 +20,13 @@
 // reports whether it did. The request would not be served before the quarantine ends.
 func (c *call) refuseQuarantined() bool {
 	for _, id := range c.request.SharedParts {
-		c.parts = append(c.parts, quarantiner.Part{Service: c.service.Name, ID: id})
+		c.parts = append(c.parts, quarantiner.NewPart(c.service.Name, id))
 	}
 	left, part := c.Quarantine.QuarantinedFor(c.parts, time.Now())
 	if left == 0 {
 		return false
 	}
-	c.Log.Event("quarantine", logger.Fields{"request": c.request.ID, "part": part.ID, "left_ms": left.Milliseconds(), "outcome": "refused"})
+	c.Log.Event("quarantine", logger.Fields{"request": c.request.ID, "part": c.request.SharedParts[slices.Index(c.parts, part)], "hash": part, "left_ms": left.Milliseconds(), "outcome": "refused"})
 	c.refuseFor(http.StatusServiceUnavailable, "prompt-quarantined", left)
 	return true
 }
@@ -76,6 +77,6 @@
 func (s *Relayer) receiveEvidence(e quarantiner.Evidence, now time.Time) {
 	for _, p := range s.Quarantine.Receive(e, now) {
 		left, _ := s.Quarantine.QuarantinedFor([]quarantiner.Part{p}, now)
-		s.Log.Warn("quarantine", logger.Fields{"service": p.Service, "part": p.ID, "left_ms": left.Milliseconds(), "outcome": "requests with the part are refused"})
+		s.Log.Warn("quarantine", logger.Fields{"hash": p, "left_ms": left.Milliseconds(), "outcome": "requests with the part are refused"})
 	}
 }
--- a/internal/sharer/evidence.go
+++ b/internal/sharer/evidence.go
@@ -14,7 +14,7 @@
 	for life, c := range e.Crashes {
 		x := &wire.UpstreamCrash{Upstream: life.Upstream, Epoch: life.Epoch, Broken: uint32(c.Broken), Refused: c.Refused, Survived: c.Survived}
 		for p := range c.Suspects {
-			x.Suspects = append(x.Suspects, encodePart(p))
+			x.Suspects = append(x.Suspects, uint64(p))
 		}
 		out = append(out, x)
 	}
@@ -25,11 +25,11 @@
 func encodeVerdicts(e quarantiner.Evidence) []*wire.PartVerdict {
 	var out []*wire.PartVerdict
 	for p := range e.Cleared {
-		out = append(out, &wire.PartVerdict{Part: encodePart(p), Cleared: true})
+		out = append(out, &wire.PartVerdict{Parts: []uint64{uint64(p)}, Cleared: true})
 	}
 	for p, left := range e.Quarantined {
 		if ms := left.Milliseconds(); ms > 0 {
-			out = append(out, &wire.PartVerdict{Part: encodePart(p), QuarantinedMs: uint32(min(ms, math.MaxUint32))})
+			out = append(out, &wire.PartVerdict{Parts: []uint64{uint64(p)}, QuarantinedMs: uint32(min(ms, math.MaxUint32))})
 		}
 	}
 	return out
@@ -41,13 +41,16 @@
 	for _, x := range r.GetCrashes() {
 		c := quarantiner.Crash{Broken: int(x.GetBroken()), Refused: x.GetRefused(), Survived: x.GetSurvived(), Suspects: make(map[quarantiner.Part]bool)}
 		for _, p := range x.GetSuspects() {
-			c.Suspects[decodePart(p)] = true
+			c.Suspects[quarantiner.Part(p)] = true
 		}
 		life := quarantiner.Life{Upstream: x.GetUpstream(), Epoch: x.GetEpoch()}
 		e.Add(quarantiner.Evidence{Crashes: map[quarantiner.Life]quarantiner.Crash{life: c}}, 0)
 	}
 	for _, v := range r.GetVerdicts() {
-		p := decodePart(v.GetPart())
+		if len(v.GetParts()) == 0 {
+			continue
+		}
+		p := quarantiner.Part(v.GetParts()[0])
 		if v.GetCleared() {
 			e.Add(quarantiner.Evidence{Cleared: map[quarantiner.Part]bool{p: true}}, 0)
 		}
@@ -57,11 +60,3 @@
 	}
 	return e
 }
-
-func encodePart(p quarantiner.Part) *wire.PromptPart {
-	return &wire.PromptPart{Service: p.Service, Id: p.ID}
-}
-
-func decodePart(p *wire.PromptPart) quarantiner.Part {
-	return quarantiner.Part{Service: p.GetService(), ID: p.GetId()}
-}
