internal/quarantiner: sound parts beside the one that crashes upstreams are not refused

That two parts were suspects in the same crashes says that prompts with both are dangerous, and nothing of either alone. A quarantine is now of a combination: a part together with all others that were suspects in each of its crashes. Prompts with the whole combination are refused; one with the first part only is sent, and its output leaves the other part alone in the quarantine. Where upstreams go on to crash although a combination is refused, a part waited beside them by chance; each part of it is then quarantined by itself.

TestManyCrashes checks as before that no quarantine has the part with output, now in any combination.

--- a/internal/quarantiner/evidence.go
+++ b/internal/quarantiner/evidence.go
@@ -34,8 +34,9 @@
 	// Cleared are parts for which an upstream has generated output. Only suspects of
 	// several crashes are listed.
 	Cleared map[Part]bool
-	// Quarantined holds the time for which each quarantined part remains so.
-	Quarantined map[Part]time.Duration
+	// Quarantined holds the time for which each quarantine lasts. It is of the prompts that
+	// have all parts of the combination.
+	Quarantined map[Combination]time.Duration
 }
 
 // Add adds evidence that was received the given time ago.
@@ -60,10 +61,10 @@
 		}
 		e.Cleared[p] = true
 	}
-	for p, left := range other.Quarantined {
+	for c, left := range other.Quarantined {
 		if e.Quarantined == nil {
-			e.Quarantined = make(map[Part]time.Duration)
+			e.Quarantined = make(map[Combination]time.Duration)
 		}
-		e.Quarantined[p] = max(e.Quarantined[p], left-age)
+		e.Quarantined[c] = max(e.Quarantined[c], left-age)
 	}
 }
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -11,6 +11,9 @@
 	// _crashesUntilQuarantine is the number of crashes in which a part must be a suspect.
 	// Fewer may be chance: a sound part may wait where an upstream crashes by itself.
 	_crashesUntilQuarantine = 3
+	// _crashesUntilTooNarrow is the number of further crashes after which a combination of
+	// parts is taken to miss the prompts under which upstreams crash.
+	_crashesUntilTooNarrow = 2
 	// _clearanceDelay is how long after the last of these crashes was known a part is
 	// quarantined, so that a process that has cleared it can say so.
 	_clearanceDelay = time.Second
@@ -28,6 +31,9 @@
 	// outlast the known one to extend it. Times grow a little on their way, and would
 	// extend each other for ever.
 	_extensionMargin = 10 * time.Second
+	// _maxCombination is the largest number of parts of a combination. A prompt that has
+	// that many of them is taken to have the others.
+	_maxCombination = 64
 	// _maxCrashes is the largest number of crashes that are remembered, _maxSuspects that
 	// of suspects of one crash, and _maxCleared that of cleared parts, twice.
 	_maxCrashes  = 256
@@ -49,8 +55,7 @@
 	cleared, clearedBefore map[Part]bool
 	// clearedByOthers holds the suspects that other processes have cleared.
 	clearedByOthers map[Part]bool
-	// quarantinedUntil is when the quarantine of each part ends.
-	quarantinedUntil map[Part]time.Time
+	quarantines     quarantines
 }
 
 // record is a crash, and when this process first learned of it.
@@ -154,7 +159,7 @@
 	isOld := func(_ Life, r *record) bool { return now.Sub(r.at) >= _memoryTime }
 	maps.DeleteFunc(q.own, isOld)
 	maps.DeleteFunc(q.known, isOld)
-	maps.DeleteFunc(q.quarantinedUntil, func(_ Part, until time.Time) bool { return !now.Before(until) })
+	q.quarantines.forget(now)
 	if len(q.known) == 0 {
 		clear(q.clearedByOthers)
 	}
@@ -173,19 +178,19 @@
 		}
 	}
 	for p, n := range q.suspicions(now) {
-		if n.confirmed > 1 && q.isClearedHere(p) {
+		if n.confirmed.len() > 1 && q.isClearedHere(p) {
 			e.Add(Evidence{Cleared: map[Part]bool{p: true}}, 0)
 		}
 	}
-	for p, until := range q.quarantinedUntil {
-		e.Add(Evidence{Quarantined: map[Part]time.Duration{p: until.Sub(now)}}, 0)
+	for c, x := range q.quarantines.byCombination {
+		e.Add(Evidence{Quarantined: map[Combination]time.Duration{c: x.until.Sub(now)}}, 0)
 	}
 	return e
 }
 
-// Receive takes the evidence of all processes, and returns the parts that are quarantined
-// from now on.
-func (q *Quarantiner) Receive(e Evidence, now time.Time) []Part {
+// Receive takes the evidence of all processes, and returns the combinations of parts that
+// are quarantined from now on.
+func (q *Quarantiner) Receive(e Evidence, now time.Time) []Combination {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.forget(now)
@@ -206,55 +211,16 @@
 		}
 		q.clearedByOthers[p] = true
 	}
-	var out []Part
-	for p, left := range e.Quarantined {
+	var out []Combination
+	for c, left := range e.Quarantined {
 		until := now.Add(min(left, _quarantineTime))
-		if until.Sub(q.quarantinedUntil[p]) > _extensionMargin && q.quarantine(p, until) {
-			out = append(out, p)
+		if until.Sub(q.quarantines.byCombination[c].until) > _extensionMargin && q.quarantines.add(c, until, now) {
+			out = append(out, c)
 		}
 	}
-	return append(out, q.quarantineSuspects(now)...)
-}
-
-// quarantineSuspects quarantines the parts that the evidence is sufficient for, and returns those.
-func (q *Quarantiner) quarantineSuspects(now time.Time) []Part {
-	var out []Part
-	for p, n := range q.suspicions(now) {
-		if n.settled >= _crashesUntilQuarantine && !q.isCleared(p) && q.quarantine(p, now.Add(_quarantineTime)) {
-			out = append(out, p)
-		}
-	}
-	return out
-}
-
-// quarantine quarantines a part, and reports whether it was not quarantined.
-func (q *Quarantiner) quarantine(p Part, until time.Time) bool {
-	if q.quarantinedUntil == nil {
-		q.quarantinedUntil = make(map[Part]time.Time)
-	}
-	_, known := q.quarantinedUntil[p]
-	q.quarantinedUntil[p] = until
-	return !known
-}
-
-// suspicion is the number of confirmed crashes in which a part is a suspect: all, and those
-// that have been known for _clearanceDelay.
-type suspicion struct{ confirmed, settled int }
-
-// suspicions returns that of each suspect.
-func (q *Quarantiner) suspicions(now time.Time) map[Part]suspicion {
-	out := make(map[Part]suspicion)
-	for _, r := range q.known {
-		if !r.isConfirmed() {
-			continue
-		}
-		for p := range r.Suspects {
-			n := out[p]
-			n.confirmed++
-			if now.Sub(r.at) >= _clearanceDelay {
-				n.settled++
-			}
-			out[p] = n
+	for c := range q.convictions(now) {
+		if q.quarantines.add(c, now.Add(_quarantineTime), now) {
+			out = append(out, c)
 		}
 	}
 	return out
@@ -265,16 +231,15 @@
 func (q *Quarantiner) isCleared(p Part) bool { return q.isClearedHere(p) || q.clearedByOthers[p] }
 
 // QuarantinedFor returns for how long prompts with the given parts must not be sent, and
-// the part because of which, or 0 if they may be sent.
-func (q *Quarantiner) QuarantinedFor(parts []Part, now time.Time) (time.Duration, Part) {
+// those of the parts because of which, or 0 if they may be sent.
+func (q *Quarantiner) QuarantinedFor(parts []Part, now time.Time) (time.Duration, Combination) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, p := range parts {
-		if left := q.quarantinedUntil[p].Sub(now); left > 0 {
-			return left, p
-		}
+	c, x := q.quarantines.find(parts, now)
+	if c == "" {
+		return 0, ""
 	}
-	return 0, 0
+	return x.until.Sub(now), c
 }
 
 // MayResend reports whether a request whose response broke off before its first output may
@@ -297,9 +262,9 @@
 	return true
 }
 
-// Count returns the number of quarantined parts.
+// Count returns the number of quarantined combinations of parts.
 func (q *Quarantiner) Count() int64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return int64(len(q.quarantinedUntil))
+	return int64(len(q.quarantines.byCombination))
 }
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"os"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -143,5 +142,7 @@
 	}
 	assert.LessOrEqual(t, len(q.Share(now).Crashes), 256)
 	quarantined := q.Receive(q.Share(now), now)
-	assert.False(t, slices.Contains(quarantined, parts([]string{"sound"})[0]))
+	for _, c := range quarantined {
+		assert.NotContains(t, c.Parts(), parts([]string{"sound"})[0])
+	}
 }
--- a/internal/relayer/quarantine.go
+++ b/internal/relayer/quarantine.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/forwarder"
@@ -22,15 +23,26 @@
 	for _, id := range c.request.SharedParts {
 		c.parts = append(c.parts, quarantiner.NewPart(c.service.Name, id))
 	}
-	left, part := c.Quarantine.QuarantinedFor(c.parts, time.Now())
+	left, combination := c.Quarantine.QuarantinedFor(c.parts, time.Now())
 	if left == 0 {
 		return false
 	}
-	c.Log.Event("quarantine", logger.Fields{"request": c.request.ID, "part": c.request.SharedParts[slices.Index(c.parts, part)], "hash": part, "left_ms": left.Milliseconds(), "outcome": "refused"})
+	c.Log.Event("quarantine", logger.Fields{"request": c.request.ID, "parts": c.partNames(combination), "hashes": combination, "left_ms": left.Milliseconds(), "outcome": "refused"})
 	c.refuseFor(http.StatusServiceUnavailable, "prompt-quarantined", left)
 	return true
 }
 
+// partNames returns the ids of those parts of the prompt that are in a combination.
+func (c *call) partNames(combination quarantiner.Combination) string {
+	var out []string
+	for i, id := range c.request.SharedParts {
+		if slices.Contains(combination.Parts(), c.parts[i]) {
+			out = append(out, id)
+		}
+	}
+	return strings.Join(out, ",")
+}
+
 // mayCrashUpstreams reports whether the prompt may crash the next upstream: a part of it is
 // quarantined by now, or the latest send broke off and a part is a suspect in another
 // crash.
@@ -75,8 +87,8 @@
 
 // receiveEvidence takes what all processes know of prompts that crash upstreams.
 func (s *Relayer) receiveEvidence(e quarantiner.Evidence, now time.Time) {
-	for _, p := range s.Quarantine.Receive(e, now) {
-		left, _ := s.Quarantine.QuarantinedFor([]quarantiner.Part{p}, now)
-		s.Log.Warn("quarantine", logger.Fields{"hash": p, "left_ms": left.Milliseconds(), "outcome": "requests with the part are refused"})
+	for _, c := range s.Quarantine.Receive(e, now) {
+		left, _ := s.Quarantine.QuarantinedFor(c.Parts(), now)
+		s.Log.Warn("quarantine", logger.Fields{"hashes": c, "left_ms": left.Milliseconds(), "outcome": "requests with the parts are refused"})
 	}
 }
--- a/internal/sharer/evidence.go
+++ b/internal/sharer/evidence.go
@@ -1,7 +1,9 @@
 package sharer
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/quarantiner"
@@ -13,9 +15,7 @@
 	var out []*wire.UpstreamCrash
 	for life, c := range e.Crashes {
 		x := &wire.UpstreamCrash{Upstream: life.Upstream, Epoch: life.Epoch, Broken: uint32(c.Broken), Refused: c.Refused, Survived: c.Survived}
-		for p := range c.Suspects {
-			x.Suspects = append(x.Suspects, uint64(p))
-		}
+		x.Suspects = encodeParts(slices.Collect(maps.Keys(c.Suspects))...)
 		out = append(out, x)
 	}
 	return out
@@ -25,11 +25,11 @@
 func encodeVerdicts(e quarantiner.Evidence) []*wire.PartVerdict {
 	var out []*wire.PartVerdict
 	for p := range e.Cleared {
-		out = append(out, &wire.PartVerdict{Parts: []uint64{uint64(p)}, Cleared: true})
+		out = append(out, &wire.PartVerdict{Parts: encodeParts(p), Cleared: true})
 	}
-	for p, left := range e.Quarantined {
+	for c, left := range e.Quarantined {
 		if ms := left.Milliseconds(); ms > 0 {
-			out = append(out, &wire.PartVerdict{Parts: []uint64{uint64(p)}, QuarantinedMs: uint32(min(ms, math.MaxUint32))})
+			out = append(out, &wire.PartVerdict{Parts: encodeParts(c.Parts()...), QuarantinedMs: uint32(min(ms, math.MaxUint32))})
 		}
 	}
 	return out
@@ -40,23 +40,40 @@
 	var e quarantiner.Evidence
 	for _, x := range r.GetCrashes() {
 		c := quarantiner.Crash{Broken: int(x.GetBroken()), Refused: x.GetRefused(), Survived: x.GetSurvived(), Suspects: make(map[quarantiner.Part]bool)}
-		for _, p := range x.GetSuspects() {
-			c.Suspects[quarantiner.Part(p)] = true
+		for _, p := range decodeParts(x.GetSuspects()) {
+			c.Suspects[p] = true
 		}
 		life := quarantiner.Life{Upstream: x.GetUpstream(), Epoch: x.GetEpoch()}
 		e.Add(quarantiner.Evidence{Crashes: map[quarantiner.Life]quarantiner.Crash{life: c}}, 0)
 	}
 	for _, v := range r.GetVerdicts() {
-		if len(v.GetParts()) == 0 {
+		parts := decodeParts(v.GetParts())
+		if len(parts) == 0 {
 			continue
 		}
-		p := quarantiner.Part(v.GetParts()[0])
 		if v.GetCleared() {
-			e.Add(quarantiner.Evidence{Cleared: map[quarantiner.Part]bool{p: true}}, 0)
+			e.Add(quarantiner.Evidence{Cleared: map[quarantiner.Part]bool{parts[0]: true}}, 0)
 		}
 		if ms := v.GetQuarantinedMs(); ms > 0 {
-			e.Add(quarantiner.Evidence{Quarantined: map[quarantiner.Part]time.Duration{p: time.Duration(ms) * time.Millisecond}}, 0)
+			c := quarantiner.NewCombination(parts...)
+			e.Add(quarantiner.Evidence{Quarantined: map[quarantiner.Combination]time.Duration{c: time.Duration(ms) * time.Millisecond}}, 0)
 		}
 	}
 	return e
 }
+
+func encodeParts(parts ...quarantiner.Part) []uint64 {
+	out := make([]uint64, len(parts))
+	for i, p := range parts {
+		out[i] = uint64(p)
+	}
+	return out
+}
+
+func decodeParts(hashes []uint64) []quarantiner.Part {
+	out := make([]quarantiner.Part, len(hashes))
+	for i, h := range hashes {
+		out[i] = quarantiner.Part(h)
+	}
+	return out
+}
