internal/quarantiner, platform: all parts of prompts count, in bounded memory

Of those that were, 32 suspects of a crash were remembered, in no order, new crashes were dropped once 256 were known, and the clearance of a sound part was lost once 4,096 to 8,192 other parts had had output.

Class of fault: a bound that drops what comes last, without regard to what it says.

- All shared parts are read.
The bound is the size of the header: 8 bytes for each part while a request is served.
The header's text is parsed when its ids are needed, instead of kept as a list; a log line has 1 KB of ids at most.
- A crash has up to 256 suspects.
Parts that this process has cleared are none.
A part that is a suspect in another crash takes the place of one that is not, and which new parts are left out differs from crash to crash, so that a part which comes back is found.
- Once 256 crashes are known, the oldest that is not confirmed makes room, or else the oldest.
- A suspect that any process has cleared stays cleared while a crash with it is known.
- One record of a crash serves what this process saw and what others told.
- 1,024 quarantines at most; the one that ends first makes room.

With more than 256 new parts waiting at each crash it takes more crashes to find the part.

TestMemoryIsBounded was not run to its end on the code before: it is slow there.

TestSharedParts asserted the two limits that were the fault. It now asserts that all 100 parts and an id of 65 bytes are read.

--- a/internal/quarantiner/doc.go
+++ b/internal/quarantiner/doc.go
@@ -8,8 +8,9 @@
 //
 // A crash names suspects: the parts of the requests that waited for their first output
 // there. Output for a part clears it. A part that is a suspect in several crashes, and that
-// no process has cleared, is quarantined. Processes exchange their evidence, since each
-// sees only some of the crashes.
+// no process has cleared, is quarantined, together with those that were suspects in the same
+// crashes: only prompts with all of them are refused, since any one of them may be sound.
+// Processes exchange their evidence, since each sees only some of the crashes.
 //
 // The package does no I/O and reads no clock.
 package quarantiner
--- a/internal/quarantiner/part.go
+++ b/internal/quarantiner/part.go
@@ -61,3 +61,13 @@
 func (c Combination) isIn(parts []Part) bool {
 	return !slices.ContainsFunc(c.Parts(), func(p Part) bool { return !slices.Contains(parts, p) })
 }
+
+// isWithin reports whether all parts of the combination are in the other one.
+func (c Combination) isWithin(other Combination) bool {
+	for ; len(c) > 0 && len(other) >= len(c); other = other[_partBytes:] {
+		if c[:_partBytes] == other[:_partBytes] {
+			c = c[_partBytes:]
+		}
+	}
+	return len(c) == 0
+}
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -35,10 +35,12 @@
 	// that many of them is taken to have the others.
 	_maxCombination = 64
 	// _maxCrashes is the largest number of crashes that are remembered, _maxSuspects that
-	// of suspects of one crash, and _maxCleared that of cleared parts, twice.
-	_maxCrashes  = 256
-	_maxSuspects = 32
-	_maxCleared  = 4096
+	// of suspects of one crash, _maxCleared that of cleared parts, twice, and
+	// _maxQuarantines that of quarantines.
+	_maxCrashes     = 256
+	_maxSuspects    = 256
+	_maxCleared     = 4096
+	_maxQuarantines = 1024
 )
 
 // Quarantiner holds the evidence of one process and what others have told it. The zero
@@ -47,28 +49,22 @@
 	// crashCount is the number of crashes that are known.
 	crashCount atomic.Int32
 
-	mu sync.Mutex
-	// own holds the crashes that this process saw, and known those that any process did.
-	own, known map[Life]*record
+	mu    sync.Mutex
+	known crashes
 	// cleared holds the parts for which this process saw output: the newest ones, and
 	// those before them.
 	cleared, clearedBefore map[Part]bool
-	// clearedByOthers holds the suspects that other processes have cleared.
-	clearedByOthers map[Part]bool
+	// clearedSuspects holds the suspects that any process has cleared.
+	clearedSuspects map[Part]bool
 	quarantines     quarantines
 }
 
-// record is a crash, and when this process first learned of it.
-type record struct {
-	Crash
-	at time.Time
-}
-
 // RecordOutput records that an upstream generates output for a prompt with the given parts.
 func (q *Quarantiner) RecordOutput(parts []Part) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, p := range parts {
+		q.clearSuspect(p)
 		if q.cleared[p] {
 			continue
 		}
@@ -79,6 +75,17 @@
 	}
 }
 
+// clearSuspect remembers that a part is cleared for as long as it is a suspect.
+func (q *Quarantiner) clearSuspect(p Part) {
+	if q.known.counts[p] == 0 {
+		return
+	}
+	if q.clearedSuspects == nil {
+		q.clearedSuspects = make(map[Part]bool)
+	}
+	q.clearedSuspects[p] = true
+}
+
 // RecordActivity records that an upstream sends output in a life.
 func (q *Quarantiner) RecordActivity(life Life, now time.Time) {
 	if q.crashCount.Load() == 0 {
@@ -86,16 +93,12 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	r := q.known[life]
+	r := q.known.records[life]
 	if r == nil || r.Survived || now.Sub(r.at) < _survivalDelay {
 		return
 	}
-	survived := Crash{Survived: true}
-	merge(q.own, life, survived, now)
-	merge(q.known, life, survived, now)
-	if own := q.own[life]; own != nil {
-		own.at = now // so that other processes are told
-	}
+	r.Survived = true
+	r.ownAt = now // so that other processes are told
 }
 
 // RecordBroken records that a response broke off. waiting are the parts of its prompt if
@@ -118,52 +121,25 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.forget(now)
-	if c.Broken == 0 && q.known[life] == nil {
+	if c.Broken == 0 && q.known.records[life] == nil {
 		// Nothing broke off there, so the upstream may never have been reached.
 		return
 	}
-	if q.own == nil {
-		q.own, q.known = make(map[Life]*record), make(map[Life]*record)
-	}
-	merge(q.own, life, c, now)
-	merge(q.known, life, c, now)
-	q.crashCount.Store(int32(len(q.known)))
-}
-
-// merge adds a crash to those that are remembered.
-func merge(records map[Life]*record, life Life, c Crash, now time.Time) {
-	r := records[life]
-	if r == nil {
-		if len(records) >= _maxCrashes {
-			return
-		}
-		r = &record{at: now}
-		r.Suspects = make(map[Part]bool)
-		records[life] = r
-	}
-	r.Broken += c.Broken
-	r.Refused, r.Survived = r.Refused || c.Refused, r.Survived || c.Survived
-	r.addSuspects(c.Suspects)
-}
-
-func (c *Crash) addSuspects(suspects map[Part]bool) {
-	for p := range suspects {
-		if len(c.Suspects) < _maxSuspects {
-			c.Suspects[p] = true
-		}
+	maps.DeleteFunc(c.Suspects, func(p Part, _ bool) bool { return q.isCleared(p) })
+	r := q.known.add(life, c, now)
+	r.ownBroken += c.Broken
+	if r.ownAt.IsZero() {
+		r.ownAt = now
 	}
+	q.crashCount.Store(int32(len(q.known.records)))
 }
 
 // forget removes what is too old.
 func (q *Quarantiner) forget(now time.Time) {
-	isOld := func(_ Life, r *record) bool { return now.Sub(r.at) >= _memoryTime }
-	maps.DeleteFunc(q.own, isOld)
-	maps.DeleteFunc(q.known, isOld)
+	q.known.forget(now)
 	q.quarantines.forget(now)
-	if len(q.known) == 0 {
-		clear(q.clearedByOthers)
-	}
-	q.crashCount.Store(int32(len(q.known)))
+	maps.DeleteFunc(q.clearedSuspects, func(p Part, _ bool) bool { return q.known.counts[p] == 0 })
+	q.crashCount.Store(int32(len(q.known.records)))
 }
 
 // Share returns what this process tells others.
@@ -172,13 +148,16 @@
 	defer q.mu.Unlock()
 	q.forget(now)
 	var e Evidence
-	for life, r := range q.own {
-		if now.Sub(r.at) < _shareTime {
-			e.Add(Evidence{Crashes: map[Life]Crash{life: r.Crash}}, 0)
+	for life, r := range q.known.records {
+		if !r.ownAt.IsZero() && now.Sub(r.ownAt) < _shareTime {
+			c := r.Crash
+			c.Broken = r.ownBroken
+			e.Add(Evidence{Crashes: map[Life]Crash{life: c}}, 0)
 		}
 	}
-	for p, n := range q.suspicions(now) {
-		if n.confirmed.len() > 1 && q.isClearedHere(p) {
+	suspicions, _ := q.suspicions(now)
+	for p, x := range suspicions {
+		if x.confirmed.len() > 1 && q.isCleared(p) {
 			e.Add(Evidence{Cleared: map[Part]bool{p: true}}, 0)
 		}
 	}
@@ -194,22 +173,16 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.forget(now)
-	if q.known == nil {
-		q.own, q.known = make(map[Life]*record), make(map[Life]*record)
-	}
 	for life, c := range e.Crashes {
 		// The crash may include what this process told, and be told again.
-		if r := q.known[life]; r != nil {
+		if r := q.known.records[life]; r != nil {
 			c.Broken -= min(r.Broken, c.Broken)
 		}
-		merge(q.known, life, c, now)
+		q.known.add(life, c, now)
 	}
-	q.crashCount.Store(int32(len(q.known)))
+	q.crashCount.Store(int32(len(q.known.records)))
 	for p := range e.Cleared {
-		if q.clearedByOthers == nil {
-			q.clearedByOthers = make(map[Part]bool)
-		}
-		q.clearedByOthers[p] = true
+		q.clearSuspect(p)
 	}
 	var out []Combination
 	for c, left := range e.Quarantined {
@@ -226,9 +199,9 @@
 	return out
 }
 
-func (q *Quarantiner) isClearedHere(p Part) bool { return q.cleared[p] || q.clearedBefore[p] }
-
-func (q *Quarantiner) isCleared(p Part) bool { return q.isClearedHere(p) || q.clearedByOthers[p] }
+func (q *Quarantiner) isCleared(p Part) bool {
+	return q.cleared[p] || q.clearedBefore[p] || q.clearedSuspects[p]
+}
 
 // QuarantinedFor returns for how long prompts with the given parts must not be sent, and
 // those of the parts because of which, or 0 if they may be sent.
@@ -249,19 +222,24 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.forget(now)
-	for life, r := range q.known {
-		if life == broken || r.Survived {
-			continue
-		}
-		for _, p := range parts {
-			if r.Suspects[p] && !q.isCleared(p) {
-				return false
-			}
+	for _, p := range parts {
+		if q.known.counts[p] > 0 && !q.isCleared(p) && q.isSuspectBeside(p, broken) {
+			return false
 		}
 	}
 	return true
 }
 
+// isSuspectBeside reports whether a part is a suspect in a crash of another life.
+func (q *Quarantiner) isSuspectBeside(p Part, except Life) bool {
+	for life, r := range q.known.records {
+		if life != except && !r.Survived && r.Suspects[p] {
+			return true
+		}
+	}
+	return false
+}
+
 // Count returns the number of quarantined combinations of parts.
 func (q *Quarantiner) Count() int64 {
 	q.mu.Lock()
--- a/internal/quarantiner/quarantines.go
+++ b/internal/quarantiner/quarantines.go
@@ -19,9 +19,8 @@
 // add adds a quarantine or extends it, and reports whether it is new. It adds none that
 // another one, of fewer parts, makes needless, and removes those that it makes needless.
 func (q *quarantines) add(c Combination, until, now time.Time) bool {
-	parts := c.Parts()
 	for known, x := range q.byCombination {
-		if known != c && known.isIn(parts) && until.Sub(x.until) <= _extensionMargin {
+		if known != c && known.isWithin(c) && until.Sub(x.until) <= _extensionMargin {
 			return false
 		}
 	}
@@ -29,9 +28,12 @@
 	if !known {
 		x.since = now
 		maps.DeleteFunc(q.byCombination, func(other Combination, x quarantine) bool {
-			return c.isIn(other.Parts()) && !x.until.After(until)
+			return c.isWithin(other) && !x.until.After(until)
 		})
 	}
+	if len(q.byCombination) >= _maxQuarantines && !known {
+		q.deleteEarliest()
+	}
 	if q.byCombination == nil {
 		q.byCombination = make(map[Combination]quarantine)
 	}
@@ -43,6 +45,11 @@
 	return !known
 }
 
+func (q *quarantines) has(c Combination) bool {
+	_, ok := q.byCombination[c]
+	return ok
+}
+
 // forget removes the quarantines that have ended.
 func (q *quarantines) forget(now time.Time) {
 	before := len(q.byCombination)
@@ -52,6 +59,17 @@
 	}
 }
 
+// deleteEarliest removes the quarantine that ends first.
+func (q *quarantines) deleteEarliest() {
+	var earliest Combination
+	for c, x := range q.byCombination {
+		if earliest == "" || x.until.Before(q.byCombination[earliest].until) {
+			earliest = c
+		}
+	}
+	delete(q.byCombination, earliest)
+}
+
 func (q *quarantines) index() {
 	q.byPart = make(map[Part][]Combination, len(q.byCombination))
 	for c := range q.byCombination {
--- a/internal/quarantiner/suspicions.go
+++ b/internal/quarantiner/suspicions.go
@@ -10,6 +10,8 @@
 
 func (s *crashSet) add(n int) { s[n/64] |= 1 << (n % 64) }
 
+func (s *crashSet) has(n int) bool { return s[n/64]&(1<<(n%64)) != 0 }
+
 func (s *crashSet) len() int {
 	n := 0
 	for _, word := range s {
@@ -32,15 +34,21 @@
 // have been known for _clearanceDelay.
 type suspicion struct{ confirmed, settled crashSet }
 
-// suspicions returns that of each suspect.
-func (q *Quarantiner) suspicions(now time.Time) map[Part]*suspicion {
+// suspicions returns that of each suspect of several crashes, and the confirmed crashes by
+// their numbers.
+func (q *Quarantiner) suspicions(now time.Time) (map[Part]*suspicion, []*record) {
 	out := make(map[Part]*suspicion)
-	n := 0
-	for _, r := range q.known {
+	var confirmed []*record
+	for _, r := range q.known.records {
 		if !r.isConfirmed() {
 			continue
 		}
+		n := len(confirmed)
+		confirmed = append(confirmed, r)
 		for p := range r.Suspects {
+			if q.known.counts[p] == 1 {
+				continue
+			}
 			x := out[p]
 			if x == nil {
 				x = &suspicion{}
@@ -51,9 +59,8 @@
 				x.settled.add(n)
 			}
 		}
-		n++
 	}
-	return out
+	return out, confirmed
 }
 
 // convictions returns the combinations of parts that the evidence is sufficient for.
@@ -62,43 +69,52 @@
 // that were suspects in the same crashes. Any of those may be the one that upstreams crash
 // under, and the others may be in sound prompts too.
 func (q *Quarantiner) convictions(now time.Time) map[Combination]bool {
-	candidates := q.suspicions(now)
-	for p, x := range candidates {
-		if x.settled.len() < _crashesUntilQuarantine || q.isCleared(p) {
-			delete(candidates, p)
+	suspicions, confirmed := q.suspicions(now)
+	candidates := make(map[crashSet][]Part)
+	for p, x := range suspicions {
+		if x.settled.len() >= _crashesUntilQuarantine && !q.isCleared(p) {
+			candidates[x.confirmed] = append(candidates[x.confirmed], p)
 		}
 	}
 	out := make(map[Combination]bool)
-	for p, x := range candidates {
-		parts := []Part{p}
-		for other, y := range candidates {
-			if other != p && x.confirmed.isIn(&y.confirmed) && len(parts) < _maxCombination {
-				parts = append(parts, other)
+	for set, parts := range candidates {
+		c := combinationOf(candidates, set)
+		isTooNarrow := q.isTooNarrow(c, set, confirmed, now)
+		for _, p := range parts {
+			if alone := NewCombination(p); isTooNarrow || q.quarantines.has(alone) {
+				out[alone] = true
+			} else {
+				out[c] = true
 			}
 		}
-		c := NewCombination(parts...)
-		if len(parts) > 1 && q.isTooNarrow(c, p, now) {
-			c = NewCombination(p)
-		}
-		out[c] = true
 	}
 	return out
 }
 
-// isTooNarrow reports whether upstreams went on to crash with p as a suspect after prompts
-// with the whole combination were no longer sent. A part that only waited beside the others
-// by chance may be in it.
-func (q *Quarantiner) isTooNarrow(c Combination, p Part, now time.Time) bool {
-	if _, alone := q.quarantines.byCombination[NewCombination(p)]; alone {
-		return true
+// combinationOf returns the combination of the candidates that were suspects in all crashes
+// of a set.
+func combinationOf(candidates map[crashSet][]Part, set crashSet) Combination {
+	var parts []Part
+	for other, more := range candidates {
+		if set.isIn(&other) {
+			parts = append(parts, more...)
+		}
 	}
+	c := NewCombination(parts...)
+	return c[:min(len(c), _maxCombination*_partBytes)]
+}
+
+// isTooNarrow reports whether upstreams went on to crash, with the combination as suspects,
+// after prompts with all of it were no longer sent. One of the parts may only have waited
+// beside the others by chance.
+func (q *Quarantiner) isTooNarrow(c Combination, set crashSet, confirmed []*record, now time.Time) bool {
 	x, ok := q.quarantines.byCombination[c]
-	if !ok {
+	if !ok || len(c) == _partBytes {
 		return false
 	}
 	n := 0
-	for _, r := range q.known {
-		if r.isConfirmed() && r.Suspects[p] && now.Sub(r.at) >= _clearanceDelay && r.at.Sub(x.since) >= _clearanceDelay {
+	for i, r := range confirmed {
+		if set.has(i) && now.Sub(r.at) >= _clearanceDelay && r.at.Sub(x.since) >= _clearanceDelay {
 			n++
 		}
 	}
--- a/internal/relayer/protocol.go
+++ b/internal/relayer/protocol.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"iter"
 	"net/http"
 	"time"
 
@@ -25,8 +26,9 @@
 	// LastEvent is the id of the last event that the caller received; 0 if it has
 	// received none.
 	LastEvent uint64
-	// SharedParts are the ids of the parts of the prompt that other requests may share.
-	SharedParts []string
+	// SharedParts are the ids of the parts of the prompt that other requests may share, in
+	// order; nil if there are none.
+	SharedParts iter.Seq[string]
 }
 
 // Forward holds the values that are sent to an upstream in addition to the
--- a/internal/relayer/quarantine.go
+++ b/internal/relayer/quarantine.go
@@ -17,30 +17,50 @@
 // output for a prompt. One may still come from an upstream that crashes under it.
 const _outputEvents = 2
 
+// _maxLoggedNames is the largest size of the ids of a prompt's parts in a log line, in bytes.
+const _maxLoggedNames = 1 << 10
+
 // refuseQuarantined refuses the request if upstreams crash under a part of its prompt, and
 // reports whether it did. The request would not be served before the quarantine ends.
 func (c *call) refuseQuarantined() bool {
-	for _, id := range c.request.SharedParts {
-		c.parts = append(c.parts, quarantiner.NewPart(c.service.Name, id))
-	}
+	c.readParts()
 	left, combination := c.Quarantine.QuarantinedFor(c.parts, time.Now())
 	if left == 0 {
 		return false
 	}
-	c.Log.Event("quarantine", logger.Fields{"request": c.request.ID, "parts": c.partNames(combination), "hashes": combination, "left_ms": left.Milliseconds(), "outcome": "refused"})
+	c.Log.Event("quarantine", logger.Fields{"request": c.request.ID, "parts": c.partNames(combination.Parts()), "hashes": combination, "left_ms": left.Milliseconds(), "outcome": "refused"})
 	c.refuseFor(http.StatusServiceUnavailable, "prompt-quarantined", left)
 	return true
 }
 
-// partNames returns the ids of those parts of the prompt that are in a combination.
-func (c *call) partNames(combination quarantiner.Combination) string {
-	var out []string
-	for i, id := range c.request.SharedParts {
-		if slices.Contains(combination.Parts(), c.parts[i]) {
-			out = append(out, id)
+// readParts sets the parts of the prompt.
+func (c *call) readParts() {
+	if c.request.SharedParts == nil {
+		return
+	}
+	for id := range c.request.SharedParts {
+		c.parts = append(c.parts, quarantiner.NewPart(c.service.Name, id))
+	}
+}
+
+// partNames returns the ids of those parts of the prompt that are among the given ones, at
+// most _maxLoggedNames bytes of them.
+func (c *call) partNames(among []quarantiner.Part) string {
+	if c.request.SharedParts == nil {
+		return ""
+	}
+	var names []byte
+	n := 0
+	for id := range c.request.SharedParts {
+		if slices.Contains(among, c.parts[n]) {
+			names = append(append(names, id...), ',')
+		}
+		n++
+		if len(names) > _maxLoggedNames {
+			return string(names[:_maxLoggedNames]) + "..."
 		}
 	}
-	return strings.Join(out, ",")
+	return strings.TrimSuffix(string(names), ",")
 }
 
 // mayCrashUpstreams reports whether the prompt may crash the next upstream: a part of it is
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/balancer"
@@ -63,7 +62,7 @@
 		}
 		c.Log.Event("send-ended", logger.Fields{
 			"request": c.request.ID, "upstream": u.ID, "send": c.sends, "reason": reason, "last_event": p.last, "events": p.events, "error": c.lastErr,
-			"parts": strings.Join(c.request.SharedParts, ","),
+			"parts": c.partNames(c.parts),
 		})
 	}
 	if !c.headWritten {
