--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -125,7 +125,7 @@
 		return err
 	}
 	k.health.ReadyPath = a.ReadinessPath
-	k.serve("metrics", l, k.health.Handler(m), nil)
+	k.serve("metrics", l, k.health.Handler(m), shutdownHooks{})
 	if err := k.services.Register(NameMeter, m); err != nil {
 		return err
 	}
@@ -256,7 +256,7 @@
 		OnStop: func(ctx context.Context) error {
 			k.stopBeganAt = time.Now()
 			k.health.MarkShuttingDown()
-			rl.StartDraining(k.stopBeganAt.Add(k.settings.DrainNotice()), k.drainDeadline())
+			rl.StartDraining(relayer.Shutdown{BeganAt: k.stopBeganAt, NoticeEnd: k.stopBeganAt.Add(k.settings.DrainNotice()), End: k.settleDeadline()})
 			k.log.Event("leave", logger.Fields{"notice": k.settings.DrainNotice(), "limit": k.settings.DrainLimit()})
 			pauser.Pause(ctx, k.settings.DrainNotice())
 			return nil
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -66,6 +66,37 @@
 	})
 }
 
+// A member that has started again is lost to its group, although it answers and the
+// platform's list still shows it as it was before.
+func TestRestartedMemberIsLost(t *testing.T) {
+	for _, tc := range []struct {
+		restarted, ordered string
+		operation          grouper.Operation
+	}{
+		{restarted: "c", ordered: "a", operation: grouper.OperationClose},
+		{restarted: "a", ordered: "b", operation: grouper.OperationLeave},
+	} {
+		t.Run(tc.restarted, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				list := threeUpstreams()
+				u := &upstreams{reports: make(map[string]cataloguer.Report)}
+				for i := range list {
+					list[i].StartedMs = 1000
+					u.reports[list[i].ID] = cataloguer.Report{Group: list[i].Group, StartedMs: 1000}
+				}
+				u.reports[tc.restarted] = cataloguer.Report{StartedMs: 9000}
+				start := time.Now()
+				runConductor(5*time.Second, u, list...)
+				at := u.timesOf(tc.operation, tc.ordered)
+				if assert.NotEmpty(t, at) {
+					assert.Less(t, at[0].Sub(start), 2*time.Second)
+				}
+				assert.Empty(t, u.ordersTo(grouper.OperationJoin, tc.restarted))
+			})
+		})
+	}
+}
+
 // A group that sends data to callers is not closed because the lease holder can't reach
 // one of its members. It is closed soon after it has stopped.
 func TestGroupThatSendsDataStaysOpen(t *testing.T) {
@@ -226,6 +257,39 @@
 	})
 }
 
+// A holder that can't reach the store gives no orders beside the process that has taken the
+// lease, although no upstream that it can reach shows an order of that process.
+func TestLeadingWithoutLeaseEndsAtTermOfPeer(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		toldAt  time.Duration
+		changes []bool
+	}{
+		{name: "before it would continue", changes: nil},
+		{name: "later", toldAt: 6 * time.Second, changes: []bool{true, false}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a, b, c := threeMembers()
+				u := &upstreams{reports: map[string]cataloguer.Report{"a": {Group: a.Group}, "b": {Group: b.Group}, "c": {Group: c.Group}}}
+				var k cataloguer.Catalogue
+				k.SetListUnavailable(true)
+				setup := func(x *conductor.Conductor) {
+					x.ObserveTerm(7)
+					if tc.toldAt == 0 {
+						x.ObserveTerm(8)
+						return
+					}
+					time.AfterFunc(tc.toldAt, func() { x.ObserveTerm(8) })
+				}
+				var changes []bool
+				runWithSetup(&k, 10*time.Second, u, lease{expired: true}, func(leading bool) { changes = append(changes, leading) }, setup, a, b, c)
+				assert.Equal(t, tc.changes, changes)
+			})
+		})
+	}
+}
+
 // An order carries the number of orders that the upstream has accepted, including
 // those that its report does not show yet.
 func TestOrderExpectsNumberOfAcceptedOrders(t *testing.T) {
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -18,6 +18,14 @@
 	// Target is the path and query, exactly as the caller sent them.
 	Target string
 	Host   string
+	// ID identifies the request, also when it is sent again. A connection carries an id
+	// once: a late copy of a response has the id of its request, and could otherwise not be
+	// told from the response to the next send. Without an ID, a new connection is opened.
+	ID string
+	// Once says that the request may run only once. It is not sent on a connection whose
+	// last response has only just ended: unexpected bytes may follow that response, and
+	// would leave the outcome of the request unknown.
+	Once bool
 	// Header must not contain hop-by-hop fields such as Connection.
 	Header http.Header
 	Body   []byte
@@ -64,12 +72,18 @@
 	stop func() bool
 	// ended is true once the body was read to its end.
 	ended bool
+	// skipped counts the responses to earlier requests before Response.
+	skipped int
 }
 
+// Skipped returns how many responses to earlier requests came on the connection before the
+// one to this request.
+func (x *Exchange) Skipped() int { return x.skipped }
+
 // Send sends a request to an upstream and waits for the header of the response.
 // If ctx ends, the connection is closed, also while the body is being read.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Exchange, error) {
-	c, err := p.acquireConn(ctx, address)
+	c, err := p.acquireConn(ctx, address, r)
 	if err != nil {
 		return nil, &ExchangeError{Step: "connect to", Peer: address, Err: err}
 	}
@@ -83,26 +97,44 @@
 		}
 		return &ExchangeError{Step: step, Peer: address, Sent: sent, Reused: c.reused, Err: err}
 	}
+	c.carried.add(r.ID)
 	if sent, err := r.write(c); err != nil {
 		return nil, fail("write to", sent, err)
 	}
 	c.head.start()
-	for skipped := 0; ; skipped++ {
+	for {
 		res, err := x.readHead(r.Method)
 		if err != nil {
 			return nil, fail("read the response of", true, err)
 		}
+		if isSpliced(res) {
+			return nil, fail("read the response of", true, errors.New("the head of the response contains another one"))
+		}
 		if r.Matches == nil || r.Matches(res.Header, c.reused) {
 			c.head.end()
 			x.Response = res
 			return x, nil
 		}
-		if _, err := io.Copy(io.Discard, res.Body); err != nil || skipped >= _maxStaleResponses || res.Close {
-			return nil, fail("read the response of", true, errors.New("the response belongs to another request"))
+		if err := x.skip(res); err != nil {
+			return nil, fail("read the response of", true, err)
 		}
 	}
 }
 
+// skip reads a response to an earlier request to its end. It fails if no other response
+// can follow it, or if too many came.
+func (x *Exchange) skip(res *http.Response) error {
+	x.pool.skipped.Add(1)
+	if res.Close || x.skipped >= _maxStaleResponses {
+		return errors.New("the response belongs to another request")
+	}
+	x.skipped++
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		return fmt.Errorf("skip the response to another request: %w", err)
+	}
+	return nil
+}
+
 // readHead reads the header of a final response and skips interim (1xx) ones.
 func (x *Exchange) readHead(method string) (*http.Response, error) {
 	const minFinalStatus = 200
@@ -128,7 +160,7 @@
 // to its end and nothing followed it.
 func (x *Exchange) Close() error {
 	running := x.stop()
-	if !running || !x.ended || x.Response.Close || x.Response.ProtoMinor == 0 || x.conn.reader.Buffered() > 0 {
+	if !running || !x.allowsReuse() {
 		return x.conn.Close()
 	}
 	x.conn.idleLimit = idleLimit(x.Response.Header)
@@ -136,6 +168,11 @@
 	return nil
 }
 
+// allowsReuse reports whether another request may be sent on the connection.
+func (x *Exchange) allowsReuse() bool {
+	return x.ended && !x.Response.Close && x.Response.ProtoMinor > 0 && x.conn.reader.Buffered() == 0 && !x.conn.carried.isFull()
+}
+
 // idleLimit returns how long a connection may stay idle: three fifths of the
 // timeout in the Keep-Alive field, but at most _idleLimit. The margin avoids sending a
 // request while the upstream closes the connection. idleLimit returns a quarter of
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -5,7 +5,9 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/networker"
@@ -20,6 +22,10 @@
 	_idleLimit = 4 * time.Second
 	// _idlePerHost is the largest number of idle connections to one upstream.
 	_idlePerHost = 24
+	// _quietTime is how long a connection must have been idle to carry a request that may
+	// run only once. It is longer than a round trip, so that bytes that an upstream sends
+	// just behind a response have arrived.
+	_quietTime = 2 * time.Millisecond
 	// _readBuffer is the size of a connection's read buffer, in bytes.
 	_readBuffer = 4 << 10
 )
@@ -34,8 +40,19 @@
 	mu     sync.Mutex
 	idle   map[string][]*conn
 	closed bool
+
+	// skipped and passedOver are the values of Skipped and PassedOver.
+	skipped, passedOver atomic.Int64
 }
 
+// Skipped returns how many responses to earlier requests came in the place of another
+// response.
+func (p *Pool) Skipped() int64 { return p.skipped.Load() }
+
+// PassedOver returns how often an idle connection was not used for a request because it had
+// carried the request before.
+func (p *Pool) PassedOver() int64 { return p.passedOver.Load() }
+
 // conn is a connection to an upstream.
 type conn struct {
 	net.Conn
@@ -49,12 +66,15 @@
 	idleLimit time.Duration
 	// reused says that a response was received on this connection before.
 	reused bool
+	// carried has the ids of all requests that were sent on this connection.
+	carried carriedIDs
 }
 
-// acquireConn returns an idle connection that is still usable, or a new one.
-func (p *Pool) acquireConn(ctx context.Context, address string) (*conn, error) {
+// acquireConn returns an idle connection that is still usable and may carry the request,
+// or a new one.
+func (p *Pool) acquireConn(ctx context.Context, address string, r *Request) (*conn, error) {
 	for {
-		c := p.pop(address)
+		c := p.pop(address, r, time.Now())
 		if c == nil {
 			break
 		}
@@ -77,30 +97,35 @@
 	return c, nil
 }
 
-// pop returns the idle connection that was used last, or nil if there is none.
-func (p *Pool) pop(address string) *conn {
+// pop returns the idle connection that was used last among those that may carry a request,
+// or nil if there is none.
+func (p *Pool) pop(address string, r *Request, now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[address]
-	if len(list) == 0 {
+	if r.ID == "" {
 		return nil
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	list := p.idle[address]
+	for i, c := range slices.Backward(list) {
+		switch {
+		case c.carried.has(r.ID):
+			p.passedOver.Add(1)
+		case !r.Once || now.Sub(c.idleSince) >= _quietTime:
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
+	}
+	return nil
 }
 
-// HasIdle reports whether an idle connection to an upstream can be reused now, unless
-// the upstream has closed it.
-func (p *Pool) HasIdle(address string, now time.Time) bool {
+// HasIdle reports whether a request with that id can reuse an idle connection to an
+// upstream now, unless the upstream has closed it.
+func (p *Pool) HasIdle(address, id string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[address]
-	if len(list) == 0 {
-		return false
-	}
-	last := list[len(list)-1]
-	return now.Sub(last.idleSince) < last.idleLimit
+	return id != "" && slices.ContainsFunc(p.idle[address], func(c *conn) bool {
+		return now.Sub(c.idleSince) < c.idleLimit && !c.carried.has(id)
+	})
 }
 
 // put makes a connection idle after a complete response.
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -97,7 +97,7 @@
 	if !c.route.Repeatable() {
 		return nil
 	}
-	return func(u *cataloguer.Upstream) bool { return c.Pool.HasIdle(u.Address, now) }
+	return func(u *cataloguer.Upstream) bool { return c.Pool.HasIdle(u.Address, c.request.ID, now) }
 }
 
 // selection returns which of the upstreams that can serve the request may take it, and
@@ -130,11 +130,12 @@
 	c.sends++
 	c.sentAt, c.sendEvents, c.brokenOff = time.Now(), 0, false
 	c.tried = append(c.tried, u.ID)
+	c.progress.recordSend(u.ID, c.sentAt)
 	h := c.Protocol.Forward(c.r.Header, Forward{
 		TimeLeft: time.Until(c.deadline), Upstream: u.ID, Organisation: c.organisation, LastEvent: lastEvent, Priority: c.sendPriority(lastEvent > 0 || c.sends > 1),
 	})
 	x, err := c.Pool.Send(ctx, u.Address, &forwarder.Request{
-		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: h, Body: c.body,
+		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, ID: c.request.ID, Once: !c.route.Repeatable(), Header: h, Body: c.body,
 		Matches: func(h http.Header, reused bool) bool {
 			id := c.Protocol.Response(h).ID
 			// A response without an id may be a late copy of an earlier one.
@@ -149,6 +150,10 @@
 		c.lastErr = err
 		return nil, Response{}, err
 	}
+	c.progress.recordHead(time.Now())
+	if n := x.Skipped(); n > 0 {
+		c.Log.Event("responses-skipped", logger.Fields{"request": c.request.ID, "upstream": u.ID, "send": c.sends, "count": n})
+	}
 	a := c.Protocol.Response(x.Response.Header)
 	if !a.NotRun {
 		c.mayHaveRun = true
@@ -185,10 +190,14 @@
 	switch {
 	case c.r.Context().Err() != nil:
 		c.outcome = "caller-left"
+	case !c.mayHaveRun && c.isSettled():
+		c.refuseFor(http.StatusServiceUnavailable, "draining", _drainRetryAfter)
 	case !c.mayHaveRun && !c.freeAt.IsZero():
 		c.refuseFor(http.StatusServiceUnavailable, reason, time.Until(c.freeAt)+rand.N(_returnSpread))
 	case !c.mayHaveRun:
 		c.refuse(http.StatusServiceUnavailable, reason)
+	case c.isSettled():
+		c.fail(http.StatusBadGateway, "draining")
 	case c.ctx.Err() != nil:
 		c.fail(http.StatusGatewayTimeout, "timeout")
 	default:
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/balancer"
@@ -63,7 +62,7 @@
 		}
 		c.Log.Event("send-ended", logger.Fields{
 			"request": c.request.ID, "upstream": u.ID, "send": c.sends, "reason": reason, "last_event": p.last, "events": p.events, "error": c.lastErr,
-			"parts": strings.Join(c.request.SharedParts, ","),
+			"parts": c.partNames(c.parts),
 		})
 	}
 	if !c.headWritten {
@@ -136,7 +135,7 @@
 // relayError passes on the error response of an upstream. It returns false and the
 // reason if the caller must not receive that response.
 func (c *call) relayError(x *forwarder.Exchange, a Response, status int) (bool, string) {
-	body, err := c.bodies.read(x)
+	body, err := c.bodies.read(dataReader{x, &c.progress})
 	if err != nil || promisesNotRun(status) || !a.Signed {
 		c.lastErr = errors.Join(err, fmt.Errorf("relayer: upstream responded with status %d", status))
 		return false, "failed-by-upstream"
@@ -164,9 +163,10 @@
 // the reason if the stream breaks off before that.
 func (c *call) relayEvents(ctx context.Context, x *forwarder.Exchange, watch *Watch, p *position) (bool, string) {
 	var s splitter
+	data := dataReader{x, &c.progress}
 	buffer := make([]byte, _streamBuffer)
 	for {
-		n, err := x.Read(buffer)
+		n, err := data.Read(buffer)
 		if n > 0 {
 			before := *p
 			s.add(buffer[:n])
@@ -189,6 +189,7 @@
 			c.status, c.outcome, c.lastErr = http.StatusOK, "answered", nil
 			c.Quarantine.RecordOutput(c.parts)
 			if !c.headWritten {
+				c.beginResponse()
 				c.writeHead(x)
 			}
 			return true, ""
@@ -223,6 +224,10 @@
 			fault = "answer-broken"
 			break
 		}
+		if !c.headWritten && !c.beginResponse() {
+			c.lastErr = errDraining
+			return "draining"
+		}
 		if !c.headWritten {
 			c.writeHead(x)
 		}
@@ -241,6 +246,7 @@
 		return fault
 	}
 	c.recordPassed(time.Now())
+	c.progress.update(func(s *state) { s.events = p.events })
 	c.Quarantine.RecordActivity(c.life, c.lastEventsAt)
 	if err := http.NewResponseController(c.w).Flush(); err != nil {
 		c.lastErr = err
