internal/engineclient: each order has a connection of its own

The same cause elsewhere: status calls and orders to engines shared kept connections, and their responses have no id. A late copy of a status could pass for the outcome of an order that the engine refused as fenced, so that a placement counted as obeyed.

Seen failing before: TestStaleStatusIsNoOrderOutcome, no error where ErrFenced is due. A late copy of an earlier status can still pass for one status.

--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -28,7 +28,9 @@
 
 // Client makes control calls to engines. It is safe for concurrent use.
 type Client struct {
-	http *http.Client
+	// status keeps connections. orders opens one for each order, since a late copy of a
+	// status on a kept one would pass for the outcome of the order.
+	status, orders *http.Client
 }
 
 // New returns a Client that connects over network.
@@ -37,12 +39,14 @@
 		MaxResponseHeaderBytes: networker.MaxResponseHeadBytes, DialContext: network.DialContext, MaxIdleConnsPerHost: 2,
 		IdleConnTimeout: 30 * time.Second, DisableCompression: true,
 	}
-	return &Client{http: &http.Client{Transport: t}}
+	unkept := t.Clone()
+	unkept.DisableKeepAlives = true
+	return &Client{status: &http.Client{Transport: t}, orders: &http.Client{Transport: unkept}}
 }
 
 // Close closes idle connections. It never fails.
 func (c *Client) Close() error {
-	c.http.CloseIdleConnections()
+	c.status.CloseIdleConnections()
 	return nil
 }
 
@@ -52,7 +56,7 @@
 	if err != nil {
 		return Status{}, fmt.Errorf("engineclient: status call to %s: %w", address, err)
 	}
-	return c.exchange(req, "status", address)
+	return exchange(c.status, req, "status", address)
 }
 
 // Order sends o to the instance at address, a host:port, and returns the
@@ -67,13 +71,13 @@
 	if err != nil {
 		return Status{}, fmt.Errorf("engineclient: order call to %s: %w", address, err)
 	}
-	return c.exchange(req, "order", address)
+	return exchange(c.orders, req, "order", address)
 }
 
 // exchange sends a control call and decodes the status that answers it; step
 // names the call in errors.
-func (c *Client) exchange(req *http.Request, step, address string) (Status, error) {
-	res, err := c.http.Do(req)
+func exchange(client *http.Client, req *http.Request, step, address string) (Status, error) {
+	res, err := client.Do(req)
 	if err != nil {
 		return Status{}, fmt.Errorf("engineclient: %s call to %s: %w", step, address, err)
 	}
