internal/quarantiner, relayer: a start of the upstream confirms a crash under a lone request

A crash counted only if two responses broke off or a further request was refused. A lone request gives neither, so its crash was never evidence.

What shows that the upstream itself has ended is its next start: a process whose response broke off compares the list's start of the upstream with the one at the time of the break, for 20 s, and tells the others. Not taken as evidence: a start later than that; one after which output had come in the same life; one of an upstream that was leaving, so a planned release; no start, so a cut link or a response that broke off by itself. An entry that lapses and a head that failed its checks are no evidence either: a cut link causes both, and an upstream that did crash shows a start when it is back.

Such a confirmation may come long after the break, when _clearanceDelay had run out, so that a part could be quarantined before the process that has cleared it was heard. The delay now counts from the confirmation, and a confirmation is told to the others anew.

Tests: scripts lone_requests (fails without RecordStarts: lines 14, 15, 18), lone_requests_at_sound_upstreams (fails without the limit in time, without the check of output in between, and without that of leaving), late_confirmation (fails if the delay counts from the break: lines 12, 14).

--- a/internal/quarantiner/bounds_test.go
+++ b/internal/quarantiner/bounds_test.go
@@ -25,7 +25,7 @@
 func crashUnder(q *quarantiner.Quarantiner, number int, now time.Time, prompts ...[]quarantiner.Part) {
 	l := life(fmt.Sprintf("u%d", number))
 	for _, parts := range prompts {
-		q.RecordBroken(l, parts, now)
+		q.RecordBroken(l, 0, parts, now)
 	}
 	q.RecordRefused(l, now)
 }
@@ -72,7 +72,7 @@
 	for n := range 4 {
 		crashUnder(&q, n, now, deadly)
 		for i := range 1000 {
-			q.RecordBroken(life(fmt.Sprintf("broken-%d-%d", n, i)), parts([]string{"other"}), now)
+			q.RecordBroken(life(fmt.Sprintf("broken-%d-%d", n, i)), 0, parts([]string{"other"}), now)
 		}
 		now = now.Add(2 * time.Second)
 	}
--- a/internal/quarantiner/crashes.go
+++ b/internal/quarantiner/crashes.go
@@ -12,6 +12,12 @@
 type record struct {
 	Crash
 	at time.Time
+	// confirmedAt is when this process first knew that the upstream itself had ended; zero
+	// if it does not.
+	confirmedAt time.Time
+	// startedMs is when the upstream had started, in Unix milliseconds; 0 if that is unknown
+	// or the upstream was about to leave.
+	startedMs int64
 	// ownBroken counts the responses that broke off at this process, and ownAt is when it
 	// last saw something of the crash itself; zero if it has not.
 	ownBroken int
@@ -40,7 +46,10 @@
 		k.records[life] = r
 	}
 	r.Broken += c.Broken
-	r.Refused, r.Survived = r.Refused || c.Refused, r.Survived || c.Survived
+	r.Ended, r.Survived = r.Ended || c.Ended, r.Survived || c.Survived
+	if r.confirmedAt.IsZero() && r.isConfirmed() {
+		r.confirmedAt = now
+	}
 	k.addSuspects(life, r, c.Suspects)
 	return r
 }
--- a/internal/quarantiner/evidence.go
+++ b/internal/quarantiner/evidence.go
@@ -16,8 +16,8 @@
 type Crash struct {
 	// Broken is the number of responses that broke off.
 	Broken int
-	// Refused is true if a connection to the upstream was refused afterwards.
-	Refused bool
+	// Ended is true if the upstream refused a connection afterwards, or started again.
+	Ended bool
 	// Survived is true if the upstream sent output in the same life afterwards, so that it
 	// did not crash: only responses broke off.
 	Survived bool
@@ -26,7 +26,7 @@
 }
 
 // isConfirmed reports whether the upstream itself ended, and not only one response.
-func (c Crash) isConfirmed() bool { return !c.Survived && (c.Refused || c.Broken > 1) }
+func (c Crash) isConfirmed() bool { return !c.Survived && (c.Ended || c.Broken > 1) }
 
 // Evidence is what one or more processes tell others.
 type Evidence struct {
@@ -52,7 +52,7 @@
 		}
 		maps.Copy(suspects, c.Suspects)
 		e.Crashes[life] = Crash{
-			Broken: sum.Broken + c.Broken, Refused: sum.Refused || c.Refused, Survived: sum.Survived || c.Survived, Suspects: suspects,
+			Broken: sum.Broken + c.Broken, Ended: sum.Ended || c.Ended, Survived: sum.Survived || c.Survived, Suspects: suspects,
 		}
 	}
 	for p := range other.Cleared {
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -24,6 +24,9 @@
 	_memoryTime = 10 * time.Minute
 	// _shareTime is how long a crash is told to other processes, which remember it.
 	_shareTime = 3 * time.Second
+	// _restartTime is how long after a response broke off a start of its upstream shows that
+	// the upstream had crashed. A later one may have other reasons.
+	_restartTime = 20 * time.Second
 	// _survivalDelay is how long after a response broke off output shows that the upstream
 	// has not crashed. What it sent before a crash may arrive until then.
 	_survivalDelay = 300 * time.Millisecond
@@ -102,36 +105,60 @@
 }
 
 // RecordBroken records that a response broke off. waiting are the parts of its prompt if
-// no output had come; none otherwise.
-func (q *Quarantiner) RecordBroken(life Life, waiting []Part, now time.Time) {
+// no output had come; none otherwise. startedMs is when the upstream had started, in Unix
+// milliseconds; 0 if that is unknown or the upstream was about to leave, and so to end.
+func (q *Quarantiner) RecordBroken(life Life, startedMs int64, waiting []Part, now time.Time) {
 	c := Crash{Broken: 1, Suspects: make(map[Part]bool)}
 	for _, p := range waiting {
 		c.Suspects[p] = true
 	}
-	q.record(life, c, now)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.record(life, c, now).startedMs = startedMs
 }
 
 // RecordRefused records that an upstream refused a connection.
 func (q *Quarantiner) RecordRefused(life Life, now time.Time) {
-	q.record(life, Crash{Refused: true}, now)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	// Where nothing broke off before, the upstream may never have been reached.
+	if q.known.records[life] != nil {
+		q.record(life, Crash{Ended: true}, now)
+	}
 }
 
-// record adds what this process saw of a crash.
-func (q *Quarantiner) record(life Life, c Crash, now time.Time) {
+// RecordStarts records which upstreams have started again since a response of theirs broke
+// off, and returns those. startedMs returns when an upstream started, as RecordBroken has it.
+func (q *Quarantiner) RecordStarts(startedMs func(upstream string) int64, now time.Time) []Life {
+	if q.crashCount.Load() == 0 {
+		return nil
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.forget(now)
-	if c.Broken == 0 && q.known.records[life] == nil {
-		// Nothing broke off there, so the upstream may never have been reached.
-		return
+	var out []Life
+	for life, r := range q.known.records {
+		if r.startedMs == 0 || r.Ended || now.Sub(r.at) > _restartTime || startedMs(life.Upstream) <= r.startedMs {
+			continue
+		}
+		q.record(life, Crash{Ended: true}, now)
+		out = append(out, life)
 	}
+	return out
+}
+
+// record adds what this process saw of a crash.
+func (q *Quarantiner) record(life Life, c Crash, now time.Time) *record {
+	q.forget(now)
 	maps.DeleteFunc(c.Suspects, func(p Part, _ bool) bool { return q.isCleared(p) })
+	before := q.known.records[life]
+	wasConfirmed := before != nil && before.isConfirmed()
 	r := q.known.add(life, c, now)
 	r.ownBroken += c.Broken
-	if r.ownAt.IsZero() {
+	if r.ownAt.IsZero() || r.isConfirmed() && !wasConfirmed {
 		r.ownAt = now
 	}
 	q.crashCount.Store(int32(len(q.known.records)))
+	return r
 }
 
 // forget removes what is too old.
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -26,6 +26,8 @@
 //	PROCESS active UPSTREAM           an upstream sends output
 //	PROCESS broken UPSTREAM PART...   a response breaks off before its first output
 //	PROCESS refused UPSTREAM          an upstream refuses a connection
+//	restart UPSTREAM                  an upstream starts again, and the platform's list shows it
+//	leaving UPSTREAM                  an upstream is about to leave
 //	PROCESS sends yes|no PART...      check that a prompt may be sent
 //	PROCESS resends yes|no UPSTREAM PART...  check that it may be sent again after a crash
 //	PROCESS ends                      a process is gone, with what it knows
@@ -45,13 +47,20 @@
 	now       time.Time
 	processes map[string]*quarantiner.Quarantiner
 	alone     map[string]bool
+	// starts counts the starts of each upstream after the first, and leaving holds those
+	// that are about to leave.
+	starts  map[string]int64
+	leaving map[string]bool
 }
 
 func runScript(t *testing.T, name string) {
 	f, err := os.Open(name)
 	require.NoError(t, err)
 	defer f.Close()
-	w := &world{now: time.Unix(1_800_000_000, 0), processes: make(map[string]*quarantiner.Quarantiner), alone: make(map[string]bool)}
+	w := &world{
+		now: time.Unix(1_800_000_000, 0), processes: make(map[string]*quarantiner.Quarantiner), alone: make(map[string]bool),
+		starts: make(map[string]int64), leaving: make(map[string]bool),
+	}
 	n := 0
 	for scanner := bufio.NewScanner(f); scanner.Scan(); {
 		n++
@@ -74,6 +83,12 @@
 	case "alone":
 		w.alone[words[1]] = true
 		return
+	case "restart":
+		w.starts[words[1]]++
+		return
+	case "leaving":
+		w.leaving[words[1]] = true
+		return
 	}
 	q := w.processes[words[0]]
 	if q == nil {
@@ -86,7 +101,11 @@
 	case "active":
 		q.RecordActivity(life(words[2]), w.now)
 	case "broken":
-		q.RecordBroken(life(words[2]), parts(words[3:]), w.now)
+		startedMs := w.startedMs(words[2])
+		if w.leaving[words[2]] {
+			startedMs = 0
+		}
+		q.RecordBroken(life(words[2]), startedMs, parts(words[3:]), w.now)
 	case "refused":
 		q.RecordRefused(life(words[2]), w.now)
 	case "sends":
@@ -105,6 +124,7 @@
 func (w *world) exchange() {
 	var sum quarantiner.Evidence
 	for name, q := range w.processes {
+		q.RecordStarts(w.startedMs, w.now)
 		if !w.alone[name] {
 			sum.Add(q.Share(w.now), 0)
 		}
@@ -118,6 +138,8 @@
 	}
 }
 
+func (w *world) startedMs(upstream string) int64 { return 1_800_000_000_000 + w.starts[upstream] }
+
 func parts(ids []string) []quarantiner.Part {
 	var out []quarantiner.Part
 	for _, id := range ids {
@@ -136,7 +158,7 @@
 	for n := range 5000 {
 		upstream := strconv.Itoa(n)
 		waiting := parts([]string{"sound", "p" + upstream})
-		q.RecordBroken(life(upstream), waiting, now)
+		q.RecordBroken(life(upstream), 0, waiting, now)
 		q.RecordRefused(life(upstream), now)
 		now = now.Add(10 * time.Millisecond)
 	}
--- a/internal/quarantiner/suspicions.go
+++ b/internal/quarantiner/suspicions.go
@@ -31,7 +31,7 @@
 }
 
 // suspicion holds the confirmed crashes in which a part is a suspect: all, and those that
-// have been known for _clearanceDelay.
+// have been confirmed for _clearanceDelay.
 type suspicion struct{ confirmed, settled crashSet }
 
 // suspicions returns that of each suspect of several crashes, and the confirmed crashes by
@@ -55,7 +55,7 @@
 				out[p] = x
 			}
 			x.confirmed.add(n)
-			if now.Sub(r.at) >= _clearanceDelay {
+			if now.Sub(r.confirmedAt) >= _clearanceDelay {
 				x.settled.add(n)
 			}
 		}
@@ -114,7 +114,7 @@
 	}
 	n := 0
 	for i, r := range confirmed {
-		if set.has(i) && now.Sub(r.at) >= _clearanceDelay && r.at.Sub(x.since) >= _clearanceDelay {
+		if set.has(i) && now.Sub(r.confirmedAt) >= _clearanceDelay && r.at.Sub(x.since) >= _clearanceDelay {
 			n++
 		}
 	}
--- a/internal/relayer/quarantine.go
+++ b/internal/relayer/quarantine.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
 	"github.com/lycheebarrow/lycheebarrow/internal/forwarder"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 	"github.com/lycheebarrow/lycheebarrow/internal/quarantiner"
@@ -102,7 +103,39 @@
 	if c.brokenOff {
 		waiting = c.parts
 	}
-	c.Quarantine.RecordBroken(c.life, waiting, time.Now())
+	c.Quarantine.RecordBroken(c.life, c.startedBeforeBreak(), waiting, time.Now())
+}
+
+// startedBeforeBreak returns when the upstream of the latest send had started, in Unix
+// milliseconds; 0 if that is unknown or the upstream is about to leave.
+func (c *call) startedBeforeBreak() int64 {
+	u, ok := c.listed(c.life.Upstream)
+	if !ok || u.Group.Epoch != c.life.Epoch || u.Draining || c.Screener.IsLeaving(&u) {
+		return 0
+	}
+	return u.StartedMs
+}
+
+// listed returns an upstream as the platform's list has it.
+func (s *Relayer) listed(id string) (cataloguer.Upstream, bool) {
+	fleet := s.Catalogue.Fleet()
+	if fleet == nil {
+		return cataloguer.Upstream{}, false
+	}
+	u, ok := fleet.Upstreams[id]
+	return u, ok
+}
+
+// evidence returns what this process knows of prompts that crash upstreams.
+func (s *Relayer) evidence(now time.Time) quarantiner.Evidence {
+	restarted := s.Quarantine.RecordStarts(func(id string) int64 {
+		u, _ := s.listed(id)
+		return u.StartedMs
+	}, now)
+	for _, life := range restarted {
+		s.Log.Event("upstream-restarted", logger.Fields{"upstream": life.Upstream, "epoch": life.Epoch, "outcome": "a response broken off by it counts as a crash"})
+	}
+	return s.Quarantine.Share(now)
 }
 
 // receiveEvidence takes what all processes know of prompts that crash upstreams.
--- a/internal/relayer/total_load.go
+++ b/internal/relayer/total_load.go
@@ -112,7 +112,7 @@
 	out := sharer.Load{
 		InFlight: s.Balancer.InFlightByUpstream(), Activity: s.Balancer.Activity(now),
 		Demand: make(map[sharer.ModelKey]sharer.Demand), SilentHeads: make(map[sharer.SilentHead]int),
-		Evidence: s.Quarantine.Share(now), Departures: s.Screener.RecentDepartures(now),
+		Evidence: s.evidence(now), Departures: s.Screener.RecentDepartures(now),
 	}
 	for id, epoch := range s.Balancer.SilentEpochs(now) {
 		out.SilentHeads[sharer.SilentHead{Upstream: id, Epoch: epoch}] = 1
@@ -172,7 +172,7 @@
 	if s.freshTotalLoad(now) == nil {
 		s.Balancer.SetPeerLoads(nil)
 		s.Balancer.SetUnanswered(nil)
-		s.receiveEvidence(s.Quarantine.Share(now), now)
+		s.receiveEvidence(s.evidence(now), now)
 	}
 }
 
