--- a/internal/composer/relayer.go
+++ b/internal/composer/relayer.go
@@ -65,6 +65,9 @@
 	if err := m.RegisterGauge("quarantined_parts", "Parts of prompts that are not sent, since upstreams crash under them.", rl.Quarantine.Count); err != nil {
 		return err
 	}
+	if err := registerPoolGauges(m, rl.Pool); err != nil {
+		return err
+	}
 	rl.Bodies.Limit = k.settings.MemoryLimit() / _memoryPerBodyMemory
 	rl.CallerShare = func() float64 { return callerShare(e) }
 	rl.StartsUntil = time.Now().Add(_startTime)
@@ -92,7 +95,7 @@
 			if !pauser.Pause(ctx, _cleanUpInterval) {
 				return
 			}
-			cleanUp(rl.Pool, b, c, time.Now())
+			cleanUp(rl, c, time.Now())
 			sc.SetProcesses(processNames(e.Members()), time.Now())
 			rl.ExpireTotalLoad(time.Now())
 		}
@@ -102,10 +105,18 @@
 	if err := registerCallerGauges(m, &rl.Bodies, d); err != nil {
 		return err
 	}
-	k.serveLimited("callers", l, rl, d, nil)
+	k.serveLimited("callers", l, rl, d, shutdownHooks{settle: rl.SettleRequests, cut: func() { rl.LogCutRequests(time.Now()) }})
 	return k.services.Register(NameRelayer, rl)
 }
 
+// registerPoolGauges registers what shows that upstreams send responses twice.
+func registerPoolGauges(m *meter.Meter, p *forwarder.Pool) error {
+	if err := m.RegisterGauge("responses_skipped", "Responses to earlier requests that came on a connection in use again.", p.Skipped); err != nil {
+		return err
+	}
+	return m.RegisterGauge("connections_passed_over", "Idle connections not used for a request since they had carried it before.", p.PassedOver)
+}
+
 // counter counts the running instances.
 type counter interface {
 	Count() int
@@ -132,11 +143,12 @@
 	return min(1, maxImbalance/float64(e.Count()))
 }
 
-// cleanUp closes expired connections and removes the balancer's data of upstreams that
-// are no longer listed.
-func cleanUp(p *forwarder.Pool, b *balancer.Balancer, c *cataloguer.Catalogue, now time.Time) {
-	p.CloseExpired(now)
+// cleanUp closes expired connections, and removes the balancer's data of upstreams that
+// are no longer listed and limits that are no longer stated.
+func cleanUp(rl *relayer.Relayer, c *cataloguer.Catalogue, now time.Time) {
+	rl.Pool.CloseExpired(now)
 	if f := c.Fleet(); f != nil {
-		b.Forget(f)
+		rl.Balancer.Forget(f)
+		rl.ForgetLimits(f, now)
 	}
 }
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -53,8 +53,8 @@
 	return u, reason
 }
 
-// acquireFrom acquires a slot at a candidate of the selection. A cold candidate may have
-// reached its limit since the selection was made; another one is then chosen.
+// acquireFrom acquires a slot at a candidate of the selection. A cold or limited candidate may
+// have reached its limit since the selection was made; another one is then chosen.
 func (c *call) acquireFrom(s screener.Selection, limit int, now time.Time) (cataloguer.Upstream, balancer.Reason) {
 	exclude := c.tried
 	for {
@@ -76,8 +76,16 @@
 	if upstreams, _ := c.upstreams(); len(upstreams) == 0 {
 		return balancer.ReasonNone
 	}
-	if s.Excluded == screener.StateWaiting {
+	switch s.Excluded {
+	case screener.StateWaiting:
 		c.freeAt = s.FreeAt
+	case screener.StateLimited:
+		// Other callers take the next turns, so retries are spread as after any refusal.
+		if at := time.Now().Add(c.retryAfter()); at.After(s.FreeAt) {
+			c.freeAt = at
+		} else {
+			c.freeAt = s.FreeAt
+		}
 	}
 	return balancer.Reason(s.Excluded.String())
 }
@@ -89,7 +97,7 @@
 	if !c.route.Repeatable() {
 		return nil
 	}
-	return func(u *cataloguer.Upstream) bool { return c.Pool.HasIdle(u.Address, now) }
+	return func(u *cataloguer.Upstream) bool { return c.Pool.HasIdle(u.Address, c.request.ID, now) }
 }
 
 // selection returns which of the upstreams that can serve the request may take it, and
@@ -122,11 +130,12 @@
 	c.sends++
 	c.sentAt, c.sendEvents, c.brokenOff = time.Now(), 0, false
 	c.tried = append(c.tried, u.ID)
+	c.progress.recordSend(u.ID, c.sentAt)
 	h := c.Protocol.Forward(c.r.Header, Forward{
 		TimeLeft: time.Until(c.deadline), Upstream: u.ID, Organisation: c.organisation, LastEvent: lastEvent, Priority: c.sendPriority(lastEvent > 0 || c.sends > 1),
 	})
 	x, err := c.Pool.Send(ctx, u.Address, &forwarder.Request{
-		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: h, Body: c.body,
+		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, ID: c.request.ID, Once: !c.route.Repeatable(), Header: h, Body: c.body,
 		Matches: func(h http.Header, reused bool) bool {
 			id := c.Protocol.Response(h).ID
 			// A response without an id may be a late copy of an earlier one.
@@ -141,6 +150,10 @@
 		c.lastErr = err
 		return nil, Response{}, err
 	}
+	c.progress.recordHead(time.Now())
+	if n := x.Skipped(); n > 0 {
+		c.Log.Event("responses-skipped", logger.Fields{"request": c.request.ID, "upstream": u.ID, "send": c.sends, "count": n})
+	}
 	a := c.Protocol.Response(x.Response.Header)
 	if !a.NotRun {
 		c.mayHaveRun = true
@@ -177,10 +190,14 @@
 	switch {
 	case c.r.Context().Err() != nil:
 		c.outcome = "caller-left"
+	case !c.mayHaveRun && c.isSettled():
+		c.refuseFor(http.StatusServiceUnavailable, "draining", _drainRetryAfter)
 	case !c.mayHaveRun && !c.freeAt.IsZero():
 		c.refuseFor(http.StatusServiceUnavailable, reason, time.Until(c.freeAt)+rand.N(_returnSpread))
 	case !c.mayHaveRun:
 		c.refuse(http.StatusServiceUnavailable, reason)
+	case c.isSettled():
+		c.fail(http.StatusBadGateway, "draining")
 	case c.ctx.Err() != nil:
 		c.fail(http.StatusGatewayTimeout, "timeout")
 	default:
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -341,8 +341,9 @@
 		return
 	}
 	s.receiveMembers(answer, time.Now())
-	s.deliver(answer, r, gatherer)
+	// Limits of upstreams must be known before the upstreams are.
 	s.Publish(TotalLoad{Load: decode(answer), OwnLoad: own, UnansweredDataCentres: answer.GetUnansweredDataCentres(), At: now})
+	s.deliver(answer, r, gatherer)
 }
 
 // receiveMembers takes the list of processes in the gatherer's answer, if it has one.
@@ -461,7 +462,7 @@
 	return &wire.Round{
 		Sender: sum.GetSender(), DataCentre: sum.GetDataCentre(), Processes: sum.GetProcesses(),
 		Loads: sum.GetLoads(), Demands: sum.GetDemands(), Silences: sum.GetSilences(),
-		Crashes: sum.GetCrashes(), Verdicts: sum.GetVerdicts(), Departures: sum.GetDepartures(),
+		Crashes: sum.GetCrashes(), Verdicts: sum.GetVerdicts(), Departures: sum.GetDepartures(), Limits: sum.GetLimits(),
 	}
 }
 
