--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -11,6 +11,9 @@
 	// _crashesUntilQuarantine is the number of crashes in which a part must be a suspect.
 	// Fewer may be chance: a sound part may wait where an upstream crashes by itself.
 	_crashesUntilQuarantine = 3
+	// _crashesUntilTooNarrow is the number of further crashes after which a combination of
+	// parts is taken to miss the prompts under which upstreams crash.
+	_crashesUntilTooNarrow = 2
 	// _clearanceDelay is how long after the last of these crashes was known a part is
 	// quarantined, so that a process that has cleared it can say so.
 	_clearanceDelay = time.Second
@@ -28,11 +31,16 @@
 	// outlast the known one to extend it. Times grow a little on their way, and would
 	// extend each other for ever.
 	_extensionMargin = 10 * time.Second
+	// _maxCombination is the largest number of parts of a combination. A prompt that has
+	// that many of them is taken to have the others.
+	_maxCombination = 64
 	// _maxCrashes is the largest number of crashes that are remembered, _maxSuspects that
-	// of suspects of one crash, and _maxCleared that of cleared parts, twice.
-	_maxCrashes  = 256
-	_maxSuspects = 32
-	_maxCleared  = 4096
+	// of suspects of one crash, _maxCleared that of cleared parts, twice, and
+	// _maxQuarantines that of quarantines.
+	_maxCrashes     = 256
+	_maxSuspects    = 256
+	_maxCleared     = 4096
+	_maxQuarantines = 1024
 )
 
 // Quarantiner holds the evidence of one process and what others have told it. The zero
@@ -41,22 +49,14 @@
 	// crashCount is the number of crashes that are known.
 	crashCount atomic.Int32
 
-	mu sync.Mutex
-	// own holds the crashes that this process saw, and known those that any process did.
-	own, known map[Life]*record
+	mu    sync.Mutex
+	known crashes
 	// cleared holds the parts for which this process saw output: the newest ones, and
 	// those before them.
 	cleared, clearedBefore map[Part]bool
-	// clearedByOthers holds the suspects that other processes have cleared.
-	clearedByOthers map[Part]bool
-	// quarantinedUntil is when the quarantine of each part ends.
-	quarantinedUntil map[Part]time.Time
-}
-
-// record is a crash, and when this process first learned of it.
-type record struct {
-	Crash
-	at time.Time
+	// clearedSuspects holds the suspects that any process has cleared.
+	clearedSuspects map[Part]bool
+	quarantines     quarantines
 }
 
 // RecordOutput records that an upstream generates output for a prompt with the given parts.
@@ -64,6 +64,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, p := range parts {
+		q.clearSuspect(p)
 		if q.cleared[p] {
 			continue
 		}
@@ -74,6 +75,17 @@
 	}
 }
 
+// clearSuspect remembers that a part is cleared for as long as it is a suspect.
+func (q *Quarantiner) clearSuspect(p Part) {
+	if q.known.counts[p] == 0 {
+		return
+	}
+	if q.clearedSuspects == nil {
+		q.clearedSuspects = make(map[Part]bool)
+	}
+	q.clearedSuspects[p] = true
+}
+
 // RecordActivity records that an upstream sends output in a life.
 func (q *Quarantiner) RecordActivity(life Life, now time.Time) {
 	if q.crashCount.Load() == 0 {
@@ -81,16 +93,12 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	r := q.known[life]
+	r := q.known.records[life]
 	if r == nil || r.Survived || now.Sub(r.at) < _survivalDelay {
 		return
 	}
-	survived := Crash{Survived: true}
-	merge(q.own, life, survived, now)
-	merge(q.known, life, survived, now)
-	if own := q.own[life]; own != nil {
-		own.at = now // so that other processes are told
-	}
+	r.Survived = true
+	r.ownAt = now // so that other processes are told
 }
 
 // RecordBroken records that a response broke off. waiting are the parts of its prompt if
@@ -113,52 +121,25 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.forget(now)
-	if c.Broken == 0 && q.known[life] == nil {
+	if c.Broken == 0 && q.known.records[life] == nil {
 		// Nothing broke off there, so the upstream may never have been reached.
 		return
 	}
-	if q.own == nil {
-		q.own, q.known = make(map[Life]*record), make(map[Life]*record)
-	}
-	merge(q.own, life, c, now)
-	merge(q.known, life, c, now)
-	q.crashCount.Store(int32(len(q.known)))
-}
-
-// merge adds a crash to those that are remembered.
-func merge(records map[Life]*record, life Life, c Crash, now time.Time) {
-	r := records[life]
-	if r == nil {
-		if len(records) >= _maxCrashes {
-			return
-		}
-		r = &record{at: now}
-		r.Suspects = make(map[Part]bool)
-		records[life] = r
-	}
-	r.Broken += c.Broken
-	r.Refused, r.Survived = r.Refused || c.Refused, r.Survived || c.Survived
-	r.addSuspects(c.Suspects)
-}
-
-func (c *Crash) addSuspects(suspects map[Part]bool) {
-	for p := range suspects {
-		if len(c.Suspects) < _maxSuspects {
-			c.Suspects[p] = true
-		}
+	maps.DeleteFunc(c.Suspects, func(p Part, _ bool) bool { return q.isCleared(p) })
+	r := q.known.add(life, c, now)
+	r.ownBroken += c.Broken
+	if r.ownAt.IsZero() {
+		r.ownAt = now
 	}
+	q.crashCount.Store(int32(len(q.known.records)))
 }
 
 // forget removes what is too old.
 func (q *Quarantiner) forget(now time.Time) {
-	isOld := func(_ Life, r *record) bool { return now.Sub(r.at) >= _memoryTime }
-	maps.DeleteFunc(q.own, isOld)
-	maps.DeleteFunc(q.known, isOld)
-	maps.DeleteFunc(q.quarantinedUntil, func(_ Part, until time.Time) bool { return !now.Before(until) })
-	if len(q.known) == 0 {
-		clear(q.clearedByOthers)
-	}
-	q.crashCount.Store(int32(len(q.known)))
+	q.known.forget(now)
+	q.quarantines.forget(now)
+	maps.DeleteFunc(q.clearedSuspects, func(p Part, _ bool) bool { return q.known.counts[p] == 0 })
+	q.crashCount.Store(int32(len(q.known.records)))
 }
 
 // Share returns what this process tells others.
@@ -167,114 +148,71 @@
 	defer q.mu.Unlock()
 	q.forget(now)
 	var e Evidence
-	for life, r := range q.own {
-		if now.Sub(r.at) < _shareTime {
-			e.Add(Evidence{Crashes: map[Life]Crash{life: r.Crash}}, 0)
+	for life, r := range q.known.records {
+		if !r.ownAt.IsZero() && now.Sub(r.ownAt) < _shareTime {
+			c := r.Crash
+			c.Broken = r.ownBroken
+			e.Add(Evidence{Crashes: map[Life]Crash{life: c}}, 0)
 		}
 	}
-	for p, n := range q.suspicions(now) {
-		if n.confirmed > 1 && q.isClearedHere(p) {
+	suspicions, _ := q.suspicions(now)
+	for p, x := range suspicions {
+		if x.confirmed.len() > 1 && q.isCleared(p) {
 			e.Add(Evidence{Cleared: map[Part]bool{p: true}}, 0)
 		}
 	}
-	for p, until := range q.quarantinedUntil {
-		e.Add(Evidence{Quarantined: map[Part]time.Duration{p: until.Sub(now)}}, 0)
+	for c, x := range q.quarantines.byCombination {
+		e.Add(Evidence{Quarantined: map[Combination]time.Duration{c: x.until.Sub(now)}}, 0)
 	}
 	return e
 }
 
-// Receive takes the evidence of all processes, and returns the parts that are quarantined
-// from now on.
-func (q *Quarantiner) Receive(e Evidence, now time.Time) []Part {
+// Receive takes the evidence of all processes, and returns the combinations of parts that
+// are quarantined from now on.
+func (q *Quarantiner) Receive(e Evidence, now time.Time) []Combination {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.forget(now)
-	if q.known == nil {
-		q.own, q.known = make(map[Life]*record), make(map[Life]*record)
-	}
 	for life, c := range e.Crashes {
 		// The crash may include what this process told, and be told again.
-		if r := q.known[life]; r != nil {
+		if r := q.known.records[life]; r != nil {
 			c.Broken -= min(r.Broken, c.Broken)
 		}
-		merge(q.known, life, c, now)
+		q.known.add(life, c, now)
 	}
-	q.crashCount.Store(int32(len(q.known)))
+	q.crashCount.Store(int32(len(q.known.records)))
 	for p := range e.Cleared {
-		if q.clearedByOthers == nil {
-			q.clearedByOthers = make(map[Part]bool)
-		}
-		q.clearedByOthers[p] = true
+		q.clearSuspect(p)
 	}
-	var out []Part
-	for p, left := range e.Quarantined {
+	var out []Combination
+	for c, left := range e.Quarantined {
 		until := now.Add(min(left, _quarantineTime))
-		if until.Sub(q.quarantinedUntil[p]) > _extensionMargin && q.quarantine(p, until) {
-			out = append(out, p)
+		if until.Sub(q.quarantines.byCombination[c].until) > _extensionMargin && q.quarantines.add(c, until, now) {
+			out = append(out, c)
 		}
 	}
-	return append(out, q.quarantineSuspects(now)...)
-}
-
-// quarantineSuspects quarantines the parts that the evidence is sufficient for, and returns those.
-func (q *Quarantiner) quarantineSuspects(now time.Time) []Part {
-	var out []Part
-	for p, n := range q.suspicions(now) {
-		if n.settled >= _crashesUntilQuarantine && !q.isCleared(p) && q.quarantine(p, now.Add(_quarantineTime)) {
-			out = append(out, p)
+	for c := range q.convictions(now) {
+		if q.quarantines.add(c, now.Add(_quarantineTime), now) {
+			out = append(out, c)
 		}
 	}
 	return out
 }
 
-// quarantine quarantines a part, and reports whether it was not quarantined.
-func (q *Quarantiner) quarantine(p Part, until time.Time) bool {
-	if q.quarantinedUntil == nil {
-		q.quarantinedUntil = make(map[Part]time.Time)
-	}
-	_, known := q.quarantinedUntil[p]
-	q.quarantinedUntil[p] = until
-	return !known
-}
-
-// suspicion is the number of confirmed crashes in which a part is a suspect: all, and those
-// that have been known for _clearanceDelay.
-type suspicion struct{ confirmed, settled int }
-
-// suspicions returns that of each suspect.
-func (q *Quarantiner) suspicions(now time.Time) map[Part]suspicion {
-	out := make(map[Part]suspicion)
-	for _, r := range q.known {
-		if !r.isConfirmed() {
-			continue
-		}
-		for p := range r.Suspects {
-			n := out[p]
-			n.confirmed++
-			if now.Sub(r.at) >= _clearanceDelay {
-				n.settled++
-			}
-			out[p] = n
-		}
-	}
-	return out
+func (q *Quarantiner) isCleared(p Part) bool {
+	return q.cleared[p] || q.clearedBefore[p] || q.clearedSuspects[p]
 }
 
-func (q *Quarantiner) isClearedHere(p Part) bool { return q.cleared[p] || q.clearedBefore[p] }
-
-func (q *Quarantiner) isCleared(p Part) bool { return q.isClearedHere(p) || q.clearedByOthers[p] }
-
 // QuarantinedFor returns for how long prompts with the given parts must not be sent, and
-// the part because of which, or 0 if they may be sent.
-func (q *Quarantiner) QuarantinedFor(parts []Part, now time.Time) (time.Duration, Part) {
+// those of the parts because of which, or 0 if they may be sent.
+func (q *Quarantiner) QuarantinedFor(parts []Part, now time.Time) (time.Duration, Combination) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, p := range parts {
-		if left := q.quarantinedUntil[p].Sub(now); left > 0 {
-			return left, p
-		}
+	c, x := q.quarantines.find(parts, now)
+	if c == "" {
+		return 0, ""
 	}
-	return 0, Part{}
+	return x.until.Sub(now), c
 }
 
 // MayResend reports whether a request whose response broke off before its first output may
@@ -284,22 +222,27 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.forget(now)
-	for life, r := range q.known {
-		if life == broken || r.Survived {
-			continue
-		}
-		for _, p := range parts {
-			if r.Suspects[p] && !q.isCleared(p) {
-				return false
-			}
+	for _, p := range parts {
+		if q.known.counts[p] > 0 && !q.isCleared(p) && q.isSuspectBeside(p, broken) {
+			return false
 		}
 	}
 	return true
 }
 
-// Count returns the number of quarantined parts.
+// isSuspectBeside reports whether a part is a suspect in a crash of another life.
+func (q *Quarantiner) isSuspectBeside(p Part, except Life) bool {
+	for life, r := range q.known.records {
+		if life != except && !r.Survived && r.Suspects[p] {
+			return true
+		}
+	}
+	return false
+}
+
+// Count returns the number of quarantined combinations of parts.
 func (q *Quarantiner) Count() int64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return int64(len(q.quarantinedUntil))
+	return int64(len(q.quarantines.byCombination))
 }
