internal/screener: what an upstream says survives that the list shows its restart late

What callers' requests did: an upstream that has started again under its id, while it is cut off from the platform, states a limit, asks to wait or says that it leaves. The processes record that for the life that their list shows, the earlier one.

Class of fault: evidence is bound to what the list says of its source, and not to when it was given. Now evidence that is later than the start that the list shows goes over to that life.

The script restart_listed_late failed before: u was ready instead of limited, v instead of asked-to-wait, w instead of leaving. In the scripts a life now has a number and begins when it is first named, in place of a start in 1970; what they expect is unchanged.

--- a/internal/screener/screener.go
+++ b/internal/screener/screener.go
@@ -143,6 +143,7 @@
 func (s *Screener) Observe(f *cataloguer.Fleet, now time.Time) (begun, ended []cataloguer.Upstream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.carryOver(f)
 	s.departures.prune(f, now)
 	maps.DeleteFunc(s.waits, func(_ string, w wait) bool { return !now.Before(w.until) })
 	return s.observeCold(f, now)
--- a/internal/screener/screener_test.go
+++ b/internal/screener/screener_test.go
@@ -22,15 +22,18 @@
 	*screener.Screener
 	now       time.Time
 	upstreams map[string]cataloguer.Upstream
+	// starts has the start of each life, in Unix milliseconds.
+	starts map[string]int64
 }
 
 // TestScripts runs the scripts in testdata. # begins a comment; each line is a command:
 //
 //	processes NAME...                set the running processes; this one is p1
-//	list ID DC STARTED COLD [draining]  list an upstream that started at a Unix time in ms, cold for COLD more
+//	list ID DC LIFE COLD [draining]  list an upstream in the life of that number, cold for COLD more; a life
+//	                                 begins when it is first named, or with LIFE@AGO so long before
 //	unlist ID                        remove an upstream from the list
 //	evacuate DC... | restore         evacuate these data centres, or none
-//	leaving ID STARTED SOURCE        record that an upstream, in the life that began then, is leaving
+//	leaving ID LIFE SOURCE           record that an upstream, in the life of that number, is leaving
 //	wait ID DURATION                 record that an upstream asked to wait
 //	limit ID RATE CHANGE             record a stated limit in a response, and expect this change
 //	nolimit ID AGO CHANGE            record a response without a limit to a request sent so long ago
@@ -57,6 +60,7 @@
 	s := &script{
 		Screener: &screener.Screener{Name: "p1", ColdLimit: screener.ColdLimit{Overage: 1.5, Slack: 3}},
 		now:      time.Unix(1_800_000_000, 0), upstreams: make(map[string]cataloguer.Upstream),
+		starts: make(map[string]int64),
 	}
 	s.SetConfiguration(&cataloguer.Configuration{Services: map[string]cataloguer.Service{"s": {Name: "s", ColdTime: 3 * time.Second, ColdRate: 4}}})
 	return s
@@ -83,7 +87,7 @@
 		s.SetProcesses(words, s.now)
 	case "list":
 		s.upstreams[words[0]] = cataloguer.Upstream{
-			ID: words[0], Service: "s", DataCentre: words[1], StartedMs: int64(parseInt(t, words[2])), ColdTime: parseDuration(t, words[3]), Draining: len(words) > 4,
+			ID: words[0], Service: "s", DataCentre: words[1], StartedMs: s.startOf(t, words[0], words[2]), ColdTime: parseDuration(t, words[3]), Draining: len(words) > 4,
 		}
 		s.observe()
 	case "unlist":
@@ -96,7 +100,7 @@
 		}
 		s.SetEvacuated(dataCentres, s.now)
 	case "leaving":
-		s.RecordLeaving(screener.Life{Upstream: words[0], StartedMs: int64(parseInt(t, words[1]))}, screener.Source(words[2]), s.now)
+		s.RecordLeaving(screener.Life{Upstream: words[0], StartedMs: s.startOf(t, words[0], words[1])}, screener.Source(words[2]), s.now)
 	case "wait":
 		u := s.upstreams[words[0]]
 		s.RecordWait(&u, parseDuration(t, words[1]), 0, s.now)
@@ -162,6 +166,20 @@
 	return rate
 }
 
+// startOf returns the start of a life of an upstream, in Unix milliseconds.
+func (s *script) startOf(t *testing.T, id, life string) int64 {
+	number, ago, ok := strings.Cut(life, "@")
+	parseInt(t, number)
+	key := id + " " + number
+	if _, known := s.starts[key]; !known {
+		if !ok {
+			ago = "0s"
+		}
+		s.starts[key] = s.now.Add(-parseDuration(t, ago)).UnixMilli()
+	}
+	return s.starts[key]
+}
+
 // observe passes the list to the screener.
 func (s *script) observe() {
 	upstreams := make(map[string]cataloguer.Upstream)
