internal/relayer: no response to callers that close their sending side early

A caller that sends a whole request and then closes only its sending side counts as gone for net/http, which cancels the request. The relayer returned without a response then, and net/http sent an implicit "200 OK" without a signature or a body, also while the upstream could be running the request. The caller could read that as success.

The relayer ends such a request with http.ErrAbortHandler, as it does a stream that breaks off: the connection is closed without a response, which promises nothing. The deferred log line and the count of the outcome are kept; the test reads the outcome. It covers head and body that never come, for plain services and streams.

--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -185,11 +185,14 @@
 	}
 }
 
-// respondUnanswered responds to a request that no upstream answered.
+// respondUnanswered responds to a request that no upstream answered. It closes the connection
+// of a caller that has left: net/http would otherwise send an empty success, which a caller
+// that has closed only its sending side can read.
 func (c *call) respondUnanswered(reason string) {
 	switch {
 	case c.r.Context().Err() != nil:
 		c.outcome = "caller-left"
+		panic(http.ErrAbortHandler)
 	case !c.mayHaveRun && c.isSettled():
 		c.refuseFor(http.StatusServiceUnavailable, "draining", _drainRetryAfter)
 	case !c.mayHaveRun && !c.freeAt.IsZero():
