internal/drainer: a request that was read ahead makes its connection busy

A caller that sends two requests at once lost the second one in a shutdown: net/http reads both together, so that after the first response no Read shows that the second one is served. The connection counted as quiet and was woken 0.5 s later, its background read returned io.EOF, and net/http cancelled the request that was running. Making room for another connection took it for quiet as well.

The drainer's handler now marks the connection as busy, which ConnContext puts into the contexts of its requests. StateActive would not do: net/http sets it only where bytes were read for the request.

Left open: the part of a request's head that was read ahead does not keep a connection open, since nothing shows that it is there.

--- a/internal/drainer/conn.go
+++ b/internal/drainer/conn.go
@@ -35,6 +35,14 @@
 	c.quietSince = now
 }
 
+// setBusy records that a request is served. It may have been read together with the one
+// before it, so that no Read showed its arrival.
+func (c *conn) setBusy() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.quietSince = time.Time{}
+}
+
 // endIfQuiet wakes the reader if the connection has been quiet since a time or longer.
 func (c *conn) endIfQuiet(since time.Time) {
 	c.mu.Lock()
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -37,16 +37,25 @@
 	conns    map[*conn]struct{}
 }
 
+// connKey is the key of a connection in the contexts of its requests.
+type connKey struct{}
+
 // Attach prepares a server that will serve the connections of l, and returns the listener
 // to serve. Call it once.
 func (d *Drainer) Attach(s *http.Server, l net.Listener) net.Listener {
 	next := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+			c.setBusy()
+		}
 		if d.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
 	})
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, c)
+	}
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		if x, ok := c.(*conn); ok && state == http.StateIdle {
 			x.setQuiet(time.Now())
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -168,7 +168,13 @@
 // receive reads a response, and requires its body to be the path.
 func receive(t *testing.T, c net.Conn, path string) *http.Response {
 	t.Helper()
-	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	return receiveFrom(t, bufio.NewReader(c), path)
+}
+
+// receiveFrom is receive for a connection on which several responses may arrive at once.
+func receiveFrom(t *testing.T, r *bufio.Reader, path string) *http.Response {
+	t.Helper()
+	res, err := http.ReadResponse(r, nil)
 	require.NoError(t, err)
 	body, err := io.ReadAll(res.Body)
 	require.NoError(t, err)
