internal/drainer: a woken connection that turns busy gets its read deadline back

A caller whose request arrived just as its quiet connection was to be closed got a reset if the head of the request took another read: the reader that was woken had bytes already and went on, but the read deadline in the past stayed, so the next read failed.

The connection keeps the deadline that the server has set. Where it was woken and bytes have arrived, or a request is served, that deadline is set again, so the time limit of a head holds as before.

TestRequestReadWhileWokenIsAnswered failed before:

read tcp 127.0.0.1:58524->127.0.0.1:35393: read: connection reset by peer

TestHeadTimeoutHoldsAfterWaking passes with the old code, and fails if the deadline is only removed ("1 connections are open: context deadline exceeded").

--- a/internal/drainer/conn.go
+++ b/internal/drainer/conn.go
@@ -26,6 +26,8 @@
 	quietSince time.Time
 	// ending is true from the time at which the reader was woken to look for the last time.
 	ending bool
+	// readDeadline is the deadline that the server has set; waking the reader overrides it.
+	readDeadline time.Time
 }
 
 // setQuiet records that a response has ended.
@@ -35,12 +37,18 @@
 	c.quietSince = now
 }
 
-// setBusy records that a request is served. It may have been read together with the one
-// before it, so that no Read showed its arrival.
+// setBusy records that a request is read or served, and lets the reader go on if it was
+// woken. A request may have been read together with the one before it, so that no Read
+// showed its arrival.
 func (c *conn) setBusy() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.quietSince = time.Time{}
+	if c.ending {
+		c.ending = false
+		// An error means that the connection is closed.
+		_ = c.Conn.SetReadDeadline(c.readDeadline)
+	}
 }
 
 // endIfQuiet wakes the reader if the connection has been quiet since a time or longer.
@@ -73,10 +81,12 @@
 	return c.ending
 }
 
-// SetReadDeadline sets the deadline for reading, unless the reader was woken.
+// SetReadDeadline sets the deadline for reading. Where the reader was woken, it takes effect
+// only if the connection is not closed.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.readDeadline = t
 	if c.ending {
 		return nil
 	}
@@ -94,9 +104,7 @@
 		n, err = c.lastRead(p)
 	}
 	if n > 0 {
-		c.mu.Lock()
-		c.quietSince, c.ending = time.Time{}, false
-		c.mu.Unlock()
+		c.setBusy()
 	}
 	return n, err
 }
