internal/forwarder: a truncated body is not completed by another response

An upstream that broke a body off before its Content-Length and then sent a copy of an earlier response on the same connection had the gap filled with the head of the copy. The caller got 200 with bytes such as "01234HTTP/" as if they were complete.

At the end of a body with a length the exchange now looks whether a status line begins within the body and more bytes follow it. Both together fail the read, so a repeatable request is sent again and another one ends with 502. A status line in the text of a body that nothing follows stays allowed, and so does a whole copy behind a whole body, whose connection is not used again.

TestTruncatedBodyIsNotFilledByCopy failed before for each of the 86 places at which it breaks a body off ("An error is expected but got nil", "1 bytes are missing"). In the relayer the two truncated cases failed before with "200" instead of "200 done" of the other upstream, and "200" instead of "502".

TestEndlessBytesOnKeptConnection is now TestWrongBytesOnKeptConnection: its two cases are kept as they were, and truncated bodies are two more.

Not told apart: a copy that fills the gap exactly, or whose rest arrives only after the end of the body was read.

--- a/internal/forwarder/copies_test.go
+++ b/internal/forwarder/copies_test.go
@@ -162,3 +162,45 @@
 		assert.True(t, f.Sent)
 	}
 }
+
+// A body that breaks off before its length is not complete because a copy of a response
+// follows it, wherever it breaks off. A body that has a status line in its text is complete.
+func TestTruncatedBodyIsNotFilledByCopy(t *testing.T) {
+	response := func(body string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}
+	small, large := response("0123456789"), response(strings.Repeat("x", 20_000))
+	testCases := []struct {
+		name, first, copied string
+		// cuts are the largest number of missing bytes, and the step between two of them.
+		missing, step int
+	}{
+		{name: "small", first: small, copied: small, missing: 10, step: 1},
+		{name: "large", first: large, copied: large, missing: 20_000, step: 997},
+		{name: "large, small copy", first: large, copied: small, missing: len(small) - 1, step: 1},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			for missing := 1; missing <= tc.missing; missing += tc.step {
+				u := newUpstream(t, tc.first[:len(tc.first)-missing]+tc.copied)
+				p := &forwarder.Pool{Network: networker.System{}}
+				x, err := send(t, p, u)
+				require.NoError(t, err)
+				_, err = io.ReadAll(x)
+				assert.Error(t, err, "%d bytes are missing", missing)
+				require.NoError(t, x.Close())
+				require.NoError(t, p.Close())
+			}
+		})
+	}
+	for _, text := range []string{response("see HTTP/1.1 200 OK"), response("0123456789") + response("0123456789"), response("HTTP/1.1 200")} {
+		u := newUpstream(t, text)
+		p := &forwarder.Pool{Network: networker.System{}}
+		x, err := send(t, p, u)
+		require.NoError(t, err)
+		_, err = io.ReadAll(x)
+		assert.NoError(t, err, text)
+		require.NoError(t, x.Close())
+		require.NoError(t, p.Close())
+	}
+}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -72,6 +72,8 @@
 	stop func() bool
 	// ended is true once the body was read to its end.
 	ended bool
+	// body looks for the beginning of another response in a body with a length.
+	body statusLineFinder
 	// skipped counts the responses to earlier requests before Response.
 	skipped int
 }
@@ -152,7 +154,14 @@
 // Read reads the body of the response; io.EOF means that the body is complete.
 func (x *Exchange) Read(b []byte) (int, error) {
 	n, err := x.Response.Body.Read(b)
-	x.ended = x.ended || errors.Is(err, io.EOF)
+	isEnd := errors.Is(err, io.EOF)
+	if x.Response.ContentLength > 0 {
+		x.body.add(b[:n])
+		if isEnd && !x.ended && x.isFilled() {
+			return 0, errFilled
+		}
+	}
+	x.ended = x.ended || isEnd
 	return n, err
 }
 
--- a/internal/relayer/late_bytes_test.go
+++ b/internal/relayer/late_bytes_test.go
@@ -19,9 +19,8 @@
 )
 
 // startLateUpstream starts an upstream that answers the first request of a connection, and
-// sends bytes that are no response, without end, once the next one has arrived. It returns
-// its address.
-func startLateUpstream(t *testing.T) string {
+// calls respond for the next one, with its id. It returns its address.
+func startLateUpstream(t *testing.T, respond func(w io.Writer, id string)) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { l.Close() })
@@ -34,13 +33,12 @@
 				return
 			}
 			_, _ = io.Copy(io.Discard, req.Body)
-			if n == 0 {
-				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: 4\r\n\r\ndone", req.Header.Get("Id"))
+			if id := req.Header.Get("Id"); n == 0 {
+				_, _ = io.WriteString(c, doneResponse(id))
+			} else {
+				respond(c, id)
 			}
 		}
-		for block, err := strings.Repeat("x", 4096), error(nil); err == nil; {
-			_, err = io.WriteString(c, block)
-		}
 	}
 	go func() {
 		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
@@ -50,24 +48,47 @@
 	return l.Addr().String()
 }
 
-// Bytes that are no response, on a kept connection, don't reach the caller: a repeatable
+// doneResponse returns the whole response to a request.
+func doneResponse(id string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: 4\r\n\r\ndone", id)
+}
+
+// respondEndless sends bytes that are no response, without end.
+func respondEndless(w io.Writer, _ string) {
+	for block, err := strings.Repeat("x", 4096), error(nil); err == nil; {
+		_, err = io.WriteString(w, block)
+	}
+}
+
+// respondTruncated breaks the response off in its body, and sends a copy of the response to
+// the first request.
+func respondTruncated(w io.Writer, id string) {
+	whole := doneResponse(id)
+	_, _ = io.WriteString(w, whole[:len(whole)-2]+doneResponse("1"))
+}
+
+// Bytes that are no response, or that complete a truncated one, on a kept connection, don't reach the caller: a repeatable
 // request is answered by another upstream, and one that may run only once is not sent again.
-func TestEndlessBytesOnKeptConnection(t *testing.T) {
+func TestWrongBytesOnKeptConnection(t *testing.T) {
 	testCases := []struct {
 		name string
 		kind cataloguer.Kind
-		want string
-		runs int32
+		// respond sends the bytes.
+		respond func(w io.Writer, id string)
+		want    string
+		runs    int32
 	}{
-		{name: "safe", kind: cataloguer.KindSafe, want: "200 done", runs: 1},
-		{name: "unsafe", kind: cataloguer.KindUnsafe, want: "502"},
+		{name: "endless, safe", kind: cataloguer.KindSafe, respond: respondEndless, want: "200 done", runs: 1},
+		{name: "endless, unsafe", kind: cataloguer.KindUnsafe, respond: respondEndless, want: "502"},
+		{name: "truncated, safe", kind: cataloguer.KindSafe, respond: respondTruncated, want: "200 done", runs: 1},
+		{name: "truncated, unsafe", kind: cataloguer.KindUnsafe, respond: respondTruncated, want: "502"},
 	}
 	for _, tc := range testCases {
 		t.Run(tc.name, func(t *testing.T) {
 			var runs atomic.Int32
 			other := httptest.NewServer(upstreamHandler("ok", &runs))
 			defer other.Close()
-			s := startRelayerOf(t, tc.kind, false, startLateUpstream(t), other.Listener.Addr().String())
+			s := startRelayerOf(t, tc.kind, false, startLateUpstream(t, tc.respond), other.Listener.Addr().String())
 			assert.Equal(t, "200 done", sendRequestWith(t, s, "/x", http.Header{"Id": {"1"}}))
 			require.Zero(t, runs.Load())
 			// The connection counts as quiet then.
