internal/streamer: a refusal counts only with the id of its attempt

Callers' completions could run twice as a late copy of a refusal came before the response to the next attempt on the same kept connection: open judged 429 and other statuses before it looked at Lb-Attempt. It returned ErrFull while the engine ran that attempt, and the request was queued again without counting the attempt.

The attempt's id is now checked first: each attempt has an id of its own, so a copy of an earlier refusal has another one. Such a response is ErrWrongAttempt, which counts as an attempt that may have run, and the connection is closed, since the engine may be running the attempt; before, it stayed in the pool of idle connections. The page of the protocol said that the answer repeats the headers, and the stand-in's refusals did not: both now say that refusals repeat Lb-Attempt. An engine whose refusals lack it is treated as one that does not answer. open moves to a file of its own.

Seen failing before, by TestStaleRefusalIsNoRefusal:

429_Too_Many_Requests,_responds=true: Target error should not be in err chain: found: "replica is full" in chain: "streamer: request a response from r: replica is full" 429_Too_Many_Requests,_responds=false: the connection of an attempt that may run stays open 503_Service_Unavailable,_responds=true: Target error should not be in err chain: found: "replica refused the request"

--- a/internal/engineclient/doc.go
+++ b/internal/engineclient/doc.go
@@ -13,6 +13,8 @@
 // A chat call carries the headers Lb-Attempt, Lb-Replica and Lb-Generation, and
 // the answer repeats all three. An engine that serves another replica or
 // generation answers 409, and an engine whose capacity is used up answers 429;
-// neither runs the attempt. A streamed answer consists of server-sent events:
-// each holds a ChatChunk, and "data: [DONE]" ends the answer.
+// neither runs the attempt. Refusals repeat Lb-Attempt; one without it, or with
+// that of another attempt, counts as no answer, since it may be a late copy. A
+// streamed answer consists of server-sent events: each holds a ChatChunk, and
+// "data: [DONE]" ends the answer.
 package engineclient
--- a/internal/standin/chat.go
+++ b/internal/standin/chat.go
@@ -57,11 +57,12 @@
 }
 
 func (e *Engine) chat(w http.ResponseWriter, r *http.Request) {
+	attempt := r.Header.Get(engineclient.HeaderAttempt)
+	w.Header().Set(engineclient.HeaderAttempt, attempt)
 	var q engineclient.ChatRequest
 	if !decodeJSON(w, r, &q) {
 		return
 	}
-	attempt := r.Header.Get(engineclient.HeaderAttempt)
 	o, ok := e.orderAsLeader(r)
 	if !ok || !e.membersPresent(r.Context(), o) && !e.currentFaults().IgnoreMembers {
 		w.WriteHeader(http.StatusConflict)
--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -1,13 +1,11 @@
 package streamer
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -31,7 +29,7 @@
 	// or was malformed before its end marker.
 	ErrTruncated = errors.New("response is incomplete")
 	// ErrWrongAttempt says that the response belongs to another attempt or
-	// generation.
+	// generation. This attempt may run.
 	ErrWrongAttempt = errors.New("response belongs to another attempt")
 	// ErrUnconfirmed says that a member of the replica is missing.
 	ErrUnconfirmed = errors.New("a member is missing")
@@ -157,47 +155,6 @@
 	return nil
 }
 
-// open sends the request, which includes the part already forwarded so that the
-// replica continues after it. It checks that the response belongs to this attempt
-// and to the generation of the replica.
-func (s *Streamer) open(ctx context.Context, r *wire.Replica, q engineclient.ChatRequest, p *Progress, attempt string) (*http.Response, error) {
-	q.Stream = true
-	if p.tokens > 0 {
-		q.Resume = &engineclient.Resume{Text: p.Text(), Tokens: p.tokens}
-	}
-	body, err := json.Marshal(q)
-	if err != nil {
-		return nil, fmt.Errorf("encode the request: %w", err)
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.GetAddresses()[0]+"/v1/chat/completions", bytes.NewReader(body))
-	if err != nil {
-		return nil, err
-	}
-	generation := strconv.FormatUint(r.GetGeneration(), 10)
-	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set(engineclient.HeaderAttempt, attempt)
-	req.Header.Set(engineclient.HeaderReplica, r.GetName())
-	req.Header.Set(engineclient.HeaderGeneration, generation)
-	res, err := s.http.Do(req)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrTruncated, err)
-	}
-	if res.StatusCode == http.StatusTooManyRequests {
-		res.Body.Close()
-		return nil, ErrFull
-	}
-	if res.StatusCode != http.StatusOK {
-		res.Body.Close()
-		return nil, fmt.Errorf("status %d: %w", res.StatusCode, ErrRefused)
-	}
-	h := res.Header
-	if h.Get(engineclient.HeaderAttempt) != attempt || h.Get(engineclient.HeaderReplica) != r.GetName() || h.Get(engineclient.HeaderGeneration) != generation {
-		res.Body.Close()
-		return nil, ErrWrongAttempt
-	}
-	return res, nil
-}
-
 // read parses events up to the end marker, checks that they belong to this
 // attempt and are in order, and sends them to out. next is the index of the first
 // token expected; earlier ones are skipped.
