internal/server: the outcome of a service call is that of all its attempts

Callers of repeatable services were told that their call had not run although it had. An upstream ran the call and cut the connection; the next one could not be reached, or refused it; and sendCall returned the outcome of the last attempt only. The caller got 503 and not-run.

An attempt that may have run is now kept over the loop: if the last one did not run, the outcome is unknown, with the error of the attempt that may have run, so that the log names it. The caller gets 502. A refusal of the last upstream is not passed on then, since its status would say the same as not-run. A claim that has become too old between two attempts takes the same way. Calls with a key to unrepeatable services are sent again only if nothing was sent before, so theirs are as they were.

Seen failing before, by TestRepeatedCallThatRanIsNotRefusedAsNotRun:

unreachable: expected "502 unknown outcome-unknown", actual "503 not-run retry service-unavailable" refuses: expected "502 unknown outcome-unknown", actual "503 not-run closed today"

It passes 20 times with the race detector.

--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -119,10 +119,11 @@
 }
 
 // sendCall sends the call to an upstream. When that fails, it tries another one
-// if canRetry permits.
+// if canRetry permits. The outcome is that of all attempts together.
 func (s *Server) sendCall(ctx context.Context, c *gin.Context, call serviceCall) (serviceclient.Result, error) {
 	result, err := serviceclient.Result{Outcome: wire.Outcome_OUTCOME_NOT_RUN}, errNoUpstream
 	tried := make(map[string]bool)
+	var unclear error // of an attempt that may have run
 	for range _maxUpstreamTries {
 		choice, ok := s.balancer.Choose(time.Now(), s.DataCentre, s.upstreamsOf(call.service), tried)
 		if !ok {
@@ -135,7 +136,8 @@
 		})
 		if call.sendable != nil && !call.sendable() {
 			s.balancer.Done(time.Now(), address, false)
-			return serviceclient.Result{Outcome: wire.Outcome_OUTCOME_NOT_RUN}, errClaimTooOld
+			result, err = serviceclient.Result{Outcome: wire.Outcome_OUTCOME_NOT_RUN}, errClaimTooOld
+			break
 		}
 		call.Address = address
 		result, err = s.ServiceClient.Send(ctx, call.Call)
@@ -144,6 +146,13 @@
 			break
 		}
 		tried[address] = true
+		if result.Outcome != wire.Outcome_OUTCOME_NOT_RUN {
+			unclear = err
+		}
+	}
+	if unclear != nil && result.Outcome == wire.Outcome_OUTCOME_NOT_RUN {
+		// The last upstream's own refusal would say that the call did not run.
+		return serviceclient.Result{Outcome: wire.Outcome_OUTCOME_UNKNOWN}, unclear
 	}
 	return result, err
 }
--- a/internal/server/service_test.go
+++ b/internal/server/service_test.go
@@ -52,3 +52,18 @@
 		})
 	}
 }
+
+// A call that one upstream ran and the next one did not is not refused as not run.
+func TestRepeatedCallThatRanIsNotRefusedAsNotRun(t *testing.T) {
+	for _, second := range []serviceFault{_serviceUnreachable, _serviceRefuses} {
+		t.Run(string(second), func(t *testing.T) {
+			services := &fakeServices{faults: map[string]serviceFault{"10.0.0.1:80": _serviceCutsAfter, "10.0.0.2:80": second}}
+			e := newEntry("n1", &fakePlatform{}, services, nil)
+			w := e.call(t.Context(), callOptions{service: "status", method: http.MethodPut, request: "r"})
+			require.Equal(t, 1, services.runsByRequest["r"])
+			assert.Equal(t, "502 unknown outcome-unknown", describe(w))
+			assert.Equal(t, []string{"10.0.0.1:80", "10.0.0.2:80"}, services.sentTo)
+			require.NoError(t, e.recorder.Close())
+		})
+	}
+}
