internal/server: a chat request that may have run is not refused as not run

Callers were told that their completion had not run although a replica had run it: an attempt broke off before its first token, then no slot was free, and acquireProblem knew only of tokens that had been delivered. The caller got 429 or 503 with not-run.

completeChat now passes on the outcome that it kept for shutdowns only. Unless that is not-run, the refusal has status 502 and says that the completion broke off, as the one at a shutdown does; this also holds where tokens had been delivered, which was 429 or 503 with outcome ran. Code and Retry-After stay.

So that requests that really did not run keep their promise, an attempt that the replica refused or that was never sent leaves the outcome as it was. For this the streamer tells the cases apart: ErrNotSent if no connection was made, ErrRefused for 409 only, as the protocol says. Any other error status, which counted as refused before, says nothing of the attempt and is ErrTruncated.

--- a/internal/server/complete.go
+++ b/internal/server/complete.go
@@ -60,7 +60,10 @@
 			return drainingProblem(outcome)
 		}
 		if err != nil {
-			return s.acquireProblem(ctx, err, progress.Tokens() > 0)
+			if progress.Tokens() > 0 {
+				outcome = responder.Ran
+			}
+			return s.acquireProblem(ctx, err, outcome)
 		}
 		replica, delivered := slot.Replica(), progress.Tokens()
 		q.Priority = priority(slot.Long())
@@ -88,7 +91,9 @@
 			return nil
 		}
 		slot.Release(0)
-		outcome = responder.Unknown
+		if mayHaveRun(err) {
+			outcome = responder.Unknown
+		}
 		if errors.Is(err, errDraining) {
 			return drainingProblem(outcome)
 		}
@@ -127,12 +132,17 @@
 	return 0
 }
 
-// acquireProblem returns the refusal for a failed Acquire; ran says that a part
-// of the completion was generated before.
-func (s *Server) acquireProblem(ctx context.Context, err error, ran bool) *responder.Problem {
+// mayHaveRun reports whether a replica may have run an attempt that failed with err.
+func mayHaveRun(err error) bool {
+	return !errors.Is(err, streamer.ErrRefused) && !errors.Is(err, streamer.ErrNotSent)
+}
+
+// acquireProblem returns the refusal for a failed Acquire; o is the outcome of the
+// attempts before.
+func (s *Server) acquireProblem(ctx context.Context, err error, o responder.Outcome) *responder.Problem {
 	p := &responder.Problem{
 		Status: http.StatusServiceUnavailable, Code: "busy", Message: err.Error(),
-		Outcome: responder.NotRun, Remedy: "send the request again later", RetryAfter: time.Second,
+		Outcome: o, Remedy: "send the request again later", RetryAfter: time.Second,
 	}
 	switch {
 	case ctx.Err() != nil:
@@ -148,8 +158,8 @@
 	if errors.As(err, &refused) && ctx.Err() == nil {
 		p.RetryAfter = refused.RetryAfter()
 	}
-	if ran {
-		p.Outcome = responder.Ran
+	if o != responder.NotRun {
+		p.Status, p.Message = http.StatusBadGateway, "the completion broke off and can't be resumed: "+err.Error()
 	}
 	return p
 }
--- a/internal/streamer/open.go
+++ b/internal/streamer/open.go
@@ -38,6 +38,9 @@
 	req.Header.Set(engineclient.HeaderReplica, r.GetName())
 	req.Header.Set(engineclient.HeaderGeneration, strconv.FormatUint(r.GetGeneration(), 10))
 	res, err := s.http.Do(req)
+	if err != nil && conn == nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrTruncated, err)
 	}
@@ -64,8 +67,10 @@
 	case http.StatusOK:
 	case http.StatusTooManyRequests:
 		return ErrFull
+	case http.StatusConflict:
+		return ErrRefused
 	default:
-		return fmt.Errorf("status %d: %w", res.StatusCode, ErrRefused)
+		return fmt.Errorf("status %d: %w", res.StatusCode, ErrTruncated)
 	}
 	if !matches(engineclient.HeaderReplica) || !matches(engineclient.HeaderGeneration) {
 		return ErrWrongAttempt
--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -25,8 +25,11 @@
 	// ErrFull says that the replica did not run the attempt because its queue was
 	// full.
 	ErrFull = errors.New("replica is full")
+	// ErrNotSent says that no connection to the replica was made, so it did not run
+	// the attempt.
+	ErrNotSent = errors.New("request was not sent")
 	// ErrTruncated says that no response arrived, or that it broke off, stalled
-	// or was malformed before its end marker.
+	// or was malformed before its end marker, or reported an error.
 	ErrTruncated = errors.New("response is incomplete")
 	// ErrWrongAttempt says that the response belongs to another attempt or
 	// generation. This attempt may run.
--- a/internal/streamer/streamer_test.go
+++ b/internal/streamer/streamer_test.go
@@ -70,6 +70,14 @@
 		e.refusal, attempt, h.Get(engineclient.HeaderReplica), h.Get(engineclient.HeaderGeneration), len(body), body)
 }
 
+// run runs one attempt at an engine.
+func run(t *testing.T, s *streamer.Streamer, engine net.Listener) error {
+	var p streamer.Progress
+	replica := &wire.Replica{Name: "r", Generation: 1, Addresses: []string{engine.Addr().String()}}
+	limits := streamer.Limits{Window: time.Second, EvidenceLimit: time.Second, IdleTimeout: 2 * time.Second}
+	return s.Run(t.Context(), replica, engineclient.ChatRequest{Model: "m"}, limits, &p, func(streamer.Piece) error { return nil })
+}
+
 // A late copy of a refusal on a kept connection does not pass for the refusal of the next attempt.
 func TestStaleRefusalIsNoRefusal(t *testing.T) {
 	for _, status := range []string{"409 Conflict", "429 Too Many Requests", "503 Service Unavailable"} {
@@ -82,16 +90,10 @@
 				go e.serve(l)
 				s := streamer.New(networker.System{}, confirmed{})
 				defer s.Close()
-				replica := &wire.Replica{Name: "r", Generation: 1, Addresses: []string{l.Addr().String()}}
-				limits := streamer.Limits{Window: time.Second, EvidenceLimit: time.Second, IdleTimeout: 2 * time.Second}
-				run := func() error {
-					var p streamer.Progress
-					return s.Run(t.Context(), replica, engineclient.ChatRequest{Model: "m"}, limits, &p, func(streamer.Piece) error { return nil })
-				}
-				first := run()
+				first := run(t, s, l)
 				assert.NotErrorIs(t, first, streamer.ErrWrongAttempt)
 				require.Error(t, first)
-				second := run()
+				second := run(t, s, l)
 				require.Equal(t, int32(1), e.runs.Load(), "the engine ran the second attempt")
 				assert.NotErrorIs(t, second, streamer.ErrFull)
 				assert.NotErrorIs(t, second, streamer.ErrRefused)
@@ -105,3 +107,30 @@
 		}
 	}
 }
+
+// Only an attempt that the engine has not run counts as refused, or as not sent.
+func TestErrorIsNoRefusal(t *testing.T) {
+	testCases := []struct {
+		status string // empty for a connection that is refused
+		want   error
+	}{
+		{want: streamer.ErrNotSent},
+		{status: "409 Conflict", want: streamer.ErrRefused},
+		{status: "429 Too Many Requests", want: streamer.ErrFull},
+		{status: "500 Internal Server Error", want: streamer.ErrTruncated},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.status, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer l.Close()
+			if tc.status == "" {
+				require.NoError(t, l.Close())
+			}
+			go (&copyingEngine{status: tc.status, closed: make(chan struct{})}).serve(l)
+			s := streamer.New(networker.System{}, confirmed{})
+			defer s.Close()
+			assert.ErrorIs(t, run(t, s, l), tc.want)
+		})
+	}
+}
