internal/engineclient: a status on a kept connection counts only with the id of its call

A late copy of an earlier status could pass for the current one: status calls keep their connections and had no id, so an instance whose replica had failed could count as ready for one more probe, and chunks could be confirmed by it.

A status call now carries Lb-Attempt, as chat calls do. If the answer repeats it, the connection is kept. An answer without it is accepted only as the first one on its connection, which cannot be a copy of an earlier answer, and the connection is closed. On a kept connection it is not accepted, and the status is read once more on a new one, so that a copy does not count as a failed probe. The stand-in and the page of the protocol have the header.

Cost: one header for engines that repeat it.

--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -8,8 +8,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/lycheebarrow/lycheebarrow/internal/networker"
 )
 
@@ -26,11 +29,14 @@
 // _maxStatusBytes limits how much of the answer to a control call is read.
 const _maxStatusBytes = 64 << 10
 
+// errWrongCall says that a response on a kept connection may belong to an earlier call.
+var errWrongCall = errors.New("response belongs to another call")
+
 // Client makes control calls to engines. It is safe for concurrent use.
 type Client struct {
-	// status keeps connections. orders opens one for each order, since a late copy of a
-	// status on a kept one would pass for the outcome of the order.
-	status, orders *http.Client
+	// kept keeps connections. unkept opens one for each call, since a late copy of a
+	// status on a kept one would pass for the outcome of an order.
+	kept, unkept *http.Client
 }
 
 // New returns a Client that connects over network.
@@ -41,22 +47,48 @@
 	}
 	unkept := t.Clone()
 	unkept.DisableKeepAlives = true
-	return &Client{status: &http.Client{Transport: t}, orders: &http.Client{Transport: unkept}}
+	return &Client{kept: &http.Client{Transport: t}, unkept: &http.Client{Transport: unkept}}
 }
 
 // Close closes idle connections. It never fails.
 func (c *Client) Close() error {
-	c.status.CloseIdleConnections()
+	c.kept.CloseIdleConnections()
 	return nil
 }
 
 // Status requests the status of the instance at address, a host:port.
 func (c *Client) Status(ctx context.Context, address string) (Status, error) {
+	s, err := requestStatus(ctx, c.kept, address)
+	if errors.Is(err, errWrongCall) {
+		s, err = requestStatus(ctx, c.unkept, address)
+	}
+	return s, err
+}
+
+// requestStatus makes one status call. A response without the id of the call is accepted
+// only as the first one on its connection, since a later one may be a copy of an earlier
+// status. The connection is closed then.
+func requestStatus(ctx context.Context, client *http.Client, address string) (Status, error) {
+	var connection httptrace.GotConnInfo
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { connection = i }})
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", http.NoBody)
 	if err != nil {
 		return Status{}, fmt.Errorf("engineclient: status call to %s: %w", address, err)
 	}
-	return exchange(c.status, req, "status", address)
+	id := uuid.NewString()
+	req.Header.Set(HeaderAttempt, id)
+	res, err := client.Do(req)
+	if err != nil {
+		return Status{}, fmt.Errorf("engineclient: status call to %s: %w", address, err)
+	}
+	defer res.Body.Close()
+	if res.Header.Get(HeaderAttempt) != id {
+		defer connection.Conn.Close()
+		if connection.Reused {
+			return Status{}, fmt.Errorf("engineclient: status call to %s: %w", address, errWrongCall)
+		}
+	}
+	return readStatus(res, "status", address)
 }
 
 // Order sends o to the instance at address, a host:port, and returns the
@@ -71,17 +103,17 @@
 	if err != nil {
 		return Status{}, fmt.Errorf("engineclient: order call to %s: %w", address, err)
 	}
-	return exchange(c.orders, req, "order", address)
-}
-
-// exchange sends a control call and decodes the status that answers it; step
-// names the call in errors.
-func exchange(client *http.Client, req *http.Request, step, address string) (Status, error) {
-	res, err := client.Do(req)
+	res, err := c.unkept.Do(req)
 	if err != nil {
-		return Status{}, fmt.Errorf("engineclient: %s call to %s: %w", step, address, err)
+		return Status{}, fmt.Errorf("engineclient: order call to %s: %w", address, err)
 	}
 	defer res.Body.Close()
+	return readStatus(res, "order", address)
+}
+
+// readStatus decodes the status that answers a control call; step names the call in
+// errors.
+func readStatus(res *http.Response, step, address string) (Status, error) {
 	body, err := io.ReadAll(io.LimitReader(res.Body, _maxStatusBytes))
 	if err != nil {
 		return Status{}, fmt.Errorf("engineclient: %s call to %s: %w", step, address, err)
--- a/internal/engineclient/doc.go
+++ b/internal/engineclient/doc.go
@@ -17,4 +17,8 @@
 // that of another attempt, counts as no answer, since it may be a late copy. A
 // streamed answer consists of server-sent events: each holds a ChatChunk, and
 // "data: [DONE]" ends the answer.
+//
+// A status call carries Lb-Attempt, too. Its connection is kept if the answer repeats
+// the header; otherwise each status call has a connection of its own. Each order has
+// one in any case.
 package engineclient
--- a/internal/engineclient/message.go
+++ b/internal/engineclient/message.go
@@ -1,6 +1,7 @@
 package engineclient
 
-// Headers of a chat call and of its answer.
+// Headers of a chat call and of its answer. A status call and its answer have
+// HeaderAttempt only.
 const (
 	HeaderAttempt    = "Lb-Attempt"
 	HeaderReplica    = "Lb-Replica"
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -120,6 +120,7 @@
 	}
 	switch r.URL.Path {
 	case "/status":
+		w.Header().Set(engineclient.HeaderAttempt, r.Header.Get(engineclient.HeaderAttempt))
 		writeJSON(w, e.status())
 	case "/order":
 		e.applyOrder(w, r)
