internal/relayer: a silent stream is broken off only with another upstream and a retry reserved

Cause: the watchdog cancelled a silent send if the retry budget and the slots of other upstreams allowed another one at that moment. It looked, and reserved nothing: of several streams cancelled in one check, or beside other requests, the first took the last retry or the last slot, and the others were broken off without need. Class of fault: a check and its use apart in time.

Change: the watchdog reserves a slot and a retry, and cancels only with both. What is not used after all is given back. A stream for which there is none waits on, and goes on with its upstream if that resumes.

--- a/internal/relayer/call.go
+++ b/internal/relayer/call.go
@@ -57,6 +57,9 @@
 	// sendEvents counts the events of the latest send.
 	sendEvents int
 
+	// reserved is the upstream at which a slot and a retry are reserved for the next send; nil
+	// if there is none.
+	reserved atomic.Pointer[cataloguer.Upstream]
 	// sends counts how often the request was sent to an upstream.
 	sends int
 	// sentAt is when the latest send began.
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -60,7 +60,8 @@
 // "endless" (sends a body without end). For streams it is "N", the number of events, alone or
 // followed by "cut" (closes the connection after the last event), "torn" (closes the
 // connection in the middle of another event), "endless" (sends another event without
-// end), "stalled" (sends nothing more), "skip" (gives the last event an id that is one too high) or "unframed" (sends
+// end), "stalled" (sends nothing more), "paused" (pauses for longer than a silence before the
+// last event), "skip" (gives the last event an id that is one too high) or "unframed" (sends
 // neither a length nor chunks and closes the connection), which may also be torn.
 func upstreamHandler(behaviour string, runs *atomic.Int32) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -107,6 +108,9 @@
 			if ending == "skip" && n == count {
 				n++
 			}
+			if ending == "paused" && n == count {
+				time.Sleep(900 * time.Millisecond)
+			}
 			fmt.Fprintf(w, "id: %d\ndata: x\n\n", n)
 			_ = http.NewResponseController(w).Flush()
 		}
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -32,7 +32,10 @@
 	}
 	now := time.Now()
 	selection, limit := c.selection(now)
-	u, reason := c.acquireFrom(selection, limit, now)
+	u, reason := c.takeReserved()
+	if reason != "" {
+		u, reason = c.acquireFrom(selection, limit, c.tried, now)
+	}
 	if reason == balancer.ReasonNone && len(selection.Candidates) == 0 {
 		reason = c.excludedReason(selection)
 	}
@@ -53,10 +56,18 @@
 	return u, reason
 }
 
-// acquireFrom acquires a slot at a candidate of the selection. A cold or limited candidate may
-// have reached its limit since the selection was made; another one is then chosen.
-func (c *call) acquireFrom(s screener.Selection, limit int, now time.Time) (cataloguer.Upstream, balancer.Reason) {
-	exclude := c.tried
+// takeReserved returns the upstream at which a slot was reserved for the next send.
+func (c *call) takeReserved() (cataloguer.Upstream, balancer.Reason) {
+	if u := c.reserved.Swap(nil); u != nil {
+		return *u, ""
+	}
+	return cataloguer.Upstream{}, balancer.ReasonNone
+}
+
+// acquireFrom acquires a slot at a candidate of the selection that is not excluded. A cold or
+// limited candidate may have reached its limit since the selection was made; another one is
+// then chosen.
+func (c *call) acquireFrom(s screener.Selection, limit int, exclude []string, now time.Time) (cataloguer.Upstream, balancer.Reason) {
 	for {
 		u, reason := c.Balancer.Acquire(s.Candidates, balancer.Query{
 			Now: now, ExpectedRequests: c.expectedArrivals(now), DataCentre: c.DataCentre, Limit: limit, Exclude: exclude, Random: rand.Float64(),
@@ -178,7 +189,7 @@
 		return false, "attempts"
 	case time.Until(c.deadline) < _minSendTime:
 		return false, "no-time"
-	case c.sends > 0 && !c.Budget.Spend(c.service.Name, time.Now()):
+	case c.sends > 0 && c.reserved.Load() == nil && !c.Budget.Spend(c.service.Name, time.Now()):
 		return false, "budget"
 	default:
 		return true, ""
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -9,7 +9,6 @@
 	"slices"
 	"time"
 
-	"github.com/lycheebarrow/lycheebarrow/internal/balancer"
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
 	"github.com/lycheebarrow/lycheebarrow/internal/forwarder"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
@@ -40,6 +39,7 @@
 func (c *call) relayStream() {
 	p := position{last: c.request.LastEvent}
 	reason := "no-upstream"
+	defer c.releaseReserved()
 	for {
 		ok, why := c.canSend()
 		if !ok {
@@ -92,7 +92,7 @@
 	defer c.Balancer.Release(u.ID)
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
-	watch := c.Watchdog.Watch(Send{Upstream: u.ID, Epoch: u.Group.Epoch, ExpectedWait: c.admitter.FirstEventWait(), Cancel: func() { cancel(errSilent) }, CanReroute: c.rerouteCheck(u.ID)})
+	watch := c.Watchdog.Watch(Send{Upstream: u.ID, Epoch: u.Group.Epoch, ExpectedWait: c.admitter.FirstEventWait(), Cancel: func() { cancel(errSilent) }, Reroute: c.rerouteFrom(u.ID)})
 	defer watch.Stop()
 	c.life = quarantiner.Life{Upstream: u.ID, Epoch: u.Group.Epoch}
 	resumed := uint64(0)
@@ -144,18 +144,37 @@
 	return true, ""
 }
 
-// rerouteCheck returns a function that reports whether the request could continue at
-// another upstream now, if the next send, to the upstream with the given id, were
-// cancelled.
-func (c *call) rerouteCheck(id string) func() bool {
+// rerouteFrom returns a function that reserves a slot at another upstream and a retry for the
+// request, if the next send, to the upstream with the given id, is to be cancelled. It
+// reports whether the request can continue there.
+func (c *call) rerouteFrom(id string) func() bool {
 	if !c.route.Repeatable() || c.sends+1 >= c.route.Attempts {
 		return func() bool { return false }
 	}
 	exclude := append(slices.Clone(c.tried), id)
 	return func() bool {
 		now := time.Now()
+		if !c.Budget.CanSpend(c.service.Name, now) {
+			return false
+		}
 		selection, limit := c.selection(now)
-		return c.Balancer.HasCapacity(selection.Candidates, balancer.Query{Now: now, Limit: limit, Exclude: exclude}) && c.Budget.CanSpend(c.service.Name, now)
+		u, reason := c.acquireFrom(selection, limit, exclude, now)
+		if reason != "" {
+			return false
+		}
+		if !c.Budget.Spend(c.service.Name, now) {
+			c.Balancer.Release(u.ID)
+			return false
+		}
+		c.reserved.Store(&u)
+		return true
+	}
+}
+
+// releaseReserved gives up the slot that was reserved for another send, if there is one.
+func (c *call) releaseReserved() {
+	if u := c.reserved.Swap(nil); u != nil {
+		c.Balancer.Release(u.ID)
 	}
 }
 
--- a/internal/relayer/watchdog.go
+++ b/internal/relayer/watchdog.go
@@ -50,8 +50,9 @@
 	// Cancel is called once if the upstream falls silent and the request can continue
 	// at another upstream.
 	Cancel func()
-	// CanReroute returns true if the request can continue at another upstream now.
-	CanReroute func() bool
+	// Reroute reserves another upstream for the request, and reports whether there is one.
+	// The send is then cancelled.
+	Reroute func() bool
 }
 
 // Watch is a send that the watchdog watches.
@@ -145,7 +146,7 @@
 				d.OnSilence(w.send.Upstream)
 			}
 		}
-		if upstreamSilentFor < limit && silentFor < _maxStreamSilence || !w.send.CanReroute() {
+		if upstreamSilentFor < limit && silentFor < _maxStreamSilence || !w.send.Reroute() {
 			continue
 		}
 		d.Log.Event("send-silent", logger.Fields{
--- a/internal/relayer/watchdog_test.go
+++ b/internal/relayer/watchdog_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"net/http"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +12,8 @@
 	"github.com/stretchr/testify/assert"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/balancer"
+	"github.com/lycheebarrow/lycheebarrow/internal/budgeter"
+	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
 	"github.com/lycheebarrow/lycheebarrow/internal/relayer"
 )
 
@@ -56,7 +61,7 @@
 				}()
 				w := watchdog.Watch(relayer.Send{
 					Upstream: "a", ExpectedWait: tc.expectedWait * time.Millisecond,
-					Cancel: func() { cancelledAt = elapsedMs() }, CanReroute: func() bool { return tc.canReroute },
+					Cancel: func() { cancelledAt = elapsedMs() }, Reroute: func() bool { return tc.canReroute },
 				})
 				defer w.Stop()
 				if tc.begun {
@@ -76,3 +81,26 @@
 		})
 	}
 }
+
+// Of many streams whose upstream pauses, only those are broken off for which there is a retry;
+// the others get their last event later.
+func TestSilentStreamsWithoutRetryAreNotBrokenOff(t *testing.T) {
+	var runs atomic.Int32
+	s := startRelayer(t, cataloguer.KindStream, true, []string{"4 paused", "4 paused"}, &runs)
+	relay := s.Config.Handler.(*relayer.Relayer)
+	relay.Budget = &budgeter.Budget{Window: time.Minute, Slack: 1}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go relay.Watchdog.Run(ctx)
+	results := make(chan string, 8)
+	for n := range cap(results) {
+		go func() {
+			results <- sendRequestWith(t, s, "/a/x", http.Header{"Id": {strconv.Itoa(n + 1)}, "Key": {"k"}})
+		}()
+	}
+	for range cap(results) {
+		assert.Equal(t, "200 1 2 3 4", <-results)
+	}
+	assert.LessOrEqual(t, runs.Load(), int32(cap(results)+1))
+	assert.Equal(t, int64(1), relay.Balancer.InFlight())
+}
