internal/relayer: an upstream's refusal does not use up the attempts of a request that ran before

Cause: once an upstream may have run a request, every send counted against the route's attempts, refused ones too. Attempts bound the upstreams on which a request runs; refused sends have their own bound, one more than the attempts, and the retry budget, as before.

Three cases of TestRelay; failed before: "200 1 2 broken" for "200 1 2 3 4", "200 1 broken" for "200 1 2 broken" (a stream that breaks twice, with a refusal between). The third (a safe request) passed before, since its first send brought no response.

--- a/internal/relayer/call.go
+++ b/internal/relayer/call.go
@@ -66,8 +66,8 @@
 	sentAt time.Time
 	// tried has the id of each send's upstream.
 	tried []string
-	// mayHaveRun is true if an upstream may have run the request.
-	mayHaveRun bool
+	// runs counts the sends after which an upstream may have run the request.
+	runs int
 	// headWrittenAt is when the head of an upstream's response was passed on.
 	headWrittenAt time.Time
 	// lastEventsAt is when events were last passed on.
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -67,7 +67,7 @@
 	case status < 300 && (!a.Signed || a.Encoded):
 		c.lastErr = errors.New("relayer: upstream response has no signature or has a content encoding")
 		return false, "answer-broken"
-	case status >= 500 && c.route.Kind == cataloguer.KindSafe && c.sends < c.route.Attempts:
+	case status >= 500 && c.route.Kind == cataloguer.KindSafe && c.runs < c.route.Attempts:
 		return false, "failed-by-upstream"
 	case promisesNotRun(status):
 		// The caller would take the status as a promise that the request has not run,
@@ -81,7 +81,7 @@
 // sendContext returns the context of one send. If the request may be sent again, the
 // context bounds the send to half of the time left, to keep time for another send.
 func (c *call) sendContext() (context.Context, context.CancelFunc) {
-	if !c.route.Repeatable() || c.sends+1 >= c.route.Attempts {
+	if !c.route.Repeatable() || c.runs+1 >= c.route.Attempts || c.sends+1 >= c.maxSends() {
 		return context.WithCancel(c.ctx)
 	}
 	const divisor = 2
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -196,12 +196,15 @@
 		{name: "stream resumed after a torn event", kind: cataloguer.KindStream, resumable: true, upstreams: []string{"2 torn", "4"}, want: "200 1 2 3 4", runs: 2},
 		{name: "stream that may not be resumed", kind: cataloguer.KindStream, upstreams: []string{"2 cut", "4"}, want: "200 1 2 broken", runs: 1},
 		{name: "stream cut twice", kind: cataloguer.KindStream, resumable: true, upstreams: []string{"1 cut", "2 cut", "4"}, want: "200 1 2 broken", runs: 2},
+		{name: "stream resumed after a refusal", kind: cataloguer.KindStream, resumable: true, upstreams: []string{"2 cut", "not-run", "4"}, want: "200 1 2 3 4", runs: 2},
+		{name: "stream cut twice with a refusal between", kind: cataloguer.KindStream, resumable: true, upstreams: []string{"1 cut", "not-run", "2 cut", "4"}, want: "200 1 2 broken", runs: 2},
 		{name: "stream with a missing event", kind: cataloguer.KindStream, upstreams: []string{"3 skip"}, want: "200 1 2 broken", runs: 1},
 		{name: "stream without framing", kind: cataloguer.KindStream, upstreams: []string{"3 unframed"}, want: "200 1 2 3", runs: 1},
 		{name: "stream without framing that ends in an event", kind: cataloguer.KindStream, resumable: true, upstreams: []string{"2 unframed torn", "4"}, want: "200 1 2 3 4", runs: 2},
 		{name: "stream without framing that ends before its first event", kind: cataloguer.KindStream, resumable: true, upstreams: []string{"0 unframed", "3"}, want: "200 1 2 3", runs: 2},
 		{name: "resumed stream without framing that ends before its next event", kind: cataloguer.KindStream, resumable: true, upstreams: []string{"2 cut", "2 unframed"}, want: "200 1 2 broken", runs: 2},
 		{name: "unrepeatable stream without framing or events", kind: cataloguer.KindStream, upstreams: []string{"0 unframed"}, want: "502", runs: 1},
+		{name: "safe, sent again after a refusal", kind: cataloguer.KindSafe, upstreams: []string{"cut", "not-run", "ok"}, want: "200 done", runs: 2},
 		{name: "stream refused", kind: cataloguer.KindStream, upstreams: []string{"not-run", "3"}, want: "200 1 2 3", runs: 1},
 	}
 	for _, tc := range testCases {
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -18,6 +18,9 @@
 const (
 	// _minSendTime is the shortest time left in which a request is still sent.
 	_minSendTime = 30 * time.Millisecond
+	// _minAttempts is the number of upstreams that a request may be sent to at least, where the
+	// first ones refuse it.
+	_minAttempts = 2
 	// _returnSpread is the time over which refused callers return once an upstream takes
 	// requests again.
 	_returnSpread = 300 * time.Millisecond
@@ -156,7 +159,7 @@
 	if err != nil {
 		var f *forwarder.ExchangeError
 		if errors.As(err, &f) && f.Sent {
-			c.mayHaveRun = true
+			c.runs++
 		}
 		c.lastErr = err
 		return nil, Response{}, err
@@ -167,25 +170,30 @@
 	}
 	a := c.Protocol.Response(x.Response.Header)
 	if !a.NotRun {
-		c.mayHaveRun = true
+		c.runs++
 	}
 	c.recordNotices(&u, x.Response.StatusCode, a)
 	return x, a, nil
 }
 
+// mayHaveRun reports whether an upstream may have run the request.
+func (c *call) mayHaveRun() bool { return c.runs > 0 }
+
+// maxSends returns how often the request may be sent, those sends included that upstreams
+// refuse.
+func (c *call) maxSends() int { return max(c.route.Attempts, _minAttempts) + 1 }
+
 // canSend returns whether the request may be sent, for the first time or again, and
 // if not, the reason.
 func (c *call) canSend() (bool, string) {
 	switch {
 	case c.ctx.Err() != nil:
 		return false, "over"
-	case c.mayHaveRun && !c.route.Repeatable():
+	case c.mayHaveRun() && !c.route.Repeatable():
 		return false, "may-have-run"
 	case c.mayCrashUpstreams():
 		return false, "may-crash-upstreams"
-	case c.sends > 0 && c.mayHaveRun && c.sends >= c.route.Attempts:
-		return false, "attempts"
-	case c.sends > max(c.route.Attempts, 2):
+	case c.runs >= c.route.Attempts, c.sends >= c.maxSends():
 		return false, "attempts"
 	case time.Until(c.deadline) < _minSendTime:
 		return false, "no-time"
@@ -201,11 +209,11 @@
 	switch {
 	case c.r.Context().Err() != nil:
 		c.outcome = "caller-left"
-	case !c.mayHaveRun && c.isSettled():
+	case !c.mayHaveRun() && c.isSettled():
 		c.refuseFor(http.StatusServiceUnavailable, "draining", _drainRetryAfter)
-	case !c.mayHaveRun && !c.freeAt.IsZero():
+	case !c.mayHaveRun() && !c.freeAt.IsZero():
 		c.refuseFor(http.StatusServiceUnavailable, reason, time.Until(c.freeAt)+rand.N(_returnSpread))
-	case !c.mayHaveRun:
+	case !c.mayHaveRun():
 		c.refuse(http.StatusServiceUnavailable, reason)
 	case c.isSettled():
 		c.fail(http.StatusBadGateway, "draining")
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -148,7 +148,7 @@
 // request, if the next send, to the upstream with the given id, is to be cancelled. It
 // reports whether the request can continue there.
 func (c *call) rerouteFrom(id string) func() bool {
-	if !c.route.Repeatable() || c.sends+1 >= c.route.Attempts {
+	if !c.route.Repeatable() || c.runs+1 >= c.route.Attempts || c.sends+1 >= c.maxSends() {
 		return func() bool { return false }
 	}
 	exclude := append(slices.Clone(c.tried), id)
