--- a/internal/relayer/call.go
+++ b/internal/relayer/call.go
@@ -57,14 +57,17 @@
 	// sendEvents counts the events of the latest send.
 	sendEvents int
 
+	// reserved is the upstream at which a slot and a retry are reserved for the next send; nil
+	// if there is none.
+	reserved atomic.Pointer[cataloguer.Upstream]
 	// sends counts how often the request was sent to an upstream.
 	sends int
 	// sentAt is when the latest send began.
 	sentAt time.Time
 	// tried has the id of each send's upstream.
 	tried []string
-	// mayHaveRun is true if an upstream may have run the request.
-	mayHaveRun bool
+	// runs counts the sends after which an upstream may have run the request.
+	runs int
 	// headWrittenAt is when the head of an upstream's response was passed on.
 	headWrittenAt time.Time
 	// lastEventsAt is when events were last passed on.
