internal/relayer: a stream that has broken off waits for a retry or an upstream

Cause: the decision not to send again was final. For a request without a response that is right, since its caller is told when to come back. A stream that has begun can get nothing but its rest, and its caller waits for it.

Change: such a stream tries again every 100 ms while its time lasts and its caller stays; it spends one retry, however often it looks for an upstream. Attempts bound it as before, and the limit of a shutdown ends it.

TestBrokenStreamWaitsForRetry failed before ("200 1 2 broken"), and with a retry spent for each look.

--- a/internal/relayer/call.go
+++ b/internal/relayer/call.go
@@ -60,6 +60,8 @@
 	// reserved is the upstream at which a slot and a retry are reserved for the next send; nil
 	// if there is none.
 	reserved atomic.Pointer[cataloguer.Upstream]
+	// retrySpent is true if a retry is spent for the next send.
+	retrySpent bool
 	// sends counts how often the request was sent to an upstream.
 	sends int
 	// sentAt is when the latest send began.
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -26,6 +26,12 @@
 	_returnSpread = 300 * time.Millisecond
 )
 
+// Reasons of a request that is not sent again for want of a retry, or of time.
+const (
+	_reasonBudget = "budget"
+	_reasonNoTime = "no-time"
+)
+
 // acquireUpstream acquires a slot at an upstream for the next send. It returns an empty
 // reason on success, and the caller must then release the slot.
 func (c *call) acquireUpstream() (cataloguer.Upstream, balancer.Reason) {
@@ -142,6 +148,7 @@
 // which a resumed stream continues; 0 if none is resumed.
 func (c *call) send(ctx context.Context, u cataloguer.Upstream, lastEvent uint64) (*forwarder.Exchange, Response, error) {
 	c.sends++
+	c.retrySpent = false
 	c.sentAt, c.sendEvents, c.brokenOff = time.Now(), 0, false
 	c.tried = append(c.tried, u.ID)
 	c.progress.recordSend(u.ID, c.sentAt)
@@ -196,14 +203,24 @@
 	case c.runs >= c.route.Attempts, c.sends >= c.maxSends():
 		return false, "attempts"
 	case time.Until(c.deadline) < _minSendTime:
-		return false, "no-time"
-	case c.sends > 0 && c.reserved.Load() == nil && !c.Budget.Spend(c.service.Name, time.Now()):
-		return false, "budget"
+		return false, _reasonNoTime
+	case c.sends > 0 && !c.spendRetry():
+		return false, _reasonBudget
 	default:
 		return true, ""
 	}
 }
 
+// spendRetry spends a retry for the next send, unless one is spent or reserved already. It
+// returns false if the budget has none.
+func (c *call) spendRetry() bool {
+	if !c.retrySpent && c.reserved.Load() == nil {
+		c.retrySpent = c.Budget.Spend(c.service.Name, time.Now())
+		return c.retrySpent
+	}
+	return true
+}
+
 // respondUnanswered responds to a request that no upstream answered. It closes the connection
 // of a caller that has left: net/http would otherwise send an empty success, which a caller
 // that has closed only its sending side can read.
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -12,12 +12,16 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
 	"github.com/lycheebarrow/lycheebarrow/internal/forwarder"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
+	"github.com/lycheebarrow/lycheebarrow/internal/pauser"
 	"github.com/lycheebarrow/lycheebarrow/internal/quarantiner"
 )
 
 // _streamBuffer is the size of one read of a stream, in bytes.
 const _streamBuffer = 4 << 10
 
+// _resumePause is the time between two attempts to resume a stream.
+const _resumePause = 100 * time.Millisecond
+
 // _maxEventBytes is the largest size of one event of a stream, in bytes.
 const _maxEventBytes = 256 << 10
 
@@ -43,6 +47,9 @@
 	for {
 		ok, why := c.canSend()
 		if !ok {
+			if (why == _reasonBudget || why == _reasonNoTime) && c.awaitResume() {
+				continue
+			}
 			if c.sends == 0 || why != "over" {
 				reason = why
 			}
@@ -50,6 +57,9 @@
 		}
 		u, whyNone := c.acquireUpstream()
 		if whyNone != "" {
+			if c.awaitResume() {
+				continue
+			}
 			if c.sends == 0 {
 				reason = string(whyNone)
 			}
@@ -72,6 +82,13 @@
 	c.abortStream(reason)
 }
 
+// awaitResume pauses before another attempt to resume a stream that has begun: its caller still
+// waits, and can get nothing but the rest of it. It returns false if the stream has not begun
+// or the request is over.
+func (c *call) awaitResume() bool {
+	return c.headWritten && pauser.Pause(c.ctx, _resumePause)
+}
+
 // abortStream closes the caller's connection in the middle of the response, so
 // that the caller can't take the stream for complete.
 func (c *call) abortStream(reason string) {
--- a/internal/relayer/watchdog_test.go
+++ b/internal/relayer/watchdog_test.go
@@ -104,3 +104,22 @@
 	assert.LessOrEqual(t, runs.Load(), int32(cap(results)+1))
 	assert.Equal(t, int64(1), relay.Balancer.InFlight())
 }
+
+// A stream that has broken off waits for a retry and an upstream while its time lasts, and
+// spends one retry.
+func TestBrokenStreamWaitsForRetry(t *testing.T) {
+	var runs atomic.Int32
+	s := startRelayer(t, cataloguer.KindStream, true, []string{"2 cut", "4"}, &runs)
+	relay := s.Config.Handler.(*relayer.Relayer)
+	relay.Budget = &budgeter.Budget{Window: time.Minute}
+	relay.Balancer.MarkSilent("1", 0, true, time.Now())
+	go func() {
+		for runs.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		relay.Budget.Configure(time.Minute, 0, 1)
+		time.Sleep(250 * time.Millisecond)
+		relay.Balancer.RecordActivity("1", time.Now())
+	}()
+	assert.Equal(t, "200 1 2 3 4", sendRequest(t, s, "/a/x", "k"))
+}
