Names and comments after a newcomer's read; one route line for each reason a stream waits

Nothing changes what the code does, but for one log line: a stream that waits for an upstream logged its route line up to ten times a second, and now logs each reason once.

--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -256,7 +256,7 @@
 		OnStop: func(ctx context.Context) error {
 			k.stopBeganAt = time.Now()
 			k.health.MarkShuttingDown()
-			rl.StartDraining(relayer.Shutdown{BeganAt: k.stopBeganAt, NoticeEnd: k.stopBeganAt.Add(k.settings.DrainNotice()), End: k.settleDeadline()})
+			rl.StartDraining(relayer.Shutdown{BeganAt: k.stopBeganAt, NoticeEnd: k.stopBeganAt.Add(k.settings.DrainNotice()), SettleAt: k.settleDeadline()})
 			k.log.Event("leave", logger.Fields{"notice": k.settings.DrainNotice(), "limit": k.settings.DrainLimit()})
 			pauser.Pause(ctx, k.settings.DrainNotice())
 			return nil
--- a/internal/composer/kernel.go
+++ b/internal/composer/kernel.go
@@ -213,21 +213,21 @@
 // drain waits until no connection of a server is left, or returns an error if the limit of
 // the shutdown has passed. It calls settle before that unless it is nil.
 func (k *kernel) drain(ctx context.Context, d *drainer.Drainer, settle func(ctx context.Context)) error {
-	limit, cancel := k.drainContext(ctx)
+	limitCtx, cancel := k.drainContext(ctx)
 	defer cancel()
 	if settle == nil {
-		return d.Drain(limit)
+		return d.Drain(limitCtx)
 	}
-	beforeSettle := limit
-	if deadline, ok := limit.Deadline(); ok {
-		beforeSettle, cancel = context.WithDeadline(limit, deadline.Add(-_settleTime))
+	beforeSettle := limitCtx
+	if deadline, ok := limitCtx.Deadline(); ok {
+		beforeSettle, cancel = context.WithDeadline(limitCtx, deadline.Add(-_settleTime))
 		defer cancel()
 	}
 	if d.Drain(beforeSettle) == nil {
 		return nil
 	}
-	// Where the process got no processor time, the limit may have passed already. The
-	// responses still need theirs.
+	// The limit may have passed already if the process got no processor time; the responses
+	// still get _settleTime.
 	var settling sync.WaitGroup
 	defer settling.Wait()
 	last, cancel := context.WithTimeout(ctx, _settleTime)
--- a/internal/composer/relayer.go
+++ b/internal/composer/relayer.go
@@ -62,7 +62,7 @@
 		Budget: &budgeter.Budget{SlackFrom: time.Now().Add(k.settings.RetryWindow())},
 		Log:    k.log, Meter: m, DataCentre: k.settings.DataCentre(), Watchdog: &relayer.Watchdog{Balancer: b, Log: k.log},
 	}
-	if err := m.RegisterGauge("quarantined_parts", "Parts of prompts that are not sent, since upstreams crash under them.", rl.Quarantine.Count); err != nil {
+	if err := m.RegisterGauge("quarantined_parts", "Quarantines in force. Each is of one part of prompts, or of several that are refused only together.", rl.Quarantine.Count); err != nil {
 		return err
 	}
 	if err := registerPoolGauges(m, rl.Pool); err != nil {
--- a/internal/composer/screener.go
+++ b/internal/composer/screener.go
@@ -11,15 +11,15 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/screener"
 )
 
-// _limitedStartDelay is how long after its start a process sends no requests to cold and
-// limited upstreams: other processes may learn of it that much later, and an earlier run of it may just have
-// sent some.
-const _limitedStartDelay = 6 * time.Second
+// _boundedStartDelay is how long after its start a process sends nothing to cold and limited
+// upstreams: other processes may learn of it that much later, and an earlier run of it may
+// have sent some requests just before.
+const _boundedStartDelay = 6 * time.Second
 
 // buildScreener builds the screener, which decides which upstreams may take requests.
 func buildScreener(k *kernel) error {
 	s := &screener.Screener{
-		Name: k.settings.Name(), LimitedFrom: time.Now().Add(_limitedStartDelay),
+		Name: k.settings.Name(), BoundedFrom: time.Now().Add(_boundedStartDelay),
 		ColdLimit: screener.ColdLimit{Overage: k.settings.ColdOverage(), Slack: k.settings.ColdSlack()},
 	}
 	return k.services.Register(NameScreener, s)
@@ -82,7 +82,7 @@
 		state             screener.State
 		name, description string
 	}{
-		{screener.StateLimited, "upstreams_limited", "Upstreams that state how many requests they take."},
+		{screener.StateLimited, "upstreams_limited", "Upstreams that state how many requests they take and are in no more restrictive state."},
 		{screener.StateCold, "upstreams_cold", "Upstreams that take requests at a limited rate, since they are cold."},
 		{screener.StateWaiting, "upstreams_waiting", "Upstreams that asked this process to wait."},
 		{screener.StateLeaving, "upstreams_leaving", "Upstreams that are leaving."},
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -215,7 +215,8 @@
 }
 
 // ObserveTerm records the latest term under which a process has held the lease, as the other
-// processes tell. It is safe for concurrent use, but not with itself.
+// processes tell. Only one goroutine
+// may call it; other methods may run at the same time.
 func (c *Conductor) ObserveTerm(term uint64) {
 	c.peerTerm.Store(max(c.peerTerm.Load(), term))
 }
--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -34,9 +34,9 @@
 
 // Client makes control calls to engines. It is safe for concurrent use.
 type Client struct {
-	// kept keeps connections. unkept opens one for each call, since a late copy of a
-	// status on a kept one would pass for the outcome of an order.
-	kept, unkept *http.Client
+	// pooled reuses connections. single opens one for each call: on a reused one, a late copy
+	// of an earlier response could pass for the outcome of an order.
+	pooled, single *http.Client
 }
 
 // New returns a Client that connects over network.
@@ -45,22 +45,22 @@
 		MaxResponseHeaderBytes: networker.MaxResponseHeadBytes, DialContext: network.DialContext, MaxIdleConnsPerHost: 2,
 		IdleConnTimeout: 30 * time.Second, DisableCompression: true,
 	}
-	unkept := t.Clone()
-	unkept.DisableKeepAlives = true
-	return &Client{kept: &http.Client{Transport: t}, unkept: &http.Client{Transport: unkept}}
+	single := t.Clone()
+	single.DisableKeepAlives = true
+	return &Client{pooled: &http.Client{Transport: t}, single: &http.Client{Transport: single}}
 }
 
 // Close closes idle connections. It never fails.
 func (c *Client) Close() error {
-	c.kept.CloseIdleConnections()
+	c.pooled.CloseIdleConnections()
 	return nil
 }
 
 // Status requests the status of the instance at address, a host:port.
 func (c *Client) Status(ctx context.Context, address string) (Status, error) {
-	s, err := requestStatus(ctx, c.kept, address)
+	s, err := requestStatus(ctx, c.pooled, address)
 	if errors.Is(err, errWrongCall) {
-		s, err = requestStatus(ctx, c.unkept, address)
+		s, err = requestStatus(ctx, c.single, address)
 	}
 	return s, err
 }
@@ -103,7 +103,7 @@
 	if err != nil {
 		return Status{}, fmt.Errorf("engineclient: order call to %s: %w", address, err)
 	}
-	res, err := c.unkept.Do(req)
+	res, err := c.single.Do(req)
 	if err != nil {
 		return Status{}, fmt.Errorf("engineclient: order call to %s: %w", address, err)
 	}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -72,8 +72,8 @@
 	stop func() bool
 	// ended is true once the body was read to its end.
 	ended bool
-	// body looks for the beginning of another response in a body with a length.
-	body statusLineFinder
+	// statusLine looks for the beginning of another response in a body with a length.
+	statusLine statusLineFinder
 	// skipped counts the responses to earlier requests before Response.
 	skipped int
 }
@@ -156,7 +156,7 @@
 	n, err := x.Response.Body.Read(b)
 	isEnd := errors.Is(err, io.EOF)
 	if x.Response.ContentLength > 0 {
-		x.body.add(b[:n])
+		x.statusLine.add(b[:n])
 		if isEnd && !x.ended && x.isFilled() {
 			return 0, errFilled
 		}
--- a/internal/forwarder/filled.go
+++ b/internal/forwarder/filled.go
@@ -34,10 +34,6 @@
 	f.tail = bytes.Clone(seam[max(0, len(seam)-_statusLineBytes+1):])
 }
 
-func containsStatusLine(b []byte) bool {
-	return bytes.Contains(b, []byte("HTTP/1.")) && _statusLine.Match(b)
-}
-
 // isFilled reports whether the body of the response, which was read to its end, contains the
 // beginning of another response, and the rest of that follows. An upstream in trouble may
 // break a body off before its length and then send a copy of an earlier response. A body that
@@ -47,8 +43,8 @@
 	if len(following) == 0 {
 		return false
 	}
-	x.body.add(following)
-	return x.body.found
+	x.statusLine.add(following)
+	return x.statusLine.found
 }
 
 // following returns the first bytes that have arrived behind the response, fewer than a
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -22,10 +22,10 @@
 	_idleLimit = 4 * time.Second
 	// _idlePerHost is the largest number of idle connections to one upstream.
 	_idlePerHost = 24
-	// _quietTime is how long a connection must have been idle to carry a request that may
-	// run only once. It is longer than a round trip, so that bytes that an upstream sends
-	// just behind a response have arrived.
-	_quietTime = 2 * time.Millisecond
+	// _minIdleForOnce is how long a connection must have been idle to carry a request that may
+	// run only once. Bytes that an upstream of the same data centre sends directly after a
+	// response have arrived by then.
+	_minIdleForOnce = 2 * time.Millisecond
 	// _readBuffer is the size of a connection's read buffer, in bytes.
 	_readBuffer = 4 << 10
 )
@@ -110,7 +110,7 @@
 		switch {
 		case c.carried.has(r.ID):
 			p.passedOver.Add(1)
-		case !r.Once || now.Sub(c.idleSince) >= _quietTime:
+		case !r.Once || now.Sub(c.idleSince) >= _minIdleForOnce:
 			p.idle[address] = slices.Delete(list, i, i+1)
 			return c
 		}
--- a/internal/forwarder/spliced.go
+++ b/internal/forwarder/spliced.go
@@ -1,9 +1,9 @@
 package forwarder
 
 import (
+	"bytes"
 	"net/http"
 	"regexp"
-	"strings"
 )
 
 // _statusLine matches the beginning of a response.
@@ -13,12 +13,12 @@
 // upstream in trouble may send a part of a head and then a complete response: the fields of
 // both would be taken for those of one.
 func isSpliced(r *http.Response) bool {
-	if hasStatusLine(r.Status) {
+	if containsStatusLine([]byte(r.Status)) {
 		return true
 	}
 	for _, values := range r.Header {
 		for _, v := range values {
-			if hasStatusLine(v) {
+			if containsStatusLine([]byte(v)) {
 				return true
 			}
 		}
@@ -26,6 +26,8 @@
 	return false
 }
 
-func hasStatusLine(text string) bool {
-	return strings.Contains(text, "HTTP/1.") && _statusLine.MatchString(text)
+// containsStatusLine reports whether b contains the beginning of a response. The search for the
+// fixed text is quicker than the expression.
+func containsStatusLine(b []byte) bool {
+	return bytes.Contains(b, []byte("HTTP/1.")) && _statusLine.Match(b)
 }
--- a/internal/grouper/replace.go
+++ b/internal/grouper/replace.go
@@ -17,7 +17,7 @@
 	}
 	for _, epoch := range slices.Sorted(maps.Keys(d.plans)) {
 		p := d.plans[epoch]
-		if d.snapshot.Evacuated[p.dataCentre] || !d.isSettled(p) {
+		if d.snapshot.Evacuated[p.dataCentre] || !d.ordersVisible(p) {
 			continue
 		}
 		kept, loading := d.splitMembers(p)
@@ -31,8 +31,8 @@
 	}
 }
 
-// isSettled reports whether the fleet shows the effect of all orders to a plan's members.
-func (d *decision) isSettled(p *plan) bool {
+// ordersVisible reports whether the fleet shows the effect of all orders to a plan's members.
+func (d *decision) ordersVisible(p *plan) bool {
 	return !slices.ContainsFunc(p.members, func(id string) bool {
 		u := d.snapshot.Fleet.Upstreams[id]
 		hasJoined := u.Group.Name == p.key.name && u.Group.Epoch == p.key.epoch
--- a/internal/quarantiner/doc.go
+++ b/internal/quarantiner/doc.go
@@ -10,6 +10,8 @@
 // there. Output for a part clears it. A part that is a suspect in several crashes, and that
 // no process has cleared, is quarantined, together with those that were suspects in the same
 // crashes: only prompts with all of them are refused, since any one of them may be sound.
+// If upstreams go on to crash under prompts with these parts, each part is quarantined by
+// itself.
 // Processes exchange their evidence, since each sees only some of the crashes.
 //
 // The package does no I/O and reads no clock.
--- a/internal/quarantiner/suspicions.go
+++ b/internal/quarantiner/suspicions.go
@@ -32,7 +32,7 @@
 
 // suspicion holds the confirmed crashes in which a part is a suspect: all, and those that
 // have been confirmed for _clearanceDelay.
-type suspicion struct{ confirmed, settled crashSet }
+type suspicion struct{ confirmed, aged crashSet }
 
 // suspicions returns that of each suspect of several crashes, and the confirmed crashes by
 // their numbers.
@@ -56,7 +56,7 @@
 			}
 			x.confirmed.add(n)
 			if now.Sub(r.confirmedAt) >= _clearanceDelay {
-				x.settled.add(n)
+				x.aged.add(n)
 			}
 		}
 	}
@@ -72,7 +72,7 @@
 	suspicions, confirmed := q.suspicions(now)
 	candidates := make(map[crashSet][]Part)
 	for p, x := range suspicions {
-		if x.settled.len() >= _crashesUntilQuarantine && !q.isCleared(p) {
+		if x.aged.len() >= _crashesUntilQuarantine && !q.isCleared(p) {
 			candidates[x.confirmed] = append(candidates[x.confirmed], p)
 		}
 	}
--- a/internal/relayer/body.go
+++ b/internal/relayer/body.go
@@ -30,12 +30,12 @@
 		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	}
 	past := time.Unix(1, 0)
-	c.progress.onInterrupt(func() {
+	c.progress.onSettle(func() {
 		c.settle()
 		_ = control.SetReadDeadline(past) // an error means that the connection is closed
 	})
 	// Runs before the deadline is reset, which a late interrupt must not set again.
-	defer c.progress.onInterrupt(c.settle)
+	defer c.progress.onSettle(c.settle)
 	c.bodyMemory = c.Bodies.Open(c.organisation, func() { _ = control.SetReadDeadline(past) }, c.arrivedAt)
 	return c.bodyMemory.Read(http.MaxBytesReader(c.w, c.r.Body, limit), c.r.ContentLength)
 }
--- a/internal/relayer/call.go
+++ b/internal/relayer/call.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/admitter"
+	"github.com/lycheebarrow/lycheebarrow/internal/balancer"
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 	"github.com/lycheebarrow/lycheebarrow/internal/prioritiser"
@@ -57,9 +58,12 @@
 	// sendEvents counts the events of the latest send.
 	sendEvents int
 
-	// reserved is the upstream at which a slot and a retry are reserved for the next send; nil
-	// if there is none.
-	reserved atomic.Pointer[cataloguer.Upstream]
+	// nextUpstream is the upstream at which the watchdog has acquired a slot for the next send,
+	// with a retry spent; nil if there is none.
+	nextUpstream atomic.Pointer[cataloguer.Upstream]
+	// loggedReason is why the latest look for an upstream found none; a stream that waits logs
+	// a reason once.
+	loggedReason balancer.Reason
 	// retrySpent is true if a retry is spent for the next send.
 	retrySpent bool
 	// sends counts how often the request was sent to an upstream.
@@ -104,7 +108,7 @@
 func (s *Relayer) newCall(w http.ResponseWriter, r *http.Request) *call {
 	c := &call{Relayer: s, w: w, r: r, arrivedAt: time.Now(), request: s.Protocol.Request(r.Header)}
 	c.ctx, c.cancel = context.WithCancelCause(r.Context())
-	c.progress.onInterrupt(c.settle)
+	c.progress.onSettle(c.settle)
 	c.progress.state = state{id: c.request.ID, arrivedAt: c.arrivedAt}
 	return c
 }
--- a/internal/relayer/drain.go
+++ b/internal/relayer/drain.go
@@ -20,28 +20,29 @@
 	_settleInterval = 50 * time.Millisecond
 )
 
-// errDraining is the cause with which a shutdown cancels the context of a request.
-var errDraining = errors.New("relayer: shutdown reached its limit before a response began")
+// errSettled is the cause with which a shutdown cancels the context of a request.
+var errSettled = errors.New("relayer: shutdown reached its limit before a response began")
 
 // Shutdown is a shutdown of the process.
 type Shutdown struct {
 	BeganAt time.Time
 	// NoticeEnd is until when requests are served as usual.
 	NoticeEnd time.Time
-	// End is from when open requests are settled and responses are cut off; the zero time
-	// means never.
-	End time.Time
+	// SettleAt is when requests without a response are settled, shortly before responses are
+	// cut off; the zero time means never. A request that is complete after NoticeEnd is refused
+	// if its deadline is later than this.
+	SettleAt time.Time
 }
 
 // mayCut reports whether the shutdown may cut off the response to a request that was read
 // whole after the notice.
 func (d Shutdown) mayCut(completeAt, deadline time.Time) bool {
-	return !d.End.IsZero() && completeAt.After(d.NoticeEnd) && deadline.After(d.End)
+	return !d.SettleAt.IsZero() && completeAt.After(d.NoticeEnd) && deadline.After(d.SettleAt)
 }
 
 // StartDraining makes each response close its connection, so that callers connect to
 // another process before this one ends. Requests that are complete only after the notice are
-// refused if their deadline is later than the shutdown's end.
+// refused if their deadline is later than its SettleAt.
 func (s *Relayer) StartDraining(d Shutdown) { s.drain.Store(&d) }
 
 // SettleRequests makes the requests whose responses have not begun at their callers end with
@@ -62,7 +63,7 @@
 }
 
 // settle ends what the request waits for, because of a shutdown.
-func (c *call) settle() { c.cancel(errDraining) }
+func (c *call) settle() { c.cancel(errSettled) }
 
 // beginResponse records that the response to the caller begins. During a shutdown it closes
 // the connection. It returns false if the shutdown has settled the request.
@@ -74,7 +75,7 @@
 }
 
 // isSettled reports whether the shutdown has settled the request.
-func (c *call) isSettled() bool { return errors.Is(context.Cause(c.ctx), errDraining) }
+func (c *call) isSettled() bool { return errors.Is(context.Cause(c.ctx), errSettled) }
 
 // LogCutRequests logs the requests that are open when a shutdown cuts off their responses.
 func (s *Relayer) LogCutRequests(now time.Time) {
--- a/internal/relayer/drain_test.go
+++ b/internal/relayer/drain_test.go
@@ -107,7 +107,7 @@
 // settle makes a relayer respond to its open requests, as at the limit of a shutdown.
 func settle(s *relayer.Relayer) {
 	now := time.Now()
-	s.StartDraining(relayer.Shutdown{BeganAt: now, NoticeEnd: now, End: now})
+	s.StartDraining(relayer.Shutdown{BeganAt: now, NoticeEnd: now, SettleAt: now})
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	s.SettleRequests(ctx)
--- a/internal/relayer/export_test.go
+++ b/internal/relayer/export_test.go
@@ -6,7 +6,7 @@
 type Progress = progress
 
 // NewProgress returns the progress of a request that interrupt ends.
-func NewProgress(interrupt func()) *Progress { return &progress{interrupt: interrupt} }
+func NewProgress(interrupt func()) *Progress { return &progress{cancelWait: interrupt} }
 
 // RecordSend is recordSend.
 func (p *progress) RecordSend(upstream string, now time.Time) { p.recordSend(upstream, now) }
--- a/internal/relayer/progress.go
+++ b/internal/relayer/progress.go
@@ -13,8 +13,8 @@
 type progress struct {
 	mu    sync.Mutex
 	state state
-	// interrupt ends what the request waits for.
-	interrupt func()
+	// cancelWait ends what the request waits for.
+	cancelWait func()
 	// settled is true once a shutdown has interrupted the request.
 	settled bool
 }
@@ -80,11 +80,11 @@
 	return !p.settled
 }
 
-// onInterrupt sets what ends the request's waiting.
-func (p *progress) onInterrupt(interrupt func()) {
+// onSettle sets what ends the request's waiting.
+func (p *progress) onSettle(cancelWait func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.interrupt = interrupt
+	p.cancelWait = cancelWait
 }
 
 // settle interrupts the request if a shutdown may settle it: any request if all is true, or
@@ -96,7 +96,7 @@
 		return
 	}
 	p.settled = true
-	p.interrupt()
+	p.cancelWait()
 }
 
 // dataReader records the data that an upstream sends.
--- a/internal/relayer/quarantine.go
+++ b/internal/relayer/quarantine.go
@@ -126,8 +126,9 @@
 	return u, ok
 }
 
-// evidence returns what this process knows of prompts that crash upstreams.
-func (s *Relayer) evidence(now time.Time) quarantiner.Evidence {
+// shareEvidence records which upstreams have started again since a response broke off, logs
+// them, and returns what this process knows of prompts that crash upstreams.
+func (s *Relayer) shareEvidence(now time.Time) quarantiner.Evidence {
 	restarted := s.Quarantine.RecordStarts(func(id string) int64 {
 		u, _ := s.listed(id)
 		return u.StartedMs
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -18,9 +18,11 @@
 const (
 	// _minSendTime is the shortest time left in which a request is still sent.
 	_minSendTime = 30 * time.Millisecond
-	// _minAttempts is the number of upstreams that a request may be sent to at least, where the
-	// first ones refuse it.
+	// _minAttempts and _extraSends: a request that upstreams refuse is sent to max(attempts,
+	// _minAttempts) + _extraSends upstreams at most. Refused sends don't count as attempts of
+	// the route.
 	_minAttempts = 2
+	_extraSends  = 1
 	// _returnSpread is the time over which refused callers return once an upstream takes
 	// requests again.
 	_returnSpread = 300 * time.Millisecond
@@ -41,7 +43,7 @@
 	}
 	now := time.Now()
 	selection, limit := c.selection(now)
-	u, reason := c.takeReserved()
+	u, reason := c.takeNextUpstream()
 	if reason != "" {
 		u, reason = c.acquireFrom(selection, limit, c.tried, now)
 	}
@@ -61,13 +63,16 @@
 	} else {
 		fields["upstream"], fields["group"], fields["epoch"] = u.ID, u.Group.Name, u.Group.Epoch
 	}
-	c.Log.Event("route", fields)
+	if reason == "" || reason != c.loggedReason {
+		c.Log.Event("route", fields)
+	}
+	c.loggedReason = reason
 	return u, reason
 }
 
-// takeReserved returns the upstream at which a slot was reserved for the next send.
-func (c *call) takeReserved() (cataloguer.Upstream, balancer.Reason) {
-	if u := c.reserved.Swap(nil); u != nil {
+// takeNextUpstream returns the upstream at which a slot was reserved for the next send.
+func (c *call) takeNextUpstream() (cataloguer.Upstream, balancer.Reason) {
+	if u := c.nextUpstream.Swap(nil); u != nil {
 		return *u, ""
 	}
 	return cataloguer.Upstream{}, balancer.ReasonNone
@@ -188,7 +193,7 @@
 
 // maxSends returns how often the request may be sent, those sends included that upstreams
 // refuse.
-func (c *call) maxSends() int { return max(c.route.Attempts, _minAttempts) + 1 }
+func (c *call) maxSends() int { return max(c.route.Attempts, _minAttempts) + _extraSends }
 
 // canSend returns whether the request may be sent, for the first time or again, and
 // if not, the reason.
@@ -214,7 +219,7 @@
 // spendRetry spends a retry for the next send, unless one is spent or reserved already. It
 // returns false if the budget has none.
 func (c *call) spendRetry() bool {
-	if !c.retrySpent && c.reserved.Load() == nil {
+	if !c.retrySpent && c.nextUpstream.Load() == nil {
 		c.retrySpent = c.Budget.Spend(c.service.Name, time.Now())
 		return c.retrySpent
 	}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -19,7 +19,8 @@
 // _streamBuffer is the size of one read of a stream, in bytes.
 const _streamBuffer = 4 << 10
 
-// _resumePause is the time between two attempts to resume a stream.
+// _resumePause is the time between two attempts to resume a stream. It bounds the looks at the
+// upstreams to ten a second.
 const _resumePause = 100 * time.Millisecond
 
 // _maxEventBytes is the largest size of one event of a stream, in bytes.
@@ -43,7 +44,7 @@
 func (c *call) relayStream() {
 	p := position{last: c.request.LastEvent}
 	reason := "no-upstream"
-	defer c.releaseReserved()
+	defer c.releaseNextUpstream()
 	for {
 		ok, why := c.canSend()
 		if !ok {
@@ -183,14 +184,14 @@
 			c.Balancer.Release(u.ID)
 			return false
 		}
-		c.reserved.Store(&u)
+		c.nextUpstream.Store(&u)
 		return true
 	}
 }
 
-// releaseReserved gives up the slot that was reserved for another send, if there is one.
-func (c *call) releaseReserved() {
-	if u := c.reserved.Swap(nil); u != nil {
+// releaseNextUpstream gives up the slot that was reserved for another send, if there is one.
+func (c *call) releaseNextUpstream() {
+	if u := c.nextUpstream.Swap(nil); u != nil {
 		c.Balancer.Release(u.ID)
 	}
 }
@@ -261,7 +262,7 @@
 			break
 		}
 		if !c.headWritten && !c.beginResponse() {
-			c.lastErr = errDraining
+			c.lastErr = errSettled
 			return "draining"
 		}
 		if !c.headWritten {
--- a/internal/relayer/total_load.go
+++ b/internal/relayer/total_load.go
@@ -112,7 +112,7 @@
 	out := sharer.Load{
 		InFlight: s.Balancer.InFlightByUpstream(), Activity: s.Balancer.Activity(now),
 		Demand: make(map[sharer.ModelKey]sharer.Demand), SilentHeads: make(map[sharer.SilentHead]int),
-		Evidence: s.evidence(now), Departures: s.Screener.RecentDepartures(now), Limits: s.Screener.OwnLimits(now),
+		Evidence: s.shareEvidence(now), Departures: s.Screener.RecentDepartures(now), Limits: s.Screener.OwnLimits(now),
 	}
 	for id, epoch := range s.Balancer.SilentEpochs(now) {
 		out.SilentHeads[sharer.SilentHead{Upstream: id, Epoch: epoch}] = 1
@@ -173,7 +173,7 @@
 	if s.freshTotalLoad(now) == nil {
 		s.Balancer.SetPeerLoads(nil)
 		s.Balancer.SetUnanswered(nil)
-		s.receiveEvidence(s.evidence(now), now)
+		s.receiveEvidence(s.shareEvidence(now), now)
 	}
 }
 
--- a/internal/screener/cold.go
+++ b/internal/screener/cold.go
@@ -147,7 +147,7 @@
 // caller holds the lock.
 func (s *Screener) maySendCold(u *cataloguer.Upstream, now time.Time) bool {
 	senders, quota := s.services[u.Service].division(s.senders.count())
-	if quota == 0 || now.Before(s.LimitedFrom) || !s.senders.include(s.Name, u.ID, senders) {
+	if quota == 0 || now.Before(s.BoundedFrom) || !s.senders.include(s.Name, u.ID, senders) {
 		return false
 	}
 	sent := s.coldSends[u.ID]
--- a/internal/screener/limited_sends.go
+++ b/internal/screener/limited_sends.go
@@ -42,9 +42,9 @@
 	return min(count, int(l.rate)+_spareLimitSenders)
 }
 
-// startSending sets when this process may send its first request to an upstream whose limit
+// scheduleFirstSend sets when this process may send its first request to an upstream whose limit
 // has begun: the senders begin one after the other. The caller holds the lock.
-func (s *Screener) startSending(life Life, change LimitChange, now time.Time) {
+func (s *Screener) scheduleFirstSend(life Life, change LimitChange, now time.Time) {
 	if change != LimitBegun {
 		return
 	}
@@ -52,7 +52,7 @@
 	count := max(x.senders(s.senders.count()), 1)
 	turn := float64(min(s.senders.rank(s.Name, life.Upstream), count-1)+1) / float64(count)
 	interval := x.interval(count)
-	x.lastSend = now.Add(-interval + time.Duration(turn*float64(interval)))
+	x.intervalFrom = now.Add(-interval + time.Duration(turn*float64(interval)))
 }
 
 // limitedTurn reports whether this process is among the senders of a limited upstream, and
@@ -62,9 +62,9 @@
 	if count == 0 || !s.senders.include(s.Name, u.ID, count) {
 		return time.Time{}, false
 	}
-	from = x.lastSend.Add(x.interval(count))
-	if from.Before(s.LimitedFrom) {
-		from = s.LimitedFrom
+	from = x.intervalFrom.Add(x.interval(count))
+	if from.Before(s.BoundedFrom) {
+		from = s.BoundedFrom
 	}
 	return from, true
 }
@@ -76,7 +76,7 @@
 func (s *Screener) delayNewSenders(wasSender map[Life]bool, now time.Time) {
 	for life, x := range s.limits.byLife {
 		if x.isInForce(now) && !wasSender[life] {
-			x.lastSend = now
+			x.intervalFrom = now
 		}
 	}
 }
@@ -100,9 +100,9 @@
 	if !isSender || now.Before(from) {
 		return false
 	}
-	x.lastSend = from
-	if earliest := now.Add(-x.tolerance(x.senders(s.senders.count()))); x.lastSend.Before(earliest) {
-		x.lastSend = earliest
+	x.intervalFrom = from
+	if earliest := now.Add(-x.tolerance(x.senders(s.senders.count()))); x.intervalFrom.Before(earliest) {
+		x.intervalFrom = earliest
 	}
 	return true
 }
--- a/internal/screener/limits.go
+++ b/internal/screener/limits.go
@@ -13,8 +13,8 @@
 	_limitLifetime = time.Minute
 	// _limitEndShareTime is how long the end of a limit is told to other processes.
 	_limitEndShareTime = 10 * time.Second
-	// _peerAgeError is the error of the age of a peer's evidence at most, which lacks the
-	// time on the way.
+	// _peerAgeError bounds the error of the age that a peer tells: the time of the message itself
+	// is missing from it.
 	_peerAgeError = 300 * time.Millisecond
 	// _maxLimits is the largest number of limits that are remembered.
 	_maxLimits = 8192
@@ -57,8 +57,9 @@
 	since, at time.Time
 	// reported is the rate that was last reported as begun or changed.
 	reported float64
-	// lastSend is from when the interval until this process's next request counts.
-	lastSend time.Time
+	// intervalFrom is the time from which the interval until this process's next request is
+	// measured.
+	intervalFrom time.Time
 }
 
 func (l *limit) isInForce(now time.Time) bool {
@@ -139,7 +140,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	change := s.limits.begin(life, rate, SourceResponse, now, now)
-	s.startSending(life, change, now)
+	s.scheduleFirstSend(life, change, now)
 	return change
 }
 
@@ -176,7 +177,7 @@
 		return s.limits.end(life, SourcePeer, at, now)
 	}
 	change := s.limits.begin(life, n.Rate, SourcePeer, at, now)
-	s.startSending(life, change, now)
+	s.scheduleFirstSend(life, change, now)
 	return change
 }
 
--- a/internal/screener/random_test.go
+++ b/internal/screener/random_test.go
@@ -47,7 +47,7 @@
 
 // start starts a process, which may send requests to cold upstreams from a time on.
 func (c *crowd) start(i int, coldFrom time.Time) {
-	s := &screener.Screener{Name: c.names[i], ColdLimit: screener.ColdLimit{Overage: _coldOverage, Slack: _coldSlack}, LimitedFrom: coldFrom}
+	s := &screener.Screener{Name: c.names[i], ColdLimit: screener.ColdLimit{Overage: _coldOverage, Slack: _coldSlack}, BoundedFrom: coldFrom}
 	s.SetConfiguration(&cataloguer.Configuration{Services: map[string]cataloguer.Service{"s": {Name: "s", ColdTime: 3 * time.Second, ColdRate: _coldRate}}})
 	c.running[i] = s
 }
--- a/internal/screener/screener.go
+++ b/internal/screener/screener.go
@@ -63,10 +63,10 @@
 	Name string
 	// ColdLimit limits the requests to cold upstreams. Its zero value sets no limit.
 	ColdLimit ColdLimit
-	// LimitedFrom is when this process may begin to send requests to cold and limited
+	// BoundedFrom is when this process may begin to send requests to cold and limited
 	// upstreams: an earlier run of it may have sent some just before. The zero time means at
 	// once.
-	LimitedFrom time.Time
+	BoundedFrom time.Time
 
 	mu sync.Mutex
 	// evacuated holds when this process learned of the evacuation of each data centre,
--- a/internal/server/complete.go
+++ b/internal/server/complete.go
@@ -56,7 +56,7 @@
 			request.Deadline = resumeDeadline
 			continue
 		}
-		if err != nil && isDraining(ctx) {
+		if err != nil && isSettled(ctx) {
 			return drainingProblem(outcome)
 		}
 		if err != nil {
@@ -94,7 +94,7 @@
 		if mayHaveRun(err) {
 			outcome = responder.Unknown
 		}
-		if errors.Is(err, errDraining) {
+		if errors.Is(err, errSettled) {
 			return drainingProblem(outcome)
 		}
 		if errors.Is(err, streamer.ErrCallerGone) {
--- a/internal/server/drain.go
+++ b/internal/server/drain.go
@@ -15,8 +15,8 @@
 // _settlementKey is the key of the request's settlement in gin's context.
 const _settlementKey = "lb-settlement"
 
-// errDraining is the cause with which a shutdown cancels the context of a request.
-var errDraining = errors.New("server: shutdown reached its limit before a response began")
+// errSettled is the cause with which a shutdown cancels the context of a request.
+var errSettled = errors.New("server: shutdown reached its limit before a response began")
 
 // settler cancels the contexts of open requests at the limit of a shutdown. The zero value
 // is ready for use. It is safe for concurrent use.
@@ -38,11 +38,11 @@
 	s.cancel()
 }
 
-// attach returns a context that is cancelled with errDraining when open requests are
+// attach returns a context that is cancelled with errSettled when open requests are
 // settled. release returns false if it was, and otherwise detaches the context.
 func (s *settler) attach(ctx context.Context) (attached context.Context, release func() bool) {
 	attached, cancel := context.WithCancelCause(ctx)
-	return attached, context.AfterFunc(s.settled(), func() { cancel(errDraining) })
+	return attached, context.AfterFunc(s.settled(), func() { cancel(errSettled) })
 }
 
 // Drain makes the server refuse new requests from now on; requests in flight
@@ -76,8 +76,8 @@
 	return !ok || release()
 }
 
-// isDraining reports whether Settle has ended the request with this context.
-func isDraining(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errDraining) }
+// isSettled reports whether Settle has ended the request with this context.
+func isSettled(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errSettled) }
 
 // drainingProblem returns the refusal of a request that a shutdown ends.
 func drainingProblem(o responder.Outcome) *responder.Problem {
--- a/internal/server/writer.go
+++ b/internal/server/writer.go
@@ -77,7 +77,7 @@
 	c.Choices = []engineclient.ChunkChoice{{Delta: engineclient.Delta{Content: p.Text}}}
 	if !w.sentFirst {
 		if !beginStream(w.gin) {
-			return errDraining
+			return errSettled
 		}
 		w.sentFirst = true
 		c.Choices[0].Delta.Role = "assistant"
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -341,7 +341,8 @@
 		return
 	}
 	s.receiveMembers(answer, time.Now())
-	// Limits of upstreams must be known before the upstreams are.
+	// Publish first: otherwise this process could send to upstreams whose limits it does not
+	// know yet.
 	s.Publish(TotalLoad{Load: decode(answer), OwnLoad: own, UnansweredDataCentres: answer.GetUnansweredDataCentres(), At: now})
 	s.deliver(answer, r, gatherer)
 }
