--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -15,7 +15,7 @@
 	if len(os.Args) != 3 {
 		quit("usage: standin-2 CASE FOLDER")
 	}
-	cases := map[string]func(w *world, trouble bool) bool{"headers": playHeaders, "readers": playReaders, "streams": playStreams}
+	cases := map[string]func(w *world, trouble bool) bool{"headers": playHeaders, "readers": playReaders, "streams": playStreams, "stale": playStale}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		quit("no case %s", os.Args[1])
