internal/reflector, internal/sharer: logs tell how a process learned of a change after an outage

store-regained now has the length of the outage, of the pause before the read that worked and of that read; the new event provider tells from which peer, or from the platform, objects of a kind come, where that changes. Both are logged on changes only. No decision is changed.

--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -88,6 +88,8 @@
 	recoveredAt time.Time
 	unavailable bool
 	failures    int
+	// lostAt is when the current outage was noticed, and failedAt when the latest call failed.
+	lostAt, failedAt time.Time
 }
 
 // Run lists and watches the objects until ctx ends.
@@ -96,6 +98,7 @@
 	listed := false
 	for ctx.Err() == nil {
 		var err error
+		began := time.Now()
 		if !listed {
 			err = r.list(ctx)
 			listed = err == nil
@@ -106,7 +109,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		r.recordResult(err)
+		r.recordResult(err, began)
 		if err != nil {
 			pauser.Pause(ctx, r.backoff())
 			r.publishExpired(time.Now())
@@ -125,18 +128,22 @@
 	return d/2 + rand.N(d/2+1)
 }
 
-// recordResult tracks whether the store answers, given the result of a call.
-func (r *Reflector[T]) recordResult(err error) {
+// recordResult tracks whether the store answers, given the result of a call and when it began.
+func (r *Reflector[T]) recordResult(err error, began time.Time) {
+	now := time.Now()
 	switch {
 	case err == nil || errors.Is(err, ErrCompacted):
 		// Where the history is gone, the copy is as old as it was.
 		if r.OnAnswer != nil && err == nil {
-			r.OnAnswer(time.Now())
+			r.OnAnswer(now)
 		}
 		if r.unavailable {
-			r.unavailable, r.recoveredAt = false, time.Now()
+			r.unavailable, r.recoveredAt = false, now
 			r.notifyOutage(false)
-			r.Log.Event("store-regained", logger.Fields{"kind": r.Kind, "revision": r.revision, "failures": r.failures})
+			r.Log.Event("store-regained", logger.Fields{
+				"kind": r.Kind, "revision": r.revision, "failures": r.failures, "outage_ms": now.Sub(r.lostAt).Milliseconds(),
+				"paused_ms": began.Sub(r.failedAt).Milliseconds(), "read_ms": now.Sub(began).Milliseconds(),
+			})
 		}
 		if err != nil {
 			r.Log.Failure("store-history-gone", err, logger.Fields{"kind": r.Kind, "revision": r.revision})
@@ -144,11 +151,12 @@
 		r.failures = 0
 	default:
 		if !r.unavailable {
-			r.unavailable = true
+			r.unavailable, r.lostAt = true, now
 			r.notifyOutage(true)
-			r.Log.Failure("store-lost", err, logger.Fields{"kind": r.Kind, "revision": r.revision})
+			r.Log.Failure("store-lost", err, logger.Fields{"kind": r.Kind, "revision": r.revision, "read_ms": now.Sub(began).Milliseconds()})
 		}
 		r.failures++
+		r.failedAt = now
 	}
 }
 
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -398,6 +398,7 @@
 	if p.Name == s.reader && !isTrusted(answer) {
 		s.selector.recordUnavailable(p.Name, now)
 	}
+	x.answeredBy = p.Name
 	return x.receive(request, answer, now)
 }
 
--- a/internal/sharer/source.go
+++ b/internal/sharer/source.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 	"github.com/lycheebarrow/lycheebarrow/internal/reflector"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
 )
@@ -72,6 +73,24 @@
 	refusedAt time.Time
 	// updated is closed, and replaced, when the gatherer has answered.
 	updated chan struct{}
+	// answeredBy is the peer that has answered last, and provider names the peer from which the
+	// latest objects or changes came, or the platform.
+	answeredBy, provider string
+}
+
+// _platformProvider is the provider of what this process has read from the platform itself.
+const _platformProvider = "platform"
+
+// setProvider records from where objects or changes came that this process began to wait for
+// at since, and logs it where it differs from before. The caller holds the sharer's lock.
+func (x *Source) setProvider(name string, revision uint64, since time.Time) {
+	if x.provider == name {
+		return
+	}
+	x.sharer.Log.Event("provider", logger.Fields{
+		"kind": x.kind, "provider": name, "before": x.provider, "revision": revision, "waited_ms": time.Since(since).Milliseconds(),
+	})
+	x.provider = name
 }
 
 // Source returns a source of a kind that reads from direct where the gatherer cannot
@@ -85,6 +104,7 @@
 // List returns all objects: those that the gatherer has, or where it has none to give,
 // those that the platform lists.
 func (x *Source) List(ctx context.Context) (reflector.Listing[[]byte], error) {
+	start := time.Now()
 	if l, ok := x.awaitListing(ctx); ok {
 		return l, nil
 	}
@@ -97,6 +117,7 @@
 	x.recordRead(err)
 	if err == nil {
 		now := time.Now()
+		x.setProvider(_platformProvider, l.Revision, start)
 		x.history.reset(l.Revision, now)
 		x.copy.reset(l, now)
 	}
@@ -159,6 +180,7 @@
 		case x.listing != nil:
 			l := *x.listing
 			x.listing = nil
+			x.setProvider(x.answeredBy, l.Revision, start)
 			return l, true
 		case s.Peerless, s.selected && !x.follows(), x.refusedAt.After(start), !now.Before(deadline), ctx.Err() != nil:
 			return reflector.Listing[[]byte]{}, false
@@ -191,6 +213,7 @@
 // Watch waits up to wait for changes after revision after. It reads the platform itself
 // where the gatherer does not provide them.
 func (x *Source) Watch(ctx context.Context, after uint64, wait time.Duration) (reflector.Changes[[]byte], error) {
+	start := time.Now()
 	x.sharer.mu.Lock()
 	follows := x.follows()
 	x.sharer.mu.Unlock()
@@ -215,6 +238,7 @@
 	x.recordRead(err)
 	if err == nil {
 		now := time.Now()
+		x.setProvider(_platformProvider, c.Revision, start)
 		x.history.add(after, c.Revision, c.Changes, now)
 		x.copy.apply(after, c.Revision, c.Changes, now)
 	}
@@ -234,6 +258,7 @@
 		if x.received != nil {
 			c := *x.received
 			x.received = nil
+			x.setProvider(x.answeredBy, c.Revision, start)
 			x.copy.apply(after, c.Revision, c.Changes, x.confirmedAsOf)
 			if x.sharer.gatherer == "" {
 				x.history.add(after, c.Revision, c.Changes, x.confirmedAsOf)
