internal/reflector, internal/sharer: the store's return ends the waits of an outage

The list of upstreams, which probes the store for the other kinds, paused 0.75 s after a read without an answer, waited 0.7 s for a peer that had ended, and then waited 0.5 s in a watch for a change before it counted as an answer. Only then did the configuration's pause of 0.73 s run on, which the list's success did not end; another wait for a peer of 0.7 s followed.

This commit ends the pauses and the long wait: - a pause ends when another kind is read again, or a peer tells changes again (Recovered); - the time that an unanswered call took counts for the pause after it; - after a failed read a watch waits 50 ms for changes, so that its answer, or its failure on a dead connection, comes sooner; - changes that a peer has sent during the pause are used.

--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -149,7 +149,7 @@
 	configurationSource := sh.Source("configuration", a.Configurations)
 	configurationSource.Probe = upstreamSource
 	configurations := &reflector.Reflector[*cataloguer.Configuration]{
-		Kind: "configuration", Log: k.log,
+		Kind: "configuration", Log: k.log, Recovered: configurationSource.Recovered,
 		Source: reflector.DecodingSource[*cataloguer.Configuration]{Source: configurationSource, Decode: a.DecodeConfiguration},
 		Publish: func(revision uint64, values map[string]*cataloguer.Configuration) {
 			publishConfiguration(k.log, c, sc, revision, values)
@@ -162,7 +162,7 @@
 		},
 	}
 	upstreams := &reflector.Reflector[cataloguer.Upstream]{
-		Kind: "upstreams", Log: k.log,
+		Kind: "upstreams", Log: k.log, Recovered: upstreamSource.Recovered,
 		Source:       reflector.DecodingSource[cataloguer.Upstream]{Source: upstreamSource, Decode: a.DecodeUpstream},
 		RemovalGrace: _removalGrace, OnOutage: c.SetListUnavailable, OnAnswer: c.SetListReadAt,
 		BatchDelay: func() time.Duration { return k.readerState(c, sh, e).listDelay() },
@@ -177,7 +177,7 @@
 	if k.settings.EvacuationBound() > 0 {
 		source := sh.Source("evacuations", a.Evacuations)
 		source.Probe = upstreamSource
-		followEvacuations(k, c, sc, reflector.DecodingSource[string]{Source: source, Decode: a.DecodeEvacuation})
+		followEvacuations(k, c, sc, reflector.DecodingSource[string]{Source: source, Decode: a.DecodeEvacuation}, source.Recovered)
 	}
 	return k.services.Register(NameCatalogue, c)
 }
--- a/internal/composer/screener.go
+++ b/internal/composer/screener.go
@@ -26,10 +26,10 @@
 }
 
 // followEvacuations keeps the screener's evacuated data centres up to date.
-func followEvacuations(k *kernel, c *cataloguer.Catalogue, sc *screener.Screener, source reflector.Source[string]) {
+func followEvacuations(k *kernel, c *cataloguer.Catalogue, sc *screener.Screener, source reflector.Source[string], recovered func() <-chan struct{}) {
 	c.FollowEvacuations()
 	evacuations := &reflector.Reflector[string]{
-		Kind: "evacuations", Log: k.log, Source: source,
+		Kind: "evacuations", Log: k.log, Source: source, Recovered: recovered,
 		Publish: func(revision uint64, values map[string]string) {
 			publishEvacuations(k.log, c, sc, revision, values)
 		},
--- a/internal/reflector/reflector.go
+++ b/internal/reflector/reflector.go
@@ -75,6 +75,9 @@
 	// OnAnswer is called with the time of each answer of the store that brings the copy
 	// up to date, from which the age of the copy is measured; it may be nil.
 	OnAnswer func(now time.Time)
+	// Recovered returns a channel that is closed once the store is known to answer again, by
+	// other reads or by a peer. That ends the pause after a failed call. It may be nil.
+	Recovered func() <-chan struct{}
 	// Publish is called from Run's goroutine with each new copy, which the function
 	// may keep but must not change.
 	Publish func(revision uint64, values map[string]T)
@@ -98,7 +101,7 @@
 	listed := false
 	for ctx.Err() == nil {
 		var err error
-		began := time.Now()
+		began, recovered := time.Now(), r.recovered()
 		if !listed {
 			err = r.list(ctx)
 			listed = err == nil
@@ -111,7 +114,7 @@
 		}
 		r.recordResult(err, began)
 		if err != nil {
-			pauser.Pause(ctx, r.backoff())
+			r.pauseAfterFailure(ctx, began, recovered)
 			r.publishExpired(time.Now())
 			continue
 		}
@@ -121,8 +124,30 @@
 	}
 }
 
-// backoff returns the pause after the latest failure. It grows with the number of
-// failures and has jitter, so that processes don't retry at the same instant.
+// recovered returns the channel of Recovered, or nil, which is never closed.
+func (r *Reflector[T]) recovered() <-chan struct{} {
+	if r.Recovered == nil {
+		return nil
+	}
+	return r.Recovered()
+}
+
+// pauseAfterFailure waits until the store may be called again after a call that began at began
+// and failed, or until recovered is closed or ctx ends. The time that the call took counts, since
+// one that got no answer has waited already. What is left is never nothing, so that processes
+// whose calls were cut off at the same instant don't retry at the same instant.
+func (r *Reflector[T]) pauseAfterFailure(ctx context.Context, began time.Time, recovered <-chan struct{}) {
+	t := time.NewTimer(max(r.backoff()-time.Since(began), rand.N(_backoffMin)))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-recovered:
+	case <-ctx.Done():
+	}
+}
+
+// backoff returns the shortest time between a call that failed and the next one. It grows with
+// the number of failures and has jitter, so that processes don't retry at the same instant.
 func (r *Reflector[T]) backoff() time.Duration {
 	d := min(_backoffMin<<min(r.failures, 4), _backoffMax)
 	return d/2 + rand.N(d/2+1)
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -101,6 +101,9 @@
 	running  bool
 	// selected is true once the gatherers were selected from a list of processes.
 	selected bool
+	// recovered is closed, and replaced, when the platform answers again; nil until Source.Recovered
+	// is called.
+	recovered chan struct{}
 	// wake ends the pause between two rounds early; nil until Run is called.
 	wake chan struct{}
 	// gatherer is the name of the gatherer of this data centre; empty where this
@@ -203,6 +206,15 @@
 	}
 }
 
+// notifyRecovered ends the pauses of reflectors whose reads have failed. The caller holds the
+// lock.
+func (s *Sharer) notifyRecovered() {
+	if s.recovered != nil {
+		close(s.recovered)
+		s.recovered = nil
+	}
+}
+
 // AwaitRole waits until this process knows that it reads the platform, or a peer has told
 // it all that the peer has read, at most for the time in which that is usual after a start.
 func (s *Sharer) AwaitRole(ctx context.Context) {
--- a/internal/sharer/source.go
+++ b/internal/sharer/source.go
@@ -29,6 +29,10 @@
 	// _probeMemory is how long a failed read of the probe counts, unless another follows: a
 	// probe whose kind comes from a peer reads no more.
 	_probeMemory = 2500 * time.Millisecond
+	// _recheckWait is how long a watch waits for changes where the last read has failed. An
+	// answer then shows soon that the platform is back, and a connection that is dead is given
+	// up sooner.
+	_recheckWait = 50 * time.Millisecond
 )
 
 // errProbeFailed says that a read was not made because the platform does not answer.
@@ -127,10 +131,32 @@
 // recordRead records the result of a read from the platform. The caller holds the sharer's
 // lock.
 func (x *Source) recordRead(err error) {
-	x.unavailable, x.failedAt = false, time.Time{}
 	if err != nil && !errors.Is(err, reflector.ErrCompacted) {
 		x.unavailable, x.failedAt = true, time.Now()
+		return
+	}
+	if x.unavailable {
+		x.sharer.notifyRecovered()
+	}
+	x.unavailable, x.failedAt = false, time.Time{}
+}
+
+// isUnavailable reports whether the last read from the platform has failed.
+func (x *Source) isUnavailable() bool {
+	x.sharer.mu.Lock()
+	defer x.sharer.mu.Unlock()
+	return x.unavailable
+}
+
+// Recovered returns a channel that is closed when this process reads the platform again after a
+// failure, whatever kind of object, or a peer does that tells it of changes.
+func (x *Source) Recovered() <-chan struct{} {
+	x.sharer.mu.Lock()
+	defer x.sharer.mu.Unlock()
+	if x.sharer.recovered == nil {
+		x.sharer.recovered = make(chan struct{})
 	}
+	return x.sharer.recovered
 }
 
 // awaitProbe waits up to wait while the probe can't read the platform, and returns an error
@@ -232,6 +258,9 @@
 	if err := x.awaitProbe(ctx, probeWait); err != nil {
 		return reflector.Changes[[]byte]{}, err
 	}
+	if x.isUnavailable() {
+		wait = min(wait, _recheckWait)
+	}
 	c, err := x.direct.Watch(ctx, after, wait)
 	x.sharer.mu.Lock()
 	defer x.sharer.mu.Unlock()
@@ -253,7 +282,9 @@
 	end := start.Add(wait)
 	x.sharer.mu.Lock()
 	defer x.sharer.mu.Unlock()
-	x.waitingAfter, x.received = after, nil
+	if x.waitingAfter != after {
+		x.waitingAfter, x.received = after, nil
+	}
 	for {
 		if x.received != nil {
 			c := *x.received
@@ -322,6 +353,9 @@
 		x.refusedAt = now
 		return err
 	}
+	if x.refusedAt.After(x.confirmedAt) || now.Sub(x.confirmedAt) > _gathererTimeout {
+		x.sharer.notifyRecovered()
+	}
 	x.confirmedAt, x.confirmedAsOf = now, now.Add(-age)
 	switch {
 	case request.GetList():
--- a/internal/sharer/system_test.go
+++ b/internal/sharer/system_test.go
@@ -29,6 +29,9 @@
 	watches     map[string]int
 	lists       map[string]int
 	unavailable map[string]bool
+	// silent is true while the platform answers nothing. A call of that time fails only when
+	// its time is over.
+	silent bool
 }
 
 func (p *platform) put(name, value string) {
@@ -49,6 +52,15 @@
 	}
 }
 
+// setSilent begins or ends a time in which the platform answers nothing.
+func (p *platform) setSilent(silent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent = silent
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
 // watchCount returns the number of watches of a process.
 func (p *platform) watchCount(name string) int {
 	p.mu.Lock()
@@ -82,9 +94,14 @@
 	name string
 }
 
-func (v view) List(context.Context) (reflector.Listing[[]byte], error) {
+func (v view) List(ctx context.Context) (reflector.Listing[[]byte], error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.silent {
+		v.mu.Unlock()
+		defer v.mu.Lock()
+		return reflector.Listing[[]byte]{}, awaitTimeout(ctx, time.After(time.Second))
+	}
 	if v.unavailable[v.name] {
 		return reflector.Listing[[]byte]{}, errors.New("platform unavailable")
 	}
@@ -99,15 +116,27 @@
 	return out, nil
 }
 
+// awaitTimeout waits for the end of a call that gets no answer, and returns its error.
+func awaitTimeout(ctx context.Context, end <-chan time.Time) error {
+	select {
+	case <-end:
+	case <-ctx.Done():
+	}
+	return errors.New("platform does not answer")
+}
+
 func (v view) Watch(ctx context.Context, after uint64, wait time.Duration) (reflector.Changes[[]byte], error) {
-	end := time.After(wait)
+	end, timeout := time.After(wait), time.After(wait+700*time.Millisecond)
 	v.mu.Lock()
 	v.watches[v.name]++
 	v.mu.Unlock()
 	for {
 		v.mu.Lock()
-		now, changes, changed, unavailable := v.revision, v.changesAfter(after), v.changed, v.unavailable[v.name]
+		now, changes, changed, unavailable, silent := v.revision, v.changesAfter(after), v.changed, v.unavailable[v.name], v.silent
 		v.mu.Unlock()
+		if silent {
+			return reflector.Changes[[]byte]{}, awaitTimeout(ctx, timeout)
+		}
 		if unavailable {
 			return reflector.Changes[[]byte]{}, errors.New("platform unavailable")
 		}
@@ -130,8 +159,10 @@
 	*sharer.Sharer
 	mu     sync.Mutex
 	values map[string]string
-	total  sharer.TotalLoad
-	dead   bool
+	// probedValues are those of a kind whose source has a probe.
+	probedValues map[string]string
+	total        sharer.TotalLoad
+	dead         bool
 }
 
 func (p *process) seenValues() map[string]string {
@@ -140,6 +171,12 @@
 	return maps.Clone(p.values)
 }
 
+func (p *process) seenProbedValues() map[string]string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.probedValues)
+}
+
 func (p *process) totalLoad() sharer.TotalLoad {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -194,6 +231,8 @@
 	processes map[string]*process
 	// partitioned is true while the data centres can't reach each other.
 	partitioned bool
+	// probed is true if processes also follow a kind whose source has a probe.
+	probed bool
 }
 
 // Exchange passes a message to the process at address; it times out if the sender or the
@@ -225,9 +264,16 @@
 }
 
 // runSystem runs n processes in each data centre until script returns.
-func runSystem(t *testing.T, n int, script func(s *system)) {
+func runSystem(t *testing.T, n int, script func(s *system)) { run(t, n, false, script) }
+
+// runProbedSystem is runSystem with processes that also follow a kind whose source has a
+// probe.
+func runProbedSystem(t *testing.T, n int, script func(s *system)) { run(t, n, true, script) }
+
+func run(t *testing.T, n int, probed bool, script func(s *system)) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &system{
+			probed:    probed,
 			platform:  &platform{changed: make(chan struct{}), watches: make(map[string]int), lists: make(map[string]int), unavailable: make(map[string]bool)},
 			processes: make(map[string]*process),
 		}
@@ -281,17 +327,28 @@
 	s.mu.Lock()
 	s.processes[p.Name] = x
 	s.mu.Unlock()
+	probe := x.Source("kind", view{s.platform, p.Name})
+	s.reflect(ctx, x, probe, &x.values)
+	if s.probed {
+		source := x.Source("probed", view{s.platform, p.Name})
+		source.Probe = probe
+		s.reflect(ctx, x, source, &x.probedValues)
+	}
+	s.group.Go(func() { x.Run(ctx) })
+}
+
+// reflect keeps a copy of the objects of a source until ctx ends.
+func (s *system) reflect(ctx context.Context, x *process, source *sharer.Source, into *map[string]string) {
 	r := &reflector.Reflector[[]byte]{
-		Kind: "kind", Source: x.Source("kind", view{s.platform, p.Name}),
+		Kind: "kind", Source: source, Recovered: source.Recovered,
 		Publish: func(_ uint64, values map[string][]byte) {
 			x.mu.Lock()
 			defer x.mu.Unlock()
-			x.values = make(map[string]string)
+			*into = make(map[string]string)
 			for k, v := range values {
-				x.values[k] = string(v)
+				(*into)[k] = string(v)
 			}
 		},
 	}
-	s.group.Go(func() { x.Run(ctx) })
 	s.group.Go(func() { r.Run(ctx) })
 }
