internal/sharer: nothing waits for a peer that has ended and is only tried again

While such a peer is tried, the process follows it: a source waits for it up to 0.7 s and reads nothing, and a round of 0.35 s and a pause of 0.2 s pass before another peer takes its place.

A peer that failed is now asked beside the other exchanges and becomes the gatherer once it has answered. Where the gatherer or the reader fails, the next round begins at once, and the sources that wait for it look again.

--- a/internal/sharer/peers.go
+++ b/internal/sharer/peers.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// _minBackoff and _maxBackoff bound the time for which a peer that did not answer is
-	// skipped; it doubles with each failure.
+	// _minBackoff and _maxBackoff bound the time after which a peer that did not answer is
+	// tried again; it doubles with each failure.
 	_minBackoff = time.Second
 	_maxBackoff = 8 * time.Second
 	// _unavailableBackoff is the time for which a gatherer that can't read the platform is
@@ -17,15 +17,15 @@
 	_unavailableBackoff = 4 * time.Second
 )
 
-// backoff says until when a peer that did not answer is skipped.
+// backoff says until when a peer that did not answer is not tried again.
 type backoff struct {
 	until time.Time
 	wait  time.Duration
 }
 
 // gathererSelector selects the gatherer of each data centre: the process with the
-// largest share of a processor, and the first of these by name, that is not skipped
-// after a failure. The zero value is ready for use.
+// largest share of a processor, and the first of these by name, that has answered since its
+// last failure. The zero value is ready for use.
 type gathererSelector struct {
 	backoffs map[string]backoff
 	// unavailableUntil says until when a gatherer that can't read the platform is not the
@@ -33,24 +33,61 @@
 	unavailableUntil map[string]time.Time
 }
 
-// gatherers returns the gatherer of each data centre; the process named self is never
-// skipped.
+// gatherers returns the gatherer of each data centre. Where each process of one has failed, it
+// is the first of those whose backoff has ended; the process named self never fails.
 func (g *gathererSelector) gatherers(peers []enumerator.Peer, self string, now time.Time) map[string]enumerator.Peer {
-	out := make(map[string]enumerator.Peer)
+	out, failed := make(map[string]enumerator.Peer), make(map[string]enumerator.Peer)
 	for _, p := range peers {
-		if p.Address == "" || p.Name != self && now.Before(g.backoffs[p.Name].until) {
+		if p.Address == "" {
 			continue
 		}
-		if best, ok := out[p.DataCentre]; !ok || compareGatherers(p, best) < 0 {
-			out[p.DataCentre] = p
+		x, hasFailed := g.backoffs[p.Name]
+		switch {
+		case !hasFailed || p.Name == self:
+			addFirst(out, p)
+		case !now.Before(x.until):
+			addFirst(failed, p)
+		}
+	}
+	for centre, p := range failed {
+		if _, ok := out[centre]; !ok {
+			out[centre] = p
 		}
 	}
 	return out
 }
 
+// addFirst makes a process the gatherer of its data centre, unless there is one that is
+// preferred.
+func addFirst(gatherers map[string]enumerator.Peer, p enumerator.Peer) {
+	if first, ok := gatherers[p.DataCentre]; !ok || compareGatherers(p, first) < 0 {
+		gatherers[p.DataCentre] = p
+	}
+}
+
+// retries returns the peers that failed, whose backoff has ended, and that are preferred to the
+// gatherers in their place.
+func (g *gathererSelector) retries(peers []enumerator.Peer, gatherers map[string]enumerator.Peer, now time.Time) []enumerator.Peer {
+	var out []enumerator.Peer
+	for _, p := range peers {
+		x, hasFailed := g.backoffs[p.Name]
+		if hasFailed && !now.Before(x.until) && compareGatherers(p, gatherers[p.DataCentre]) < 0 {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// beginRetry keeps a peer from being tried again while it may still answer.
+func (g *gathererSelector) beginRetry(name string, end time.Time) {
+	b := g.backoffs[name]
+	b.until = end
+	g.backoffs[name] = b
+}
+
 // reader returns the first of the gatherers by their order that has answered since its
-// last failure; the zero Peer where there is none. A gatherer that is merely tried again
-// is not depended on yet, nor is one that can't read the platform.
+// last failure; the zero Peer where there is none. One that can't read the platform is not
+// depended on.
 func (g *gathererSelector) reader(gatherers map[string]enumerator.Peer, now time.Time) enumerator.Peer {
 	var first enumerator.Peer
 	for _, p := range gatherers {
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -112,6 +112,8 @@
 	// reader is the name of the gatherer that reads the platform for this one; empty
 	// where this process is no gatherer or reads itself.
 	reader string
+	// retries are the exchanges under way with peers that failed before.
+	retries sync.WaitGroup
 }
 
 // IsRunning reports whether Run has started, so that peers may depend on this process.
@@ -171,6 +173,7 @@
 		s.round(ctx)
 		pause(ctx, s.roundInterval(), wake)
 	}
+	s.retries.Wait()
 }
 
 // roundInterval returns the pause until the next round. It is short while this process
@@ -236,7 +239,8 @@
 	own := s.OwnLoad()
 	own.Processes = 1
 	s.mu.Lock()
-	gatherers := s.selector.gatherers(s.Membership.Members().Peers(), s.Name, now)
+	peers := s.Membership.Members().Peers()
+	gatherers := s.selector.gatherers(peers, s.Name, now)
 	gatherer, ok := gatherers[s.DataCentre]
 	isGatherer := !ok || gatherer.Name == s.Name
 	first := !s.selected
@@ -244,10 +248,19 @@
 	reader := s.selector.reader(gatherers, now)
 	changed = s.setReader(reader, isGatherer && reader.Name != "" && reader.Name != s.Name) || changed
 	s.selected = true
+	retries := s.selector.retries(peers, gatherers, now)
+	if changed {
+		s.wakeSources()
+	}
 	s.mu.Unlock()
 	if changed && !first && s.OnRoleChange != nil {
 		s.OnRoleChange()
 	}
+	for _, p := range retries {
+		if isGatherer || p.DataCentre == s.DataCentre {
+			s.retry(ctx, now, p, own)
+		}
+	}
 	if isGatherer {
 		s.exchangeWithGatherers(ctx, now, own, gatherers)
 	} else {
@@ -255,6 +268,29 @@
 	}
 }
 
+// retry asks a peer that failed whether it answers again, and does not wait for the answer. The
+// peer may have ended, so nothing depends on it before it has answered.
+func (s *Sharer) retry(ctx context.Context, now time.Time, p enumerator.Peer, own Load) {
+	load, gathers := own, p.DataCentre != s.DataCentre
+	s.mu.Lock()
+	s.selector.beginRetry(p.Name, now.Add(_answerTimeout))
+	if gathers {
+		load = s.local.sum(own, now)
+	}
+	s.mu.Unlock()
+	r := s.encode(load)
+	r.Gathers = gathers
+	s.retries.Go(func() { _, _ = s.exchange(ctx, p, r, _answerTimeout) })
+}
+
+// wakeSources makes the sources that wait for a peer look at once whether they still follow it.
+// The caller holds the lock.
+func (s *Sharer) wakeSources() {
+	for _, x := range s.sources {
+		x.notifyUpdated()
+	}
+}
+
 // setGatherer records the gatherer of this data centre, and reports whether it has
 // changed; the caller holds the lock.
 func (s *Sharer) setGatherer(gatherer enumerator.Peer, isGatherer bool) bool {
@@ -427,6 +463,10 @@
 	defer s.mu.Unlock()
 	if err != nil {
 		s.selector.recordFailure(p.Name, time.Now())
+		if p.Name == s.gatherer || p.Name == s.reader {
+			// Another peer takes its place now, not after a pause.
+			s.wakeRun()
+		}
 		s.Log.Failure("peer-lost", err, logger.Fields{"peer": p.Name, "data_centre": p.DataCentre})
 		return nil, false
 	}
--- a/internal/sharer/source.go
+++ b/internal/sharer/source.go
@@ -75,7 +75,8 @@
 	// refusedAt is when the gatherer last answered that it does not know the objects or
 	// their changes, or with a state that was too old.
 	refusedAt time.Time
-	// updated is closed, and replaced, when the gatherer has answered.
+	// updated is closed, and replaced, when the gatherer has answered or another process has
+	// become the gatherer.
 	updated chan struct{}
 	// answeredBy is the peer that has answered last, and provider names the peer from which the
 	// latest objects or changes came, or the platform.
@@ -221,7 +222,13 @@
 	return x.sharer.followsPeer() && (x.ReadsDirectly == nil || !x.ReadsDirectly())
 }
 
-// awaitUpdate waits for an answer of the gatherer, at most for d. The caller holds the
+// notifyUpdated ends the waits of awaitUpdate. The caller holds the sharer's lock.
+func (x *Source) notifyUpdated() {
+	close(x.updated)
+	x.updated = make(chan struct{})
+}
+
+// awaitUpdate waits for an answer of the gatherer or for another one, at most for d. The caller holds the
 // sharer's lock, which is released meanwhile.
 func (x *Source) awaitUpdate(ctx context.Context, d time.Duration) {
 	updated := x.updated
@@ -339,10 +346,7 @@
 		// The gatherer has not read that far yet.
 		return nil
 	}
-	defer func() {
-		close(x.updated)
-		x.updated = make(chan struct{})
-	}()
+	defer x.notifyUpdated()
 	if answer.GetUnknown() || !isTrusted(answer) {
 		x.refusedAt = now
 		return nil
