internal/quarantiner: output that is read late does not make a crash a mere break of a response

Output may be read far later than it was sent: where the caller reads slowly, packets were lost, or the process had no processor time. Then no crash counted, whatever confirmed it. And a life that had once survived a broken response could never count as crashed again.

Survival is now shown only by output for a request that was sent after the break was known. A response that breaks off after that begins a new series of breaks, which peers tell by its number.

--- a/internal/quarantiner/crashes.go
+++ b/internal/quarantiner/crashes.go
@@ -22,6 +22,8 @@
 	// last saw something of the crash itself; zero if it has not.
 	ownBroken int
 	ownAt     time.Time
+	// brokenAt is when this process last learned that a response had broken off.
+	brokenAt time.Time
 }
 
 // crashes are those that are known. The zero value is ready for use.
@@ -31,7 +33,8 @@
 	counts map[Part]int
 }
 
-// add adds what is known of a crash, and returns its record.
+// add adds what is known of a crash, and returns its record. What belongs to an earlier series
+// of breaks than the record adds nothing.
 func (k *crashes) add(life Life, c Crash, now time.Time) *record {
 	if k.records == nil {
 		k.records, k.counts = make(map[Life]*record), make(map[Part]int)
@@ -42,9 +45,18 @@
 			k.delete(k.leastUseful())
 		}
 		r = &record{at: now}
-		r.Suspects = make(map[Part]bool)
+		r.Suspects, r.Series = make(map[Part]bool), c.Series
 		k.records[life] = r
 	}
+	switch {
+	case c.Series < r.Series:
+		return r
+	case c.Series > r.Series:
+		k.beginSeries(r, c.Series, now)
+	}
+	if c.Broken > 0 {
+		r.brokenAt = now
+	}
 	r.Broken += c.Broken
 	r.Ended, r.Survived = r.Ended || c.Ended, r.Survived || c.Survived
 	if r.confirmedAt.IsZero() && r.isConfirmed() {
@@ -54,6 +66,14 @@
 	return r
 }
 
+// beginSeries forgets the breaks that an upstream has survived.
+func (k *crashes) beginSeries(r *record, series int, now time.Time) {
+	for p := range r.Suspects {
+		k.removeSuspect(r, p)
+	}
+	*r = record{at: now, Crash: Crash{Series: series, Suspects: r.Suspects}}
+}
+
 // addSuspects adds suspects to a crash, up to _maxSuspects. Those that are suspects in other
 // crashes take the places of others. Which of the others are left out differs from crash to
 // crash, so that a part that comes back is a suspect sooner or later.
--- a/internal/quarantiner/evidence.go
+++ b/internal/quarantiner/evidence.go
@@ -12,14 +12,17 @@
 	Epoch    uint64
 }
 
-// Crash is what processes saw of the end of a life.
+// Crash is what processes saw of the end of a life, or of responses that broke off in it.
 type Crash struct {
+	// Series numbers the breaks of a life: where a response breaks off after the upstream has
+	// survived earlier ones, a new series begins, and the earlier ones no longer count.
+	Series int
 	// Broken is the number of responses that broke off.
 	Broken int
 	// Ended is true if the upstream refused a connection afterwards, or started again.
 	Ended bool
-	// Survived is true if the upstream sent output in the same life afterwards, so that it
-	// did not crash: only responses broke off.
+	// Survived is true if the upstream sent output, in the same life, for a request that was
+	// sent afterwards. So it did not crash: only responses broke off.
 	Survived bool
 	// Suspects are the parts of the requests that waited for their first output.
 	Suspects map[Part]bool
@@ -45,14 +48,20 @@
 		if e.Crashes == nil {
 			e.Crashes = make(map[Life]Crash)
 		}
-		sum := e.Crashes[life]
+		sum, known := e.Crashes[life]
+		switch {
+		case !known || c.Series > sum.Series:
+			sum = Crash{Series: c.Series}
+		case c.Series < sum.Series:
+			continue
+		}
 		suspects := maps.Clone(sum.Suspects)
 		if suspects == nil {
 			suspects = make(map[Part]bool)
 		}
 		maps.Copy(suspects, c.Suspects)
 		e.Crashes[life] = Crash{
-			Broken: sum.Broken + c.Broken, Ended: sum.Ended || c.Ended, Survived: sum.Survived || c.Survived, Suspects: suspects,
+			Series: sum.Series, Broken: sum.Broken + c.Broken, Ended: sum.Ended || c.Ended, Survived: sum.Survived || c.Survived, Suspects: suspects,
 		}
 	}
 	for p := range other.Cleared {
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -27,9 +27,6 @@
 	// _restartTime is how long after a response broke off a start of its upstream shows that
 	// the upstream had crashed. A later one may have other reasons.
 	_restartTime = 20 * time.Second
-	// _survivalDelay is how long after a response broke off output shows that the upstream
-	// has not crashed. What it sent before a crash may arrive until then.
-	_survivalDelay = 300 * time.Millisecond
 	// _extensionMargin is by how much a quarantine that another process tells of must
 	// outlast the known one to extend it. Times grow a little on their way, and would
 	// extend each other for ever.
@@ -89,15 +86,17 @@
 	q.clearedSuspects[p] = true
 }
 
-// RecordActivity records that an upstream sends output in a life.
-func (q *Quarantiner) RecordActivity(life Life, now time.Time) {
+// RecordActivity records that an upstream sends output, in a life, for a request that was sent at
+// sentAt. Output for a request that was sent before a response broke off says nothing: it may be
+// read long after the upstream sent it, for example where the caller reads slowly.
+func (q *Quarantiner) RecordActivity(life Life, sentAt, now time.Time) {
 	if q.crashCount.Load() == 0 {
 		return
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	r := q.known.records[life]
-	if r == nil || r.Survived || now.Sub(r.at) < _survivalDelay {
+	if r == nil || r.Survived || !sentAt.After(r.brokenAt) {
 		return
 	}
 	r.Survived = true
@@ -114,6 +113,12 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if r := q.known.records[life]; r != nil {
+		c.Series = r.Series
+		if r.Survived {
+			c.Series++
+		}
+	}
 	q.record(life, c, now).startedMs = startedMs
 }
 
@@ -122,8 +127,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	// Where nothing broke off before, the upstream may never have been reached.
-	if q.known.records[life] != nil {
-		q.record(life, Crash{Ended: true}, now)
+	if r := q.known.records[life]; r != nil {
+		q.record(life, Crash{Series: r.Series, Ended: true}, now)
 	}
 }
 
@@ -140,7 +145,7 @@
 		if r.startedMs == 0 || r.Ended || now.Sub(r.at) > _restartTime || startedMs(life.Upstream) <= r.startedMs {
 			continue
 		}
-		q.record(life, Crash{Ended: true}, now)
+		q.record(life, Crash{Series: r.Series, Ended: true}, now)
 		out = append(out, life)
 	}
 	return out
@@ -202,7 +207,7 @@
 	q.forget(now)
 	for life, c := range e.Crashes {
 		// The crash may include what this process told, and be told again.
-		if r := q.known.records[life]; r != nil {
+		if r := q.known.records[life]; r != nil && r.Series == c.Series {
 			c.Broken -= min(r.Broken, c.Broken)
 		}
 		q.known.add(life, c, now)
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -23,7 +23,8 @@
 // begins with its first command.
 //
 //	PROCESS output PART...            an upstream generates output for a prompt
-//	PROCESS active UPSTREAM           an upstream sends output
+//	PROCESS active UPSTREAM           an upstream sends output for a request sent at this time
+//	PROCESS late UPSTREAM DURATION    output arrives for a request sent that long ago
 //	PROCESS broken UPSTREAM PART...   a response breaks off before its first output
 //	PROCESS refused UPSTREAM          an upstream refuses a connection
 //	restart UPSTREAM                  an upstream starts again, and the platform's list shows it
@@ -99,7 +100,11 @@
 	case "output":
 		q.RecordOutput(parts(words[2:]))
 	case "active":
-		q.RecordActivity(life(words[2]), w.now)
+		q.RecordActivity(life(words[2]), w.now, w.now)
+	case "late":
+		ago, err := time.ParseDuration(words[3])
+		require.NoError(t, err)
+		q.RecordActivity(life(words[2]), w.now.Add(-ago), w.now)
 	case "broken":
 		startedMs := w.startedMs(words[2])
 		if w.leaving[words[2]] {
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -284,7 +284,7 @@
 	}
 	c.recordPassed(time.Now())
 	c.progress.update(func(s *state) { s.events = p.events })
-	c.Quarantine.RecordActivity(c.life, c.lastEventsAt)
+	c.Quarantine.RecordActivity(c.life, c.sentAt, c.lastEventsAt)
 	if err := http.NewResponseController(c.w).Flush(); err != nil {
 		c.lastErr = err
 		return "caller-left"
--- a/internal/sharer/evidence.go
+++ b/internal/sharer/evidence.go
@@ -14,7 +14,7 @@
 func encodeCrashes(e quarantiner.Evidence) []*wire.UpstreamCrash {
 	var out []*wire.UpstreamCrash
 	for life, c := range e.Crashes {
-		x := &wire.UpstreamCrash{Upstream: life.Upstream, Epoch: life.Epoch, Broken: uint32(c.Broken), Ended: c.Ended, Survived: c.Survived}
+		x := &wire.UpstreamCrash{Upstream: life.Upstream, Epoch: life.Epoch, Series: uint32(c.Series), Broken: uint32(c.Broken), Ended: c.Ended, Survived: c.Survived}
 		x.Suspects = encodeParts(slices.Collect(maps.Keys(c.Suspects))...)
 		out = append(out, x)
 	}
@@ -39,7 +39,7 @@
 func decodeEvidence(r *wire.Round) quarantiner.Evidence {
 	var e quarantiner.Evidence
 	for _, x := range r.GetCrashes() {
-		c := quarantiner.Crash{Broken: int(x.GetBroken()), Ended: x.GetEnded(), Survived: x.GetSurvived(), Suspects: make(map[quarantiner.Part]bool)}
+		c := quarantiner.Crash{Series: int(x.GetSeries()), Broken: int(x.GetBroken()), Ended: x.GetEnded(), Survived: x.GetSurvived(), Suspects: make(map[quarantiner.Part]bool)}
 		for _, p := range decodeParts(x.GetSuspects()) {
 			c.Suspects[p] = true
 		}
