internal/quarantiner: responses that break off again and again quarantine a part for a short time

Cause, by simulation: three confirmed crashes are needed, and where each request with the part is alone at its upstream only the upstream's next start confirms its crash. That takes the time for which it is down, the lag of the list and a second more; until then each request with the part crashes another upstream. With ten such requests a second, or with upstreams that are down for 8 s, that is more than what is allowed after the fifth crash.

Five responses that break off under a part for which no process has seen output, at moments 0.3 s or more apart and in lives of their own, now quarantine the part for 20 s. Responses that break off together count once, since a link may have been cut, and those that the upstream survived don't count.

--- a/internal/quarantiner/budget_test.go
+++ b/internal/quarantiner/budget_test.go
@@ -271,6 +271,8 @@
 		{name: "upstreams drop packets", isDropping: true},
 		{name: "no other requests", soundPause: -1},
 		{name: "many at once", deadlyPause: 100 * time.Millisecond},
+		{name: "many at once, no other requests", deadlyPause: 100 * time.Millisecond, soundPause: -1},
+		{name: "slow restart, no other requests", downTime: 8 * time.Second, soundPause: -1},
 		{name: "output read late", lateRead: 700 * time.Millisecond},
 		{name: "output read late, no other requests", lateRead: 700 * time.Millisecond, soundPause: -1},
 		{name: "one process cut off for 4 s", exchangeGap: 4 * time.Second},
--- a/internal/quarantiner/doc.go
+++ b/internal/quarantiner/doc.go
@@ -12,6 +12,11 @@
 // crashes: only prompts with all of them are refused, since any one of them may be sound.
 // If upstreams go on to crash under prompts with these parts, each part is quarantined by
 // itself.
+//
+// Crashes count once they are confirmed: the upstream refused a connection, started again, or
+// broke off several responses. Where that takes too long, a part under which responses broke off
+// again and again is quarantined for a short time.
+//
 // Processes exchange their evidence, since each sees only some of the crashes.
 //
 // The package does no I/O and reads no clock.
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -14,6 +14,17 @@
 	// _crashesUntilTooNarrow is the number of further crashes after which a combination of
 	// parts is taken to miss the prompts under which upstreams crash.
 	_crashesUntilTooNarrow = 2
+	// _breaksUntilQuarantine is the number of moments at which responses must break off under a
+	// part, in lives of their own, for a quarantine although the crashes are not confirmed. A
+	// start of the upstream would confirm them, but it may take longer than the next crash.
+	_breaksUntilQuarantine = 5
+	// _breakSpacing is the shortest time between two such moments: responses that break off
+	// together may have been cut with a link.
+	_breakSpacing = 300 * time.Millisecond
+	// _breakMemory is how long breaks that are not confirmed count for that.
+	_breakMemory = time.Minute
+	// _provisionalTime is how long a quarantine lasts without confirmed crashes.
+	_provisionalTime = 20 * time.Second
 	// _clearanceDelay is how long after the last of these crashes was known a part is
 	// quarantined, so that a process that has cleared it can say so.
 	_clearanceDelay = time.Second
@@ -223,8 +234,8 @@
 			out = append(out, c)
 		}
 	}
-	for c := range q.convictions(now) {
-		if q.quarantines.add(c, now.Add(_quarantineTime), now) {
+	for c, lasting := range q.convictions(now) {
+		if q.quarantines.add(c, now.Add(lasting), now) {
 			out = append(out, c)
 		}
 	}
--- a/internal/quarantiner/quarantines.go
+++ b/internal/quarantiner/quarantines.go
@@ -37,7 +37,9 @@
 	if q.byCombination == nil {
 		q.byCombination = make(map[Combination]quarantine)
 	}
-	x.until = until
+	if until.After(x.until) {
+		x.until = until
+	}
 	q.byCombination[c] = x
 	if !known {
 		q.index()
--- a/internal/quarantiner/suspicions.go
+++ b/internal/quarantiner/suspicions.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"slices"
 	"time"
 )
 
@@ -63,12 +64,14 @@
 	return out, confirmed
 }
 
-// convictions returns the combinations of parts that the evidence is sufficient for.
+// convictions returns the combinations of parts that the evidence is sufficient for, and for how
+// long each is quarantined.
 //
 // Each part that was a suspect in enough crashes is one of a combination, with all others
 // that were suspects in the same crashes. Any of those may be the one that upstreams crash
 // under, and the others may be in sound prompts too.
-func (q *Quarantiner) convictions(now time.Time) map[Combination]bool {
+func (q *Quarantiner) convictions(now time.Time) map[Combination]time.Duration {
+	out := q.provisionalConvictions(now)
 	suspicions, confirmed := q.suspicions(now)
 	candidates := make(map[crashSet][]Part)
 	for p, x := range suspicions {
@@ -76,21 +79,75 @@
 			candidates[x.confirmed] = append(candidates[x.confirmed], p)
 		}
 	}
-	out := make(map[Combination]bool)
 	for set, parts := range candidates {
 		c := combinationOf(candidates, set)
 		isTooNarrow := q.isTooNarrow(c, set, confirmed, now)
 		for _, p := range parts {
 			if alone := NewCombination(p); isTooNarrow || q.quarantines.has(alone) {
-				out[alone] = true
+				out[alone] = _quarantineTime
 			} else {
-				out[c] = true
+				out[c] = _quarantineTime
 			}
 		}
 	}
 	return out
 }
 
+// provisionalConvictions returns the combinations of parts under which responses broke off at
+// enough moments, whether crashes are confirmed or not.
+func (q *Quarantiner) provisionalConvictions(now time.Time) map[Combination]time.Duration {
+	recent := q.known.recentBreaks(now)
+	sets := make(map[Part]*crashSet)
+	for n, r := range recent {
+		for p := range r.Suspects {
+			if q.known.counts[p] < _breaksUntilQuarantine || q.isCleared(p) {
+				continue
+			}
+			if sets[p] == nil {
+				sets[p] = &crashSet{}
+			}
+			sets[p].add(n)
+		}
+	}
+	candidates := make(map[crashSet][]Part)
+	for p, set := range sets {
+		if countMoments(recent, set) >= _breaksUntilQuarantine {
+			candidates[*set] = append(candidates[*set], p)
+		}
+	}
+	out := make(map[Combination]time.Duration)
+	for set := range candidates {
+		out[combinationOf(candidates, set)] = _provisionalTime
+	}
+	return out
+}
+
+// recentBreaks returns the crashes, confirmed or not, that count for a provisional quarantine, in
+// the order in which this process learned of them.
+func (k *crashes) recentBreaks(now time.Time) []*record {
+	var out []*record
+	for _, r := range k.records {
+		if age := now.Sub(r.at); !r.Survived && age >= _clearanceDelay && age < _breakMemory {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b *record) int { return a.at.Compare(b.at) })
+	return out
+}
+
+// countMoments returns the number of moments, _breakSpacing or more apart, at which the crashes of
+// a set became known. breaks holds all crashes by their numbers, in the order of time.
+func countMoments(breaks []*record, set *crashSet) int {
+	count, last := 0, time.Time{}
+	for n, r := range breaks {
+		if set.has(n) && (count == 0 || r.at.Sub(last) >= _breakSpacing) {
+			count++
+			last = r.at
+		}
+	}
+	return count
+}
+
 // combinationOf returns the combination of the candidates that were suspects in all crashes
 // of a set.
 func combinationOf(candidates map[crashSet][]Part, set crashSet) Combination {
