internal/networker, forwarder: a status that is none of HTTP is no response

What callers saw: an upstream in trouble sends a response whose status is 000. On the users' platform its caller did not get it: the request waited for another response until its deadline, and a response that followed was returned in its place. Statuses above 599 were passed on to the caller. On the product's own interface the status 000 was returned as that of a call that ran.

Cause: the forwarder took each status below 200 for an interim one and any other for a final one. net/http hands out any status that it doesn't take for an interim one.

A status outside 200 to 599 that is not interim now ends the exchange with an error, the connection is closed, and the request may have run.

--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -47,7 +47,10 @@
 	}
 	single := t.Clone()
 	single.DisableKeepAlives = true
-	return &Client{pooled: &http.Client{Transport: t}, single: &http.Client{Transport: single}}
+	return &Client{
+		pooled: &http.Client{Transport: networker.StatusTransport{Transport: t}},
+		single: &http.Client{Transport: networker.StatusTransport{Transport: single}},
+	}
 }
 
 // Close closes idle connections. It never fails.
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/networker"
 )
 
 // Request is an HTTP request to an upstream.
@@ -137,17 +139,21 @@
 	return nil
 }
 
-// readHead reads the header of a final response and skips interim (1xx) ones.
+// readHead reads the header of a final response and skips interim (1xx) ones. It fails on a
+// status that is neither: what follows on the connection is unknown then.
 func (x *Exchange) readHead(method string) (*http.Response, error) {
-	const minFinalStatus = 200
 	for {
 		res, err := http.ReadResponse(x.conn.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
-		if res.StatusCode >= minFinalStatus {
-			return res, nil
+		if networker.IsInterimStatus(res.StatusCode) {
+			continue
+		}
+		if err := networker.CheckFinalStatus(res.StatusCode); err != nil {
+			return nil, err
 		}
+		return res, nil
 	}
 }
 
--- a/internal/serviceclient/client.go
+++ b/internal/serviceclient/client.go
@@ -57,7 +57,7 @@
 	// The timeout for connecting leaves time to try another upstream.
 	dialer := networker.TimeoutNetwork{Network: network}
 	t := &http.Transport{MaxResponseHeaderBytes: networker.MaxResponseHeadBytes, DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
-	return &Client{http: &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error {
+	return &Client{http: &http.Client{Transport: networker.StatusTransport{Transport: t}, CheckRedirect: func(*http.Request, []*http.Request) error {
 		return http.ErrUseLastResponse
 	}}}
 }
--- a/internal/serviceclient/client_test.go
+++ b/internal/serviceclient/client_test.go
@@ -234,3 +234,17 @@
 	}
 	assert.Equal(t, int32(2), u.requests.Load())
 }
+
+// Guards against a status that is none: the call may have run, and its caller gets no response.
+func TestInvalidStatusIsNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999"} {
+		u := startUpstream(t, func(c net.Conn, read func() bool) {
+			if read() {
+				write(c, "HTTP/1.1 "+status+" x\r\nContent-Length: 2\r\n\r\nno")
+			}
+		})
+		result, err := serviceclient.New(networker.System{}).Send(t.Context(), serviceclient.Call{Method: http.MethodGet, Address: u.address, Path: "/"})
+		require.Error(t, err, status)
+		assert.Equal(t, _unknown, result.Outcome, status)
+	}
+}
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -83,7 +83,7 @@
 // "http://127.0.0.1:9000", that connects over network.
 func New(base string, network networker.Network) *Client {
 	t := &http.Transport{MaxResponseHeaderBytes: networker.MaxResponseHeadBytes, DialContext: network.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second}
-	return &Client{base: strings.TrimSuffix(base, "/"), http: &http.Client{Transport: t}}
+	return &Client{base: strings.TrimSuffix(base, "/"), http: &http.Client{Transport: networker.StatusTransport{Transport: t}}}
 }
 
 // Close closes idle connections. It never fails.
--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -108,7 +108,7 @@
 func New(network networker.Network, c Confirmer) *Streamer {
 	const maxIdle = 64
 	t := &http.Transport{MaxResponseHeaderBytes: networker.MaxResponseHeadBytes, DialContext: network.DialContext, MaxIdleConnsPerHost: maxIdle, DisableCompression: true}
-	return &Streamer{http: &http.Client{Transport: t}, confirmer: c}
+	return &Streamer{http: &http.Client{Transport: networker.StatusTransport{Transport: t}}, confirmer: c}
 }
 
 // Close closes idle connections.
