internal/drainer: connections whose callers do not read are closed

What callers saw: a client asked for paths that do not exist on 2,100 connections and read nothing.

Cause: nothing bounded the time of a write to a caller. A connection that waits in a write counts as busy, and only quiet connections were closed for new ones, so all places were taken for good.

A write now fails if its caller takes none of its bytes for 15 s, for as long as a caller may be idle between requests; one that takes some goes on. Where all places are taken and no connection is quiet, the one whose caller has taken nothing for longest, and for 1 s at least, is closed.

Evidence: TestStalledCallerIsCutOff ("reads nothing") and TestStalledConnectionsMakeRoom failed before; "reads slowly" passes with 5 s between two reads.

--- a/internal/drainer/conn.go
+++ b/internal/drainer/conn.go
@@ -14,6 +14,10 @@
 // when it looks for the last time.
 const _lastReadWait = time.Millisecond
 
+// _maxStall is how long a caller may take none of the bytes of a response. Callers may pause for as
+// long as configurations let them be idle between requests.
+const _maxStall = 15 * time.Second
+
 // conn is a connection that its own reader closes when the Drainer asks for it, so that no
 // bytes can arrive between the last look and the decision.
 type conn struct {
@@ -28,6 +32,11 @@
 	ending bool
 	// readDeadline is the deadline that the server has set; waking the reader overrides it.
 	readDeadline time.Time
+	// writeDeadline is the deadline that the server has set for writing.
+	writeDeadline time.Time
+	// writingSince is when the caller last took bytes of the response that is being written;
+	// the zero time while nothing is.
+	writingSince time.Time
 }
 
 // setQuiet records that a response has ended.
@@ -144,6 +153,71 @@
 	return n, nil
 }
 
+// SetWriteDeadline sets the deadline for writing, also for a Write that waits.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeDeadline = t
+	return c.Conn.SetWriteDeadline(c.nextWriteDeadline())
+}
+
+// nextWriteDeadline returns when a Write that makes no progress ends. The caller holds the mutex.
+func (c *conn) nextWriteDeadline() time.Time {
+	var stallEnd time.Time
+	if !c.writingSince.IsZero() {
+		stallEnd = c.writingSince.Add(_maxStall)
+	}
+	if stallEnd.IsZero() || !c.writeDeadline.IsZero() && c.writeDeadline.Before(stallEnd) {
+		return c.writeDeadline
+	}
+	return stallEnd
+}
+
+// Write sends bytes of a response. It fails where the caller takes none of them for _maxStall:
+// without that, a caller that does not read would hold its request and its connection for good.
+func (c *conn) Write(p []byte) (int, error) {
+	written := 0
+	defer c.endWriting()
+	for {
+		if err := c.setWriting(time.Now()); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(p[written:])
+		written += n
+		if n == 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.isPastWriteDeadline(time.Now()) {
+			return written, err
+		}
+	}
+}
+
+// setWriting records that bytes are to be written, and that the caller has taken all before them.
+func (c *conn) setWriting(now time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writingSince = now
+	return c.Conn.SetWriteDeadline(c.nextWriteDeadline())
+}
+
+func (c *conn) endWriting() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writingSince = time.Time{}
+}
+
+func (c *conn) isPastWriteDeadline(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.writeDeadline.IsZero() && !now.Before(c.writeDeadline)
+}
+
+// stalledSince returns since when the caller has taken nothing of the response that is being
+// written; the zero time where nothing is.
+func (c *conn) stalledSince() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writingSince
+}
+
 // Close closes the connection.
 func (c *conn) Close() error {
 	c.drainer.remove(c)
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -16,6 +16,9 @@
 	// _quietTime is how long a connection is quiet before it is closed: a caller that has
 	// just connected or received a response may be about to send a request.
 	_quietTime = 500 * time.Millisecond
+	// _stallTime is how long a caller must have taken nothing of a response before its connection
+	// is closed for another one. Most callers read what they asked for at once.
+	_stallTime = time.Second
 	// _pollInterval is the time between two searches for quiet connections.
 	_pollInterval = 50 * time.Millisecond
 )
@@ -24,8 +27,8 @@
 // safe for concurrent use.
 type Drainer struct {
 	// Limit is the largest number of open connections; 0 means no limit. Beyond it the
-	// connection that has been quiet longest is closed, or else the new one. Set it before
-	// use.
+	// connection that has been quiet longest is closed, or else the one whose caller has
+	// longest taken nothing of its response, or else the new one. Set it before use.
 	Limit int
 
 	draining atomic.Bool
@@ -76,7 +79,7 @@
 func (d *Drainer) Refused() int64 { return d.refused.Load() }
 
 // makeRoom reports whether another connection may be served. Where too many are open, it has
-// the one that has been quiet longest closed.
+// one closed that no caller seems to need.
 func (d *Drainer) makeRoom(now time.Time) bool {
 	if d.Limit == 0 {
 		return true
@@ -86,19 +89,31 @@
 	if len(d.conns) < d.Limit {
 		return true
 	}
-	var quietest *conn
+	if c, since := d.first((*conn).quietTime, now.Add(-_quietTime)); c != nil {
+		c.endIfQuiet(since)
+		return true
+	}
+	if c, _ := d.first((*conn).stalledSince, now.Add(-_stallTime)); c != nil {
+		delete(d.conns, c)
+		// Ends the Write that waits; an error means that the connection is closed.
+		_ = c.Conn.Close()
+		return true
+	}
+	return false
+}
+
+// first returns the connection with the earliest time, and that time, among those whose time is
+// neither zero nor later than limit; nil if there is none. The caller holds the mutex.
+func (d *Drainer) first(timeOf func(*conn) time.Time, limit time.Time) (*conn, time.Time) {
+	var first *conn
 	var since time.Time
 	for c := range d.conns {
-		at := c.quietTime()
-		if !at.IsZero() && now.Sub(at) >= _quietTime && (quietest == nil || at.Before(since)) {
-			quietest, since = c, at
+		at := timeOf(c)
+		if !at.IsZero() && !at.After(limit) && (first == nil || at.Before(since)) {
+			first, since = c, at
 		}
 	}
-	if quietest == nil {
-		return false
-	}
-	quietest.endIfQuiet(since)
-	return true
+	return first, since
 }
 
 // Drain stops accepting connections, and closes the others as they become quiet. It
