internal/relayer: a stream that its caller does not read ends with its deadline

Cause: the write of an event waits for the caller without end. The deadline of the request closes the connection to the upstream, but not the write, so the slot was not released.

From the head of a stream on, writes to its caller fail 0.5 s after the deadline of the request. The deadline is taken away when the stream has ended, so that it does not hold for the next request of the connection.

--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -26,6 +26,9 @@
 // _maxEventBytes is the largest size of one event of a stream, in bytes.
 const _maxEventBytes = 256 << 10
 
+// _lastWriteTime is how long events that have arrived by the deadline of a request are written.
+const _lastWriteTime = 500 * time.Millisecond
+
 // position is how much of a stream the caller has received.
 type position struct {
 	// last is the id of the last event that was passed on.
@@ -45,6 +48,7 @@
 	p := position{last: c.request.LastEvent}
 	reason := "no-upstream"
 	defer c.releaseNextUpstream()
+	defer c.setWriteDeadline(time.Time{})
 	for {
 		ok, why := c.canSend()
 		if !ok {
@@ -300,8 +304,16 @@
 	c.lastEventsAt = now
 }
 
-// writeHead passes on the head of an upstream's response, once for each request.
+// setWriteDeadline sets the time at which a write to the caller fails.
+func (c *call) setWriteDeadline(t time.Time) {
+	// An error means that the connection is closed, or that it knows no deadlines.
+	_ = http.NewResponseController(c.w).SetWriteDeadline(t)
+}
+
+// writeHead passes on the head of an upstream's response, once for each request. From then on the
+// caller must read: one that does not would keep the request's slot after its deadline.
 func (c *call) writeHead(x *forwarder.Exchange) {
+	c.setWriteDeadline(c.deadline.Add(_lastWriteTime))
 	copyHeader(c.w.Header(), x.Response.Header)
 	c.status, c.headWritten, c.headWrittenAt = x.Response.StatusCode, true, time.Now()
 	c.endReturningWait()
