internal/drainer: the memory of the heads of requests is bounded

Cause: the head of each connection was bounded, that of all together was not. net/http keeps a map entry, a slice and two strings for each field, so that a head of short fields takes some twenty times its bytes.

The drainer, which sees the bytes of all callers' connections, estimates what each head takes until its response has ended, by its bytes and lines. Beyond an eighth of the memory limit in all, the connection with the largest head is closed. Ordinary heads are small, so that they are the last; on all connections that an instance takes they need less than that.

The connection is closed and not only failed once: net/http may lose an error of one read at the end of a line.

--- a/internal/composer/caller_gauges.go
+++ b/internal/composer/caller_gauges.go
@@ -17,6 +17,8 @@
 		{"bodies_stalled", "Request bodies that had stopped coming and lost their memory to others, since the start.", bodies.Revoked},
 		{"caller_connections", "Open connections of callers.", func() int64 { return int64(d.Open()) }},
 		{"caller_connections_refused", "Connections of callers that were closed because too many were open, since the start.", d.Refused},
+		{"caller_head_memory_bytes", "Estimated memory of the heads of callers' requests.", d.HeadMemory},
+		{"caller_heads_cut", "Connections of callers that were closed for the memory of their heads, since the start.", d.HeadsCut},
 	} {
 		if err := m.RegisterGauge(x.name, x.description, x.read); err != nil {
 			return err
--- a/internal/composer/relayer.go
+++ b/internal/composer/relayer.go
@@ -26,6 +26,10 @@
 	// callers' request bodies. The garbage collector lets the memory of bodies that were
 	// read and refused pile up to several times as much.
 	_memoryPerBodyMemory = 8
+	// _memoryPerHeadMemory divides an instance's memory limit; the result is the memory of the
+	// heads of callers' requests. Ordinary heads of 1 KB on all connections that an instance
+	// takes need less.
+	_memoryPerHeadMemory = 8
 	// _callersPerDescriptor divides an instance's descriptors; the result is the largest
 	// number of callers' connections. The others are for upstreams, peers and the store.
 	_callersPerDescriptor = 2
@@ -101,7 +105,7 @@
 		}
 	})
 	k.lifecycle.Append(fx.StopHook(rl.Pool.Close))
-	d := &drainer.Drainer{Limit: k.settings.DescriptorsLimit() / _callersPerDescriptor}
+	d := &drainer.Drainer{Limit: k.settings.DescriptorsLimit() / _callersPerDescriptor, HeadMemoryLimit: k.settings.MemoryLimit() / _memoryPerHeadMemory}
 	if err := registerCallerGauges(m, &rl.Bodies, d); err != nil {
 		return err
 	}
--- a/internal/drainer/conn.go
+++ b/internal/drainer/conn.go
@@ -24,6 +24,12 @@
 	net.Conn
 	drainer *Drainer
 
+	// The drainer's mutex guards the next three fields. readsHead is true while the head of a
+	// request is read, up to headEnd, and headMemory is the estimated memory of the last head.
+	readsHead  bool
+	headEnd    headEnd
+	headMemory int64
+
 	mu sync.Mutex
 	// quietSince is when the connection was accepted or its last response ended. It is the
 	// zero time while a request is read or served.
@@ -112,8 +118,12 @@
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isEnding() {
 		n, err = c.lastRead(p)
 	}
-	if n > 0 {
-		c.setBusy()
+	if n == 0 {
+		return n, err
+	}
+	c.setBusy()
+	if headErr := c.drainer.addHead(c, p[:n]); headErr != nil {
+		return 0, headErr
 	}
 	return n, err
 }
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -30,14 +30,22 @@
 	// connection that has been quiet longest is closed, or else the one whose caller has
 	// longest taken nothing of its response, or else the new one. Set it before use.
 	Limit int
+	// HeadMemoryLimit is the largest memory, in bytes, of the heads of requests that are being
+	// read or served; 0 means no limit. Beyond it the connection with the largest is closed.
+	// Set it before use.
+	HeadMemoryLimit int64
 
 	draining atomic.Bool
 	// refused counts the connections that were closed as soon as they were accepted.
 	refused atomic.Int64
+	// headsCut counts the connections that were closed for the memory of their heads.
+	headsCut atomic.Int64
 
 	mu       sync.Mutex
 	listener *listener
 	conns    map[*conn]struct{}
+	// headMemory is the sum of that of all connections.
+	headMemory int64
 }
 
 // connKey is the key of a connection in the contexts of its requests.
@@ -61,6 +69,7 @@
 	}
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		if x, ok := c.(*conn); ok && state == http.StateIdle {
+			d.beginHead(x)
 			x.setQuiet(time.Now())
 		}
 	}
@@ -94,9 +103,7 @@
 		return true
 	}
 	if c, _ := d.first((*conn).stalledSince, now.Add(-_stallTime)); c != nil {
-		delete(d.conns, c)
-		// Ends the Write that waits; an error means that the connection is closed.
-		_ = c.Conn.Close()
+		d.abort(c)
 		return true
 	}
 	return false
@@ -159,5 +166,18 @@
 func (d *Drainer) remove(c *conn) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.forget(c)
+}
+
+// forget takes a connection out of the account. The caller holds the mutex.
+func (d *Drainer) forget(c *conn) {
+	d.releaseHead(c)
 	delete(d.conns, c)
 }
+
+// abort closes a connection, which ends the server's reads and writes of it. The caller holds the
+// mutex.
+func (d *Drainer) abort(c *conn) {
+	d.forget(c)
+	_ = c.Conn.Close() // an error means that it is closed
+}
--- a/internal/drainer/listener.go
+++ b/internal/drainer/listener.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &conn{Conn: c, drainer: l.drainer, quietSince: time.Now()}
+	x := &conn{Conn: c, drainer: l.drainer, quietSince: time.Now(), readsHead: true}
 	l.drainer.add(x)
 	return x, nil
 }
