--- a/internal/sharer/answer.go
+++ b/internal/sharer/answer.go
@@ -1,6 +1,7 @@
 package sharer
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"time"
@@ -10,6 +11,9 @@
 )
 
 const (
+	// _sumLifetime is how long one sum of all loads serves the answers to peers. Loads
+	// change with each round of each of them, and a sum costs more the more there are.
+	_sumLifetime = 50 * time.Millisecond
 	// _maxRelayedBytes is the largest size of changes, in bytes, that a gatherer passes on
 	// in one answer to a peer that accepts packed changes, and _maxUnpackedRelayedBytes
 	// to another. Peers read larger ones from the platform themselves, whose link
@@ -121,3 +125,66 @@
 	}
 	return out
 }
+
+// Answer returns the answer to a peer's message: to a gatherer the load of this data
+// centre, to another process the load of all data centres and the changes that it asks
+// for.
+func (s *Sharer) Answer(_ context.Context, r *wire.Round) (*wire.Round, error) {
+	now := time.Now()
+	load := decode(r)
+	own := s.OwnLoad()
+	own.Processes = 1
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.GetGathers() {
+		s.remote.record(r.GetDataCentre(), load, now)
+		answer := s.encode(s.local.sum(own, now))
+		s.addAnswers(answer, r, now)
+		return answer, nil
+	}
+	s.local.record(r.GetSender(), load, now)
+	answer := s.encodeSum(own, now)
+	answer.UnansweredDataCentres = s.unansweredDataCentres()
+	s.addAnswers(answer, r, now)
+	if s.Membership.HasReadList(now) {
+		members := s.Membership.Members()
+		answer.MembersVersion = members.Version()
+		if r.GetMembersVersion() != members.Version() {
+			answer.Members = encodeMembers(members)
+		}
+	}
+	return answer, nil
+}
+
+// encodeSum returns a message with the load of all data centres, which is up to
+// _sumLifetime old; the caller holds the lock.
+func (s *Sharer) encodeSum(own Load, now time.Time) *wire.Round {
+	if s.summed == nil || now.Sub(s.summedAt) >= _sumLifetime {
+		s.summed, s.summedAt = s.encode(s.remote.sum(s.local.sum(own, now), now)), now
+	}
+	sum := s.summed
+	return &wire.Round{
+		Sender: sum.GetSender(), DataCentre: sum.GetDataCentre(), Processes: sum.GetProcesses(),
+		Loads: sum.GetLoads(), Demands: sum.GetDemands(), Silences: sum.GetSilences(),
+		Crashes: sum.GetCrashes(), Verdicts: sum.GetVerdicts(), Departures: sum.GetDepartures(), Limits: sum.GetLimits(), LeaseTerm: sum.GetLeaseTerm(),
+	}
+}
+
+// addAnswers adds to an answer what a peer asks about the platform's objects; the caller
+// holds the lock.
+func (s *Sharer) addAnswers(answer, r *wire.Round, now time.Time) {
+	for _, f := range r.GetFollowing() {
+		answer.Following = append(answer.Following, s.answerFollowing(f, now))
+	}
+}
+
+// answerFollowing returns the answer to what a peer asks about one kind of objects; the
+// caller holds the lock.
+func (s *Sharer) answerFollowing(f *wire.Following, now time.Time) *wire.Following {
+	for _, x := range s.sources {
+		if x.kind == f.GetKind() {
+			return x.answer(f, now)
+		}
+	}
+	return &wire.Following{Kind: f.GetKind(), Unknown: true}
+}
