internal/leaser: terms rise and one process holds the lease after the store's return from a copy

What callers would see: after the store has come back from an older copy, groups that nobody repairs: orders of the holder carry a term and epochs that upstreams have seen before, and are refused.

Cause: the next term was one above that of the lease in the store, which goes back with it; and a process that found its own earlier lease there renewed it at once, although another one had taken the lease since.

The leaser remembers the latest term that it has read, written or been told of by peers. The next term lies above it. A lease of an earlier term than that counts as another's, whoever's name is in it: it is taken over only after a whole duration, in which a later holder stops acting.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -74,6 +74,8 @@
 	// RenewedAt returns when this process sent the last write by which it took or renewed
 	// the lease.
 	RenewedAt() time.Time
+	// ObserveTerm records a term that was given out; the next one lies above it.
+	ObserveTerm(term uint64)
 }
 
 // Catalogue holds the configuration and the fleet.
@@ -219,6 +221,7 @@
 // may call it; other methods may run at the same time.
 func (c *Conductor) ObserveTerm(term uint64) {
 	c.peerTerm.Store(max(c.peerTerm.Load(), term))
+	c.Lease.ObserveTerm(term)
 }
 
 // applyResults applies the results that are waiting.
--- a/internal/conductor/upstreams_test.go
+++ b/internal/conductor/upstreams_test.go
@@ -24,6 +24,8 @@
 func (lease) WasLastHolder() bool   { return true }
 func (lease) Term() uint64          { return 7 }
 
+func (lease) ObserveTerm(uint64) {}
+
 func (l lease) RenewedAt() time.Time {
 	if l.renewedAt == nil || l.renewedAt.Load() == nil {
 		return time.Time{}
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protojson"
@@ -101,6 +102,9 @@
 	sentRenewals  uint64
 	renewalSentAt time.Time
 
+	// latestTerm is the latest term that this process knows to have been given out.
+	latestTerm atomic.Uint64
+
 	mu sync.Mutex
 	// term is the term of the lease as this process last wrote it.
 	term uint64
@@ -218,7 +222,7 @@
 // lease could not be read or written; a held lease then stays held until it expires.
 func (l *Leaser) step(ctx context.Context) error {
 	sentAt := time.Now()
-	if l.lease.GetHolder() == l.holder && l.version != 0 {
+	if l.lease.GetHolder() == l.holder && l.version != 0 && l.WasLastHolder() {
 		return l.write(ctx, sentAt, l.version, l.lease.GetTerm())
 	}
 	if l.renewedByOther(ctx) {
@@ -228,7 +232,7 @@
 	o, err := l.store.Get(ctx, l.key)
 	switch {
 	case errors.Is(err, storer.ErrNotFound):
-		return l.write(ctx, sentAt, 0, l.lease.GetTerm()+1)
+		return l.write(ctx, sentAt, 0, l.nextTerm())
 	case err != nil:
 		return fmt.Errorf("leaser: read %s: %w", l.key, err)
 	}
@@ -241,7 +245,10 @@
 		l.version, l.versionSeenAt = o.Version, time.Now()
 	}
 	l.lease = &found
-	if found.GetHolder() == l.holder {
+	// The store has come back from a copy: another process may hold the lease of a later term.
+	isOld := found.GetTerm() < l.latestTerm.Load()
+	l.ObserveTerm(found.GetTerm())
+	if found.GetHolder() == l.holder && !isOld {
 		if found.GetRenewals() == l.sentRenewals {
 			// The last write took effect although its response was lost.
 			l.recordHeld(l.renewalSentAt, found.GetTerm())
@@ -249,16 +256,35 @@
 		return l.write(ctx, sentAt, o.Version, found.GetTerm())
 	}
 	l.recordLoss()
-	if l.isEarlierRun(found.GetHolder()) {
+	if l.isEarlierRun(found.GetHolder()) && !isOld {
 		// The holder no longer runs.
-		return l.write(ctx, sentAt, o.Version, found.GetTerm()+1)
+		return l.write(ctx, sentAt, o.Version, l.nextTerm())
+	}
+	expiry := time.Duration(found.GetDurationMs()) * time.Millisecond
+	if isOld {
+		expiry = l.duration()
 	}
-	if sentAt.Sub(l.versionSeenAt) < time.Duration(found.GetDurationMs())*time.Millisecond {
+	if sentAt.Sub(l.versionSeenAt) < expiry {
 		return nil
 	}
-	return l.write(ctx, sentAt, o.Version, found.GetTerm()+1)
+	return l.write(ctx, sentAt, o.Version, l.nextTerm())
 }
 
+// ObserveTerm records a term that was given out, as peers tell: the lease in the store may be of an
+// earlier time, and its next term must lie above all that were given out. It is safe
+// for concurrent use.
+func (l *Leaser) ObserveTerm(term uint64) {
+	for {
+		latest := l.latestTerm.Load()
+		if term <= latest || l.latestTerm.CompareAndSwap(latest, term) {
+			return
+		}
+	}
+}
+
+// nextTerm returns the term of a lease that is taken over.
+func (l *Leaser) nextTerm() uint64 { return l.latestTerm.Load() + 1 }
+
 // renewedByOther reports whether Peek shows a renewal by another process, so that no Get
 // is needed. Peek's result may be out of date, and so is never a reason to take the
 // lease over. A process that polls slowly takes the first version that it sees for a
@@ -283,6 +309,7 @@
 		// Get decides which.
 		return false
 	}
+	l.ObserveTerm(found.GetTerm())
 	l.lease, l.version, l.versionSeenAt = &found, o.Version, time.Now()
 	return true
 }
@@ -315,6 +342,7 @@
 		l.version = 0
 		return fmt.Errorf("leaser: write %s: %w", l.key, err)
 	}
+	l.ObserveTerm(term)
 	l.lease, l.version, l.versionSeenAt = next, version, sentAt
 	l.recordHeld(sentAt, term)
 	return nil
