--- a/internal/drainer/heads.go
+++ b/internal/drainer/heads.go
@@ -60,8 +60,9 @@
 }
 
 // addHead adds bytes that were read from a connection to the memory of its head, as far as they
-// belong to one. That memory is in use until the response has ended. Where all heads take more than allowed, the connection with the largest is closed;
-// addHead returns an error if that is c. An ordinary head is small, so that it is the last.
+// belong to one. That memory is in use until the response has ended. Where all heads take more
+// than allowed, the connection with the largest is closed; addHead returns an error if that is c.
+// An ordinary head is small, so that it is the last.
 func (d *Drainer) addHead(c *conn, read []byte) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/sharer/source.go
+++ b/internal/sharer/source.go
@@ -173,8 +173,8 @@
 	x.updated = make(chan struct{})
 }
 
-// awaitUpdate waits for an answer of the gatherer or for another one, at most for d. The caller holds the
-// sharer's lock, which is released meanwhile.
+// awaitUpdate waits for an answer of the gatherer, or for another process to become the gatherer,
+// at most for d. The caller holds the sharer's lock, which is released meanwhile.
 func (x *Source) awaitUpdate(ctx context.Context, d time.Duration) {
 	updated := x.updated
 	x.sharer.mu.Unlock()
