internal/sharer: an earlier version of the configuration does not spread after the store's return

Cause: processes keep their later version, but the copy that they pass on to others was the store's.

A source is told when a value is of an earlier version than the known one; it keeps the known one in its copy and in what it tells peers, and logs it.

--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -148,6 +148,11 @@
 	upstreamSource.ReadsDirectly = c.Leading
 	configurationSource := sh.Source("configuration", a.Configurations)
 	configurationSource.Probe = upstreamSource
+	configurationSource.IsOlder = func(name string, value, known []byte) bool {
+		next, err := a.DecodeConfiguration(name, value)
+		current, knownErr := a.DecodeConfiguration(name, known)
+		return err == nil && knownErr == nil && next.Version < current.Version
+	}
 	configurations := &reflector.Reflector[*cataloguer.Configuration]{
 		Kind: "configuration", Log: k.log, Recovered: configurationSource.Recovered,
 		Source: reflector.DecodingSource[*cataloguer.Configuration]{Source: configurationSource, Decode: a.DecodeConfiguration},
--- a/internal/sharer/source.go
+++ b/internal/sharer/source.go
@@ -49,6 +49,12 @@
 	// load of a platform in trouble, from every process. It may be nil; set it before Run.
 	Probe *Source
 
+	// IsOlder reports whether a value of an object is of an earlier version than a known one.
+	// Such a value is not taken: the platform may have come back from an older copy, and a
+	// process that starts meanwhile must not learn of an earlier version either. It may be nil;
+	// set it before Run.
+	IsOlder func(name string, value, known []byte) bool
+
 	sharer *Sharer
 	kind   string
 	direct reflector.Source[[]byte]
@@ -123,6 +129,7 @@
 	if err == nil {
 		now := time.Now()
 		x.setProvider(_platformProvider, l.Revision, start)
+		x.keepLaterVersions(l.Values)
 		x.history.reset(l.Revision, now)
 		x.copy.reset(l, now)
 	}
@@ -220,6 +227,7 @@
 	if err == nil {
 		now := time.Now()
 		x.setProvider(_platformProvider, c.Revision, start)
+		c.Changes = x.withoutEarlierVersions(c.Changes)
 		x.history.add(after, c.Revision, c.Changes, now)
 		x.copy.apply(after, c.Revision, c.Changes, now)
 	}
