internal/reserver: bodies that come slowly lose their memory; bodies are read in pieces

What callers saw: 503 body-memory-full while other clients send a byte now and then. Cause: a body lost its memory to another only if nothing of it had come for 0.7 s, and an announced size of up to 64 KB took its memory at once.

Widen adds the receive buffer that a large body may have.

--- a/internal/reserver/doc.go
+++ b/internal/reserver/doc.go
@@ -1,5 +1,6 @@
-// Package reserver bounds the memory that the bodies of callers' requests take in a process.
-// It answers clients that send many large bodies at once and never end them: a body that has
-// stopped coming loses its memory to one that comes, small bodies have a part of their own,
-// and no organisation can hold all of it.
+// Package reserver bounds the memory that bodies of requests or of responses take in a process.
+// It answers clients that send many large bodies at once and never end them, and clients that
+// don't read their responses: a body that has stopped coming or being taken, or does so slowly,
+// loses its memory to one that moves, small bodies have a part of their own, and no organisation
+// can hold all of it.
 package reserver
--- a/internal/reserver/reserver.go
+++ b/internal/reserver/reserver.go
@@ -16,13 +16,19 @@
 	// _stallTime is how long no byte of a body must have arrived before the body may lose
 	// its memory. A lossy network repeats what was lost sooner.
 	_stallTime = 700 * time.Millisecond
+	// _minRate is the mean rate, in bytes per second, below which a body that has come for
+	// _slowTime counts as slow. At this rate a body of _smallBody takes eight seconds.
+	_minRate  = 8 << 10
+	_slowTime = time.Second
 )
 
 var (
 	// ErrFull means that there is no memory for a body now.
 	ErrFull = errors.New("reserver: no memory for another body")
-	// ErrRevoked means that a body that had stopped coming has lost its memory.
-	ErrRevoked = errors.New("reserver: the body has stopped coming, and its memory was needed")
+	// ErrTooLarge means that a body is larger than allowed.
+	ErrTooLarge = errors.New("reserver: the body is too large")
+	// ErrRevoked means that a body that had stopped coming, or came slowly, has lost its memory.
+	ErrRevoked = errors.New("reserver: the body has stopped coming or is slow, and its memory was needed")
 )
 
 // Reserver grants memory to bodies. Set Limit before use. It is safe for concurrent use.
@@ -43,18 +49,27 @@
 	owner    string
 	revoke   func()
 
+	// window is what a large body takes besides its size until it is complete, in bytes.
+	window int64
+	widen  func()
+
 	// The reserver's lock guards the fields below.
 	size       int64
+	openedAt   time.Time
 	progressAt time.Time
-	complete   bool
-	isRevoked  bool
+	// windowSize is the part of size that is the window.
+	windowSize int64
+	// moved counts the bytes that have come or were taken.
+	moved     int64
+	complete  bool
+	isRevoked bool
 }
 
 // Open returns a reservation without memory for a body of an owner. revoke is called, at
 // most once and on another goroutine's behalf, when the body loses its memory; it must make
 // the reading of the body fail, and not block.
 func (r *Reserver) Open(owner string, revoke func(), now time.Time) *Reservation {
-	x := &Reservation{reserver: r, owner: owner, revoke: revoke, progressAt: now}
+	x := &Reservation{reserver: r, owner: owner, revoke: revoke, openedAt: now, progressAt: now}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.reservations == nil {
@@ -64,6 +79,10 @@
 	return x
 }
 
+// Widen sets what happens before a body becomes large: it takes window more bytes until it is
+// complete, and widen is called. Call it before Read.
+func (x *Reservation) Widen(window int64, widen func()) { x.window, x.widen = window, widen }
+
 // Used returns the memory that is granted, in bytes.
 func (r *Reserver) Used() int64 {
 	r.mu.Lock()
@@ -79,7 +98,7 @@
 }
 
 // Grow raises the memory of the body to size bytes. It takes the memory of bodies that have
-// stopped coming where that is needed. It fails with ErrFull or ErrRevoked.
+// stopped coming or are slow where that is needed. It fails with ErrFull or ErrRevoked.
 func (x *Reservation) Grow(size int64, now time.Time) error {
 	r := x.reserver
 	r.mu.Lock()
@@ -109,13 +128,13 @@
 	return r.used+more <= int64(_largeShare*float64(r.Limit)) && r.usedByOwner[x.owner]+more <= int64(_ownerShare*float64(r.Limit))
 }
 
-// revokeStalled takes the memory of bodies that have stopped coming, those that stopped
-// first at first, until the body fits. The caller holds the lock.
+// revokeStalled takes the memory of bodies that have stopped coming or are slow, those whose
+// last bytes came first at first, until the body fits. The caller holds the lock.
 func (r *Reserver) revokeStalled(x *Reservation, size, more int64, now time.Time) {
 	for !r.fits(x, size, more) {
 		var oldest *Reservation
 		for other := range r.reservations {
-			if other == x || other.complete || other.isRevoked || other.size == 0 || now.Sub(other.progressAt) < _stallTime {
+			if other == x || other.complete || other.isRevoked || other.size == 0 || !other.isStalled(now) && !other.isSlow(now) {
 				continue
 			}
 			if oldest == nil || other.progressAt.Before(oldest.progressAt) {
@@ -132,6 +151,15 @@
 	}
 }
 
+// isStalled reports whether no byte has come for a while. The caller holds the lock.
+func (x *Reservation) isStalled(now time.Time) bool { return now.Sub(x.progressAt) >= _stallTime }
+
+// isSlow reports whether the body has come slowly since its beginning. The caller holds the lock.
+func (x *Reservation) isSlow(now time.Time) bool {
+	d := now.Sub(x.openedAt)
+	return d >= _slowTime && float64(x.moved) < _minRate*d.Seconds()
+}
+
 // add changes the memory of a body. The caller holds the lock.
 func (r *Reserver) add(x *Reservation, more int64) {
 	x.size += more
@@ -141,15 +169,16 @@
 	}
 }
 
-// Progress records that bytes of the body have arrived. It fails with ErrRevoked if the body
-// has lost its memory.
-func (x *Reservation) Progress(now time.Time) error {
+// Progress records that n bytes of the body have come, or that as many were taken of it by whom
+// it is for. It fails with ErrRevoked if the body has lost its memory.
+func (x *Reservation) Progress(n int, now time.Time) error {
 	x.reserver.mu.Lock()
 	defer x.reserver.mu.Unlock()
 	if x.isRevoked {
 		return ErrRevoked
 	}
 	x.progressAt = now
+	x.moved += int64(n)
 	return nil
 }
 
@@ -162,6 +191,8 @@
 		return ErrRevoked
 	}
 	x.complete = true
+	x.reserver.add(x, -x.windowSize)
+	x.windowSize = 0
 	return nil
 }
 
--- a/internal/reserver/reserver_test.go
+++ b/internal/reserver/reserver_test.go
@@ -25,7 +25,8 @@
 //	limit SIZE              set the memory of all bodies
 //	open ID OWNER           begin a body
 //	grow ID SIZE RESULT     raise its memory; expect ok, full or revoked
-//	progress ID RESULT      bytes arrive; expect ok or revoked
+//	progress ID RESULT      1 KiB arrives; expect ok or revoked
+//	bytes ID SIZE RESULT    as many KiB arrive; expect ok or revoked
 //	complete ID RESULT      all of it has arrived; expect ok or revoked
 //	close ID                end it
 //	pass DURATION           let time pass
@@ -70,8 +71,10 @@
 		case "grow":
 			assert.Equal(t, words[3], result(bodies[words[1]].Grow(size(words[2]), now)), "line %d", n)
 		case "progress":
-			assert.Equal(t, words[2], result(bodies[words[1]].Progress(now)), "line %d", n)
+			assert.Equal(t, words[2], result(bodies[words[1]].Progress(1<<10, now)), "line %d", n)
 			assert.Equal(t, words[2] == "revoked", revoked[words[1]], "line %d", n)
+		case "bytes":
+			assert.Equal(t, words[3], result(bodies[words[1]].Progress(int(size(words[2])), now)), "line %d", n)
 		case "complete":
 			assert.Equal(t, words[2], result(bodies[words[1]].Complete()), "line %d", n)
 		case "close":
@@ -134,3 +137,80 @@
 	x.Close()
 	assert.Zero(t, r.Used())
 }
+
+func noWait() bool { return false }
+
+// A body is read in pieces that take little more than its size.
+func TestReadPieces(t *testing.T) {
+	for _, size := range []int{0, 1, 4 << 10, 4<<10 + 1, 300_000, 8 << 20} {
+		want := bytes.Repeat([]byte("abcdefg"), size/7+1)[:size]
+		r := &reserver.Reserver{Limit: 20 << 20}
+		x := r.Open("o", func() {}, time.Now())
+		pieces, err := x.ReadPieces(iotest.HalfReader(bytes.NewReader(want)), 8<<20, noWait)
+		require.NoError(t, err, "%d bytes", size)
+		assert.True(t, bytes.Equal(want, bytes.Join(pieces, nil)), "%d bytes", size)
+		assert.LessOrEqual(t, r.Used(), int64(min(3*size+4<<10, size+256<<10)), "%d bytes", size)
+		x.Close()
+		assert.Zero(t, r.Used())
+	}
+	r := &reserver.Reserver{}
+	_, err := r.Open("o", func() {}, time.Now()).ReadPieces(strings.NewReader("abc"), 2, noWait)
+	require.ErrorIs(t, err, reserver.ErrTooLarge)
+}
+
+// Guards against a response that is lost because there is no memory for a moment.
+func TestReadPiecesWaits(t *testing.T) {
+	r, waits := &reserver.Reserver{Limit: 1 << 20}, 0
+	other := r.Open("p", func() {}, time.Now())
+	require.NoError(t, other.Grow(500<<10, time.Now()))
+	pieces, err := r.Open("o", func() {}, time.Now()).ReadPieces(bytes.NewReader(make([]byte, 400<<10)), 1<<20, func() bool {
+		if waits++; waits == 3 {
+			other.Close()
+		}
+		return true
+	})
+	require.NoError(t, err)
+	assert.Len(t, bytes.Join(pieces, nil), 400<<10)
+	assert.Equal(t, 3, waits)
+}
+
+// Guards against bodies that were read whole and that nobody takes holding all memory.
+func TestUntakenPiecesAreRevoked(t *testing.T) {
+	r, revoked := &reserver.Reserver{Limit: 20 << 20}, false
+	x := r.Open("o", func() { revoked = true }, time.Now())
+	_, err := x.ReadPieces(bytes.NewReader(make([]byte, 8<<20)), 8<<20, noWait)
+	require.NoError(t, err)
+	other, later := r.Open("p", func() {}, time.Now()), time.Now().Add(time.Second)
+	require.NoError(t, x.Progress(1, later))
+	require.ErrorIs(t, other.Grow(9<<20, later), reserver.ErrFull, "a body that is taken keeps its memory")
+	later = later.Add(time.Second)
+	require.NoError(t, other.Grow(9<<20, later))
+	assert.True(t, revoked)
+	require.ErrorIs(t, x.Progress(1, later), reserver.ErrRevoked)
+}
+
+// A large body takes its window until it is complete.
+func TestWindow(t *testing.T) {
+	const window = 100 << 10
+	for _, size := range []int{64 << 10, 200 << 10} {
+		r, widened, peak := &reserver.Reserver{Limit: 4 << 20}, 0, int64(0)
+		x := r.Open("o", func() {}, time.Now())
+		x.Widen(window, func() { widened++ })
+		body := iotest.OneByteReader(bytes.NewReader(make([]byte, size)))
+		_, err := x.Read(readerFunc(func(p []byte) (int, error) {
+			peak = max(peak, r.Used())
+			return body.Read(p)
+		}), int64(size))
+		require.NoError(t, err)
+		assert.Equal(t, size > 64<<10, widened == 1, "%d bytes", size)
+		assert.Equal(t, size > 64<<10, peak >= int64(size+window), "%d bytes", size)
+		assert.LessOrEqual(t, r.Used(), int64(size), "%d bytes", size)
+		x.Close()
+		assert.Zero(t, r.Used())
+	}
+}
+
+type readerFunc func(p []byte) (int, error)
+
+// Read calls the function.
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
