internal/relayer: callers who don't read their responses hold neither slots nor memory

What callers saw: with 180 clients that read nothing of responses of 6 MB (platform/crowd, unread), no ordinary request to the plain service got a whole response while the crowd stayed.

Cause: the slot at the upstream was released once the response had been written to its caller, so that a caller who reads nothing kept it for 15 s; six such callers are enough. And the account of large responses ended when they had been read, so that those waiting for their callers were in none.

Now a response keeps its memory until its caller has taken it, and loses it to others where it is not taken for 0.7 s; the slot is free as soon as the response was read. One for which there is no memory waits, since its request has run.

TestUnreadResponsesHoldNothing fails with the slot released at the end as before ("the slot is free": never within a minute).

--- a/internal/composer/relayer.go
+++ b/internal/composer/relayer.go
@@ -33,6 +33,8 @@
 	// _callersPerDescriptor divides an instance's descriptors; the result is the largest
 	// number of callers' connections. The others are for upstreams, peers and the store.
 	_callersPerDescriptor = 2
+	// _responseMemory is the memory of responses that are read whole, in bytes.
+	_responseMemory = 32 << 20
 	// _cleanUpInterval is the time between two checks for connections to close and data
 	// to remove.
 	_cleanUpInterval = time.Second
@@ -73,6 +75,7 @@
 		return err
 	}
 	rl.Bodies.Limit = k.settings.MemoryLimit() / _memoryPerBodyMemory
+	rl.Responses.Limit = _responseMemory
 	rl.CallerShare = func() float64 { return callerShare(e) }
 	rl.StartsUntil = time.Now().Add(_startTime)
 	if k.settings.PeerListen() == "" {
--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -40,42 +40,73 @@
 	}
 }
 
+// plainResponse is the response of an upstream, read whole.
+type plainResponse struct {
+	status int
+	header http.Header
+	body   *responseBody
+}
+
 // plainFrom sends the request to one upstream. It returns true if the caller has
-// received the response, and otherwise false and the reason.
+// received the response, and otherwise false and the reason. The slot at the upstream is free
+// as soon as the response was read: the caller may take it slowly.
 func (c *call) plainFrom(u cataloguer.Upstream) (bool, string) {
+	response, reason := c.fetchPlain(u)
+	if response == nil {
+		return false, reason
+	}
+	defer response.body.Close()
+	c.writeResponse(response)
+	return true, ""
+}
+
+// fetchPlain sends the request to one upstream and releases the slot there. It returns the
+// response, or nil and the reason if the caller must not get it.
+func (c *call) fetchPlain(u cataloguer.Upstream) (*plainResponse, string) {
 	defer c.Balancer.Release(u.ID)
 	ctx, cancel := c.sendContext()
 	defer cancel()
 	x, a, err := c.send(ctx, u, 0)
 	if err != nil {
 		c.reportSilence(u, err)
-		return false, "upstream-failed"
+		return nil, "upstream-failed"
 	}
 	defer func() { _ = x.Close() }() // the connection is not reused if closing fails
 	c.Balancer.RecordActivity(u.ID, time.Now())
-	body, err := c.bodies.read(dataReader{x, &c.progress})
+	body, err := c.readResponse(dataReader{x, &c.progress})
 	status := x.Response.StatusCode
+	if reason := c.plainFailure(u, status, a, err); reason != "" {
+		if body != nil {
+			body.Close()
+		}
+		return nil, reason
+	}
+	return &plainResponse{status: status, header: x.Response.Header, body: body}, ""
+}
+
+// plainFailure returns why the caller must not get the response of an upstream, of which err is
+// the error of reading its body; an empty reason if the caller may.
+func (c *call) plainFailure(u cataloguer.Upstream, status int, a Response, err error) string {
 	switch {
 	case a.NotRun:
 		if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 			c.Balancer.MarkFull(u.ID, time.Now())
 		}
-		return false, "refused-by-upstream"
+		return "refused-by-upstream"
 	case err != nil:
 		c.lastErr = fmt.Errorf("relayer: read the response of %s: %w", u.ID, err)
-		return false, "answer-broken"
+		return "answer-broken"
 	case status < 300 && (!a.Signed || a.Encoded):
 		c.lastErr = errors.New("relayer: upstream response has no signature or has a content encoding")
-		return false, "answer-broken"
+		return "answer-broken"
 	case status >= 500 && c.route.Kind == cataloguer.KindSafe && c.runs < c.route.Attempts:
-		return false, "failed-by-upstream"
+		return "failed-by-upstream"
 	case promisesNotRun(status):
 		// The caller would take the status as a promise that the request has not run,
 		// which the upstream did not give.
-		return false, "failed-by-upstream"
+		return "failed-by-upstream"
 	}
-	c.writeResponse(x, status, body)
-	return true, ""
+	return ""
 }
 
 // sendContext returns the context of one send. If the request may be sent again, the
@@ -89,13 +120,13 @@
 }
 
 // writeResponse passes on the whole response of an upstream.
-func (c *call) writeResponse(x *forwarder.Exchange, status int, body []byte) {
-	copyHeader(c.w.Header(), x.Response.Header)
-	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	c.status, c.outcome, c.headWritten, c.headWrittenAt, c.lastErr = status, "answered", true, time.Now(), nil
+func (c *call) writeResponse(r *plainResponse) {
+	copyHeader(c.w.Header(), r.header)
+	c.w.Header().Set("Content-Length", strconv.Itoa(r.body.size()))
+	c.status, c.outcome, c.headWritten, c.headWrittenAt, c.lastErr = r.status, "answered", true, time.Now(), nil
 	c.beginResponse()
-	c.w.WriteHeader(status)
-	if _, err := c.w.Write(body); err != nil {
+	c.w.WriteHeader(r.status)
+	if err := r.body.writeTo(c.w); err != nil {
 		c.lastErr, c.outcome = err, "caller-left"
 	}
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -66,14 +66,15 @@
 
 	// Bodies bounds the memory of callers' request bodies.
 	Bodies reserver.Reserver
+	// Responses bounds the memory of responses that are read whole before they are passed on.
+	Responses reserver.Reserver
 
 	// requests counts the requests that were read whole and passed authentication.
 	requests atomic.Int64
 	arrivals rateMeter
 	// drain is nil until the process shuts down.
-	drain  atomic.Pointer[Shutdown]
-	bodies bodyReader
-	open   requestSet
+	drain atomic.Pointer[Shutdown]
+	open  requestSet
 }
 
 // TrafficStarted returns true once a request has been read whole and has passed
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -157,12 +157,15 @@
 // relayError passes on the error response of an upstream. It returns false and the
 // reason if the caller must not receive that response.
 func (c *call) relayError(x *forwarder.Exchange, a Response, status int) (bool, string) {
-	body, err := c.bodies.read(dataReader{x, &c.progress})
+	body, err := c.readResponse(dataReader{x, &c.progress})
+	if body != nil {
+		defer body.Close()
+	}
 	if err != nil || promisesNotRun(status) || !a.Signed {
 		c.lastErr = errors.Join(err, fmt.Errorf("relayer: upstream responded with status %d", status))
 		return false, "failed-by-upstream"
 	}
-	c.writeResponse(x, status, body)
+	c.writeResponse(&plainResponse{status: status, header: x.Response.Header, body: body})
 	return true, ""
 }
 
