internal/accountant: one account of an instance's memory, with what is received and not read

What callers saw: a process over its memory.

Cause: the platform counts bytes that a process has received and not read. Linux keeps some 64 KB of them for a connection at first, and lets that grow to megabytes for a client that has sent fast before (measured on this kernel: 114 to 128 KB, and 0.4 to 1.6 MB after a body of 4 MB). Nothing in the product bounded it. The bounds that were there were eighths of their own and a half of the descriptors, and nobody had added them up.

Sockets of callers and upstreams ask for receive buffers of 8 KB, of which the kernel makes 16, before they listen or connect, so that connections that wait to be accepted are bounded too; these are 1,024 at most. A large body that has been granted memory widens the buffer of its connection and pays for it. The soft limit of the Go runtime goes down by what the kernel may hold. Callers get three eighths of the descriptors, since as many may be needed for upstreams, or fewer where memory is short. Where connections run out, one whose request has come for 1 s and is incomplete makes room.

memory-limit must be 0 or at least 80: below that nothing is left for callers.

--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -6,7 +6,6 @@
 	"io"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -57,9 +56,6 @@
 	// _removalGrace is how long an upstream stays in use after its record in the store
 	// expired during an outage. Upstreams write their records again within two seconds.
 	_removalGrace = 1800 * time.Millisecond
-	// _memoryLimitFraction is the fraction of an instance's memory limit that is the
-	// soft limit of the Go runtime, near which the garbage collector runs more often.
-	_memoryLimitFraction = 0.6
 	// _initialInstanceCount is the assumed number of instances until the first count.
 	_initialInstanceCount = 8
 	// _startTime is how long an instance takes at most, where peers or the store answer, to
@@ -99,9 +95,6 @@
 
 // NewInstance returns the application of an instance. It writes log lines to output.
 func NewInstance(s loader.Settings, network networker.Network, adapt AdapterFunc, reloader *Reloader, output io.Writer) *fx.App {
-	if s.MemoryLimit() > 0 {
-		debug.SetMemoryLimit(int64(float64(s.MemoryLimit()) * _memoryLimitFraction))
-	}
 	buildReloaderAndAdapter := func(k *kernel) error {
 		k.run(func(ctx context.Context) { reloader.run(ctx, k.log) })
 		if err := k.services.Register(NameReloader, reloader); err != nil {
--- a/internal/composer/kernel.go
+++ b/internal/composer/kernel.go
@@ -155,7 +155,12 @@
 // listen opens a listener at once rather than at the start of the application, so that a
 // port in use prevents the start.
 func (k *kernel) listen(name, address string) (net.Listener, error) {
-	l, err := k.network.Listen("tcp", address)
+	return k.listenBuffered(name, address, networker.Buffers{})
+}
+
+// listenBuffered is listen for connections with the given buffers.
+func (k *kernel) listenBuffered(name, address string, b networker.Buffers) (net.Listener, error) {
+	l, err := networker.WithBuffers(k.network, b).Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("composer: listen for %s at %s: %w; choose a free port with -%s-listen", name, address, err, name)
 	}
--- a/internal/composer/relayer.go
+++ b/internal/composer/relayer.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/fx"
 
+	"github.com/lycheebarrow/lycheebarrow/internal/accountant"
 	"github.com/lycheebarrow/lycheebarrow/internal/balancer"
 	"github.com/lycheebarrow/lycheebarrow/internal/budgeter"
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
@@ -16,25 +17,16 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/loader"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 	"github.com/lycheebarrow/lycheebarrow/internal/meter"
+	"github.com/lycheebarrow/lycheebarrow/internal/networker"
 	"github.com/lycheebarrow/lycheebarrow/internal/pauser"
 	"github.com/lycheebarrow/lycheebarrow/internal/relayer"
 	"github.com/lycheebarrow/lycheebarrow/internal/screener"
 )
 
 const (
-	// _memoryPerBodyMemory divides an instance's memory limit; the result is the memory of
-	// callers' request bodies. The garbage collector lets the memory of bodies that were
-	// read and refused pile up to several times as much.
-	_memoryPerBodyMemory = 8
-	// _memoryPerHeadMemory divides an instance's memory limit; the result is the memory of the
-	// heads of callers' requests. Ordinary heads of 1 KB on all connections that an instance
-	// takes need less.
-	_memoryPerHeadMemory = 8
-	// _callersPerDescriptor divides an instance's descriptors; the result is the largest
-	// number of callers' connections. The others are for upstreams, peers and the store.
-	_callersPerDescriptor = 2
-	// _responseMemory is the memory of responses that are read whole, in bytes.
-	_responseMemory = 32 << 20
+	// _defaultResponseMemory is the memory of responses that are read whole where an instance has
+	// no memory limit, in bytes.
+	_defaultResponseMemory = 32 << 20
 	// _cleanUpInterval is the time between two checks for connections to close and data
 	// to remove.
 	_cleanUpInterval = time.Second
@@ -64,7 +56,7 @@
 		return err
 	}
 	rl := &relayer.Relayer{
-		Catalogue: c, Protocol: a.Protocol, Pool: &forwarder.Pool{Network: k.network}, Balancer: b, Screener: sc,
+		Catalogue: c, Protocol: a.Protocol, Pool: &forwarder.Pool{Network: k.upstreamNetwork()}, Balancer: b, Screener: sc,
 		Budget: &budgeter.Budget{SlackFrom: time.Now().Add(k.settings.RetryWindow())},
 		Log:    k.log, Meter: m, DataCentre: k.settings.DataCentre(), Watchdog: &relayer.Watchdog{Balancer: b, Log: k.log},
 	}
@@ -74,8 +66,11 @@
 	if err := registerPoolGauges(m, rl.Pool); err != nil {
 		return err
 	}
-	rl.Bodies.Limit = k.settings.MemoryLimit() / _memoryPerBodyMemory
-	rl.Responses.Limit = _responseMemory
+	account := k.account()
+	rl.Bodies.Limit, rl.Responses.Limit = account.Bodies(), account.Responses()
+	if rl.Responses.Limit == 0 {
+		rl.Responses.Limit = _defaultResponseMemory
+	}
 	rl.CallerShare = func() float64 { return callerShare(e) }
 	rl.StartsUntil = time.Now().Add(_startTime)
 	if k.settings.PeerListen() == "" {
@@ -84,7 +79,7 @@
 	settings := &atomic.Pointer[loader.Settings]{}
 	settings.Store(&k.settings)
 	r.onReload(func(next loader.Settings) { settings.Store(&next) })
-	l, err := k.listen("callers", k.settings.CallersListen())
+	l, err := k.listenBuffered("callers", k.settings.CallersListen(), networker.Buffers{Receive: account.CallerBuffer(), Backlog: account.Backlog()})
 	if err != nil {
 		return err
 	}
@@ -108,14 +103,29 @@
 		}
 	})
 	k.lifecycle.Append(fx.StopHook(rl.Pool.Close))
-	d := &drainer.Drainer{Limit: k.settings.DescriptorsLimit() / _callersPerDescriptor, HeadMemoryLimit: k.settings.MemoryLimit() / _memoryPerHeadMemory}
-	if err := registerCallerGauges(m, &rl.Bodies, d); err != nil {
+	heap := &accountant.Heap{Account: account}
+	heap.Start()
+	d := &drainer.Drainer{
+		Limit: account.Callers(), HeadMemoryLimit: account.Heads(), ReceiveBuffer: account.CallerBuffer(), BodyBuffer: account.BodyBuffer(),
+		OnReceiveBuffer: func(difference int) { heap.AddUnread(accountant.UnreadBytes(difference)) },
+	}
+	if err := registerCallerGauges(m, rl, d, heap); err != nil {
 		return err
 	}
 	k.serveLimited("callers", l, rl, d, shutdownHooks{settle: rl.SettleRequests, cut: func() { rl.LogCutRequests(time.Now()) }})
 	return k.services.Register(NameRelayer, rl)
 }
 
+// account returns the division of the instance's memory.
+func (k *kernel) account() accountant.Account {
+	return accountant.Account{MemoryLimit: k.settings.MemoryLimit(), DescriptorsLimit: k.settings.DescriptorsLimit()}
+}
+
+// upstreamNetwork returns the network of connections to upstreams, which may send without end.
+func (k *kernel) upstreamNetwork() networker.Network {
+	return networker.WithBuffers(k.network, networker.Buffers{Receive: k.account().DialBuffer()})
+}
+
 // registerPoolGauges registers what shows that upstreams send responses twice.
 func registerPoolGauges(m *meter.Meter, p *forwarder.Pool) error {
 	if err := m.RegisterGauge("responses_skipped", "Responses to earlier requests that came on a connection in use again.", p.Skipped); err != nil {
--- a/internal/drainer/conn.go
+++ b/internal/drainer/conn.go
@@ -29,11 +29,17 @@
 	readsHead  bool
 	headEnd    headEnd
 	headMemory int64
+	// receiveBuffer is what the connection has of the account of receive buffers, in bytes. The
+	// drainer's mutex guards it too.
+	receiveBuffer int
 
 	mu sync.Mutex
 	// quietSince is when the connection was accepted or its last response ended. It is the
 	// zero time while a request is read or served.
 	quietSince time.Time
+	// requestSince is when the first bytes of a request came that is incomplete; the zero time if
+	// there is none.
+	requestSince time.Time
 	// ending is true from the time at which the reader was woken to look for the last time.
 	ending bool
 	// readDeadline is the deadline that the server has set; waking the reader overrides it.
@@ -49,7 +55,7 @@
 func (c *conn) setQuiet(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.quietSince = now
+	c.quietSince, c.requestSince = now, time.Time{}
 }
 
 // setBusy records that a request is read or served, and lets the reader go on if it was
@@ -58,7 +64,9 @@
 func (c *conn) setBusy() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.quietSince = time.Time{}
+	if !c.quietSince.IsZero() {
+		c.quietSince, c.requestSince = time.Time{}, time.Now()
+	}
 	if c.ending {
 		c.ending = false
 		// An error means that the connection is closed.
@@ -66,6 +74,21 @@
 	}
 }
 
+// setComplete records that a request has come whole.
+func (c *conn) setComplete() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requestSince = time.Time{}
+}
+
+// incompleteSince returns since when a request has come that is incomplete; the zero time if there
+// is none.
+func (c *conn) incompleteSince() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.requestSince
+}
+
 // endIfQuiet wakes the reader if the connection has been quiet since a time or longer.
 func (c *conn) endIfQuiet(since time.Time) {
 	c.mu.Lock()
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -19,6 +19,9 @@
 	// _stallTime is how long a caller must have taken nothing of a response before its connection
 	// is closed for another one. Most callers read what they asked for at once.
 	_stallTime = time.Second
+	// _slowTime is how long a request must have come incompletely before its connection is closed
+	// for another one.
+	_slowTime = time.Second
 	// _pollInterval is the time between two searches for quiet connections.
 	_pollInterval = 50 * time.Millisecond
 )
@@ -28,18 +31,28 @@
 type Drainer struct {
 	// Limit is the largest number of open connections; 0 means no limit. Beyond it the
 	// connection that has been quiet longest is closed, or else the one whose caller has
-	// longest taken nothing of its response, or else the new one. Set it before use.
+	// longest taken nothing of its response, or else the one on which a request has come
+	// longest and is incomplete, or else the new one. Set it before use.
 	Limit int
 	// HeadMemoryLimit is the largest memory, in bytes, of the heads of requests that are being
 	// read or served; 0 means no limit. Beyond it the connection with the largest is closed.
 	// Set it before use.
 	HeadMemoryLimit int64
+	// ReceiveBuffer is the size that the sockets of accepted connections ask for their receive
+	// buffers, and BodyBuffer that while a large body comes, in bytes; 0 if sizes are those of
+	// the operating system. Set them before use.
+	ReceiveBuffer, BodyBuffer int
+	// OnReceiveBuffer is called when the sum of these sizes changes, with the difference in
+	// bytes; it may be nil. Set it before use.
+	OnReceiveBuffer func(difference int)
 
 	draining atomic.Bool
 	// refused counts the connections that were closed as soon as they were accepted.
 	refused atomic.Int64
 	// headsCut counts the connections that were closed for the memory of their heads.
 	headsCut atomic.Int64
+	// slowCut counts the connections that were closed for another one while a request came.
+	slowCut atomic.Int64
 
 	mu       sync.Mutex
 	listener *listener
@@ -87,6 +100,10 @@
 // Refused returns the number of connections that were closed because too many were open.
 func (d *Drainer) Refused() int64 { return d.refused.Load() }
 
+// SlowCut returns the number of connections that were closed for another one while a request
+// came.
+func (d *Drainer) SlowCut() int64 { return d.slowCut.Load() }
+
 // makeRoom reports whether another connection may be served. Where too many are open, it has
 // one closed that no caller seems to need.
 func (d *Drainer) makeRoom(now time.Time) bool {
@@ -106,6 +123,11 @@
 		d.abort(c)
 		return true
 	}
+	if c, _ := d.first((*conn).incompleteSince, now.Add(-_slowTime)); c != nil {
+		d.slowCut.Add(1)
+		d.abort(c)
+		return true
+	}
 	return false
 }
 
@@ -161,6 +183,7 @@
 		d.conns = make(map[*conn]struct{})
 	}
 	d.conns[c] = struct{}{}
+	d.setBuffer(c, d.ReceiveBuffer)
 }
 
 func (d *Drainer) remove(c *conn) {
@@ -172,6 +195,7 @@
 // forget takes a connection out of the account. The caller holds the mutex.
 func (d *Drainer) forget(c *conn) {
 	d.releaseHead(c)
+	d.setBuffer(c, 0)
 	delete(d.conns, c)
 }
 
--- a/internal/loader/instance.go
+++ b/internal/loader/instance.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"strconv"
 	"time"
+
+	"github.com/lycheebarrow/lycheebarrow/internal/accountant"
 )
 
 // _bytesPerMegabyte converts the memory limit to bytes. It is also the largest limit
@@ -52,7 +54,7 @@
 			store: storeNumber(&s.processorShare, 0.01, 1024),
 		},
 		{
-			key: "descriptors-limit", meaning: "open files and connections of the instance; callers get half of them; 0 sets no limit",
+			key: "descriptors-limit", meaning: "open files and connections of the instance; callers get three eighths of them, or fewer where memory-limit has no room for more; 0 sets no limit",
 			allowed: "empty, or a whole number from 0 to 1000000",
 			store: func(text string) bool {
 				n := 0.0
@@ -76,11 +78,12 @@
 			store: storeOptionalNumber(&s.coldSlack, 1e6),
 		},
 		{
-			key: "memory-limit", meaning: "memory of the instance, in `megabytes`; 0 sets no limit", allowed: "a whole number from 0 to 1048576", defaultValue: "0",
+			key: "memory-limit", meaning: "memory of the instance, in `megabytes`, of which callers' connections, requests and responses get their parts; 0 sets no limit",
+			allowed: "0, or a whole number from 80 to 1048576", defaultValue: "0",
 			store: func(text string) bool {
 				n, err := strconv.ParseInt(text, 10, 64)
 				s.memoryLimit = n * _bytesPerMegabyte
-				return err == nil && n >= 0 && n <= _bytesPerMegabyte
+				return err == nil && (n == 0 || s.memoryLimit >= accountant.MinMemoryLimit && n <= _bytesPerMegabyte)
 			},
 		},
 	}...)
--- a/internal/networker/network.go
+++ b/internal/networker/network.go
@@ -24,19 +24,19 @@
 
 // System is the Network of the operating system. The zero value is ready for
 // use.
-type System struct{}
+type System struct{ buffers Buffers }
 
 var _ Network = System{}
 
 // DialContext connects to address with a net.Dialer.
-func (System) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	var d net.Dialer
+func (s System) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{Control: s.buffers.control}
 	return d.DialContext(ctx, network, address)
 }
 
 // Listen returns a listener of the operating system at address.
-func (System) Listen(network, address string) (net.Listener, error) {
-	return net.Listen(network, address)
+func (s System) Listen(network, address string) (net.Listener, error) {
+	return s.buffers.listen(network, address)
 }
 
 // ListenPacket opens a UDP socket of the operating system at address.
--- a/internal/relayer/body.go
+++ b/internal/relayer/body.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"github.com/lycheebarrow/lycheebarrow/internal/drainer"
 	"github.com/lycheebarrow/lycheebarrow/internal/reserver"
 )
 
@@ -37,6 +38,8 @@
 	// Runs before the deadline is reset, which a late interrupt must not set again.
 	defer c.progress.onSettle(c.settle)
 	c.bodyMemory = c.Bodies.Open(c.organisation, func() { _ = control.SetReadDeadline(past) }, c.arrivedAt)
+	connection := drainer.BodyOf(c.r.Context())
+	c.bodyMemory.Widen(connection.WindowBytes(), connection.Widen)
 	return c.bodyMemory.Read(http.MaxBytesReader(c.w, c.r.Body, limit), c.r.ContentLength)
 }
 
--- a/internal/relayer/call.go
+++ b/internal/relayer/call.go
@@ -12,6 +12,7 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/admitter"
 	"github.com/lycheebarrow/lycheebarrow/internal/balancer"
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
+	"github.com/lycheebarrow/lycheebarrow/internal/drainer"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 	"github.com/lycheebarrow/lycheebarrow/internal/prioritiser"
 	"github.com/lycheebarrow/lycheebarrow/internal/quarantiner"
@@ -202,6 +203,7 @@
 		limit = _defaultBodyLimit
 	}
 	body, err := c.readBody(limit)
+	drainer.BodyOf(c.r.Context()).Complete()
 	if err != nil {
 		c.refuseBody(err)
 		return false
