internal/logger: long values are cut; instances keep no events in memory

What callers saw: a process over its memory. A client without a key sends requests with ids of 60 KB, one after the other; each leaves one event or more with the id in a ring of 4,096, which is 245 MB. Found while looking for what is kept by what callers choose: the rest is keyed by the configuration, or hashed.

Cause: the events are kept by number, and their fields are as long as the heads of requests allow.

TestLongValuesAreCut fails without the cuts.

--- a/internal/composer/kernel.go
+++ b/internal/composer/kernel.go
@@ -51,9 +51,10 @@
 // kernel holds the settings and resources that services are built from, and starts and
 // stops their loops and servers.
 type kernel struct {
-	settings  loader.Settings
-	network   networker.Network
-	log       logger.Logger
+	settings loader.Settings
+	network  networker.Network
+	log      logger.Logger
+	// journal keeps the events that the operators' API shows; nil in an instance, which has none.
 	journal   *journaler.Journal
 	health    meter.Health
 	services  registrar.Registrar
@@ -81,8 +82,11 @@
 		fx.NopLogger,
 		fx.StopTimeout(stopTimeout(s)),
 		fx.Provide(func(l fx.Lifecycle) *kernel {
-			k := &kernel{settings: s, network: networker.TimeoutNetwork{Network: network}, journal: new(journaler.Journal), lifecycle: l}
-			k.log = logger.New(output, s.Name()).WithSink(k.journal)
+			k := &kernel{settings: s, network: networker.TimeoutNetwork{Network: network}, lifecycle: l, log: logger.New(output, s.Name())}
+			if s.Role() != loader.RoleInstance {
+				k.journal = new(journaler.Journal)
+				k.log = k.log.WithSink(k.journal)
+			}
 			k.ctx, k.cancel = context.WithCancel(context.Background())
 			l.Append(fx.StopHook(func() {
 				k.cancel()
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -44,11 +44,12 @@
 	return Logger{log: l.WithField("process", process)}
 }
 
-// Event writes an event at level info.
+// Event writes an event at level info. Like the other methods, it cuts long values.
 func (l Logger) Event(event string, fields Fields) {
 	if l.log == nil {
 		return
 	}
+	fields = bounded(fields)
 	l.log.WithFields(fields).WithField("event", event).Info()
 	l.record(event, fields)
 }
@@ -58,6 +59,7 @@
 	if l.log == nil {
 		return
 	}
+	fields = bounded(fields)
 	l.log.WithFields(fields).WithField("event", event).Warn()
 	l.record(event, fields)
 }
@@ -68,16 +70,12 @@
 	if l.log == nil {
 		return
 	}
-	l.log.WithFields(fields).WithField("event", event).WithField("error", err).Warn()
-	if l.sink == nil {
-		return
-	}
 	withError := maps.Clone(fields)
 	if withError == nil {
 		withError = Fields{}
 	}
 	withError["error"] = err
-	l.record(event, withError)
+	l.Warn(event, withError)
 }
 
 func (l Logger) record(event string, fields Fields) {
