internal/composer: connections for metrics and health checks are in the account

Nothing bounded the connections there.

The smallest memory-limit is 96: with 80 only 13 callers' connections were left.

--- a/internal/accountant/account.go
+++ b/internal/accountant/account.go
@@ -33,6 +33,11 @@
 	// _kernelFactor is how much more than a socket asks for the kernel receives.
 	_kernelFactor = 2
 
+	// _monitors is the largest number of connections to the port for metrics and health checks,
+	// and _monitorMemory that of one of them, in bytes.
+	_monitors      = 64
+	_monitorMemory = 24 * _kilobyte
+
 	// _maxBacklog is the largest number of connections that wait to be accepted.
 	_maxBacklog = 1024
 
@@ -45,7 +50,7 @@
 )
 
 // MinMemoryLimit is the smallest memory limit that leaves room for callers, in bytes.
-const MinMemoryLimit = 80 * _megabyte
+const MinMemoryLimit = 96 * _megabyte
 
 // Account is the division of the memory of an instance. The zero value has no limits.
 type Account struct {
@@ -73,7 +78,7 @@
 	if a.MemoryLimit == 0 {
 		return byDescriptors
 	}
-	left := a.MemoryLimit - _programMemory - _evidenceMemory - a.Bodies() - a.Heads() - a.Responses()
+	left := a.MemoryLimit - _programMemory - _evidenceMemory - a.Bodies() - a.Heads() - a.Responses() - int64(a.Monitors())*monitorMemory()
 	byMemory := int(left / (callerMemory() + waitingMemory()))
 	if byDescriptors == 0 {
 		return byMemory
@@ -90,6 +95,14 @@
 	return min(a.Callers(), _maxBacklog)
 }
 
+// Monitors returns the largest number of connections to the port for metrics and health checks;
+// 0 means no limit.
+func (a Account) Monitors() int { return a.ifLimited(_monitors) }
+
+// MonitorHeads returns the memory of the heads of requests there, in bytes; 0 means no limit. It
+// is part of what the program has.
+func (a Account) MonitorHeads() int64 { return int64(a.ifLimited(_megabyte)) }
+
 // CallerBuffer returns the size that callers' connections ask for their receive buffers, in
 // bytes; 0 means that of the operating system.
 func (a Account) CallerBuffer() int { return a.ifLimited(_callerBuffer) }
@@ -102,11 +115,12 @@
 // bytes; 0 means that of the operating system.
 func (a Account) DialBuffer() int { return a.ifLimited(_dialBuffer) }
 
-func (a Account) ifLimited(size int) int {
+// ifLimited returns n, or 0 where the memory has no limit.
+func (a Account) ifLimited(n int) int {
 	if a.MemoryLimit == 0 {
 		return 0
 	}
-	return size
+	return n
 }
 
 // HeapLimit returns the soft limit of the Go runtime, in bytes, while the kernel may hold
@@ -127,6 +141,9 @@
 // waitingMemory returns the memory of a connection that waits to be accepted.
 func waitingMemory() int64 { return UnreadBytes(_callerBuffer) }
 
+// monitorMemory returns the memory of a connection to the port for metrics and health checks.
+func monitorMemory() int64 { return _monitorMemory + UnreadBytes(_callerBuffer) }
+
 // Row is one line of the account: at most Count of something that takes Each bytes.
 type Row struct {
 	Name  string
@@ -147,5 +164,6 @@
 		{Name: "responses read whole", Each: a.Responses(), Count: 1},
 		{Name: "callers' connections, each with one to an upstream", Each: callerMemory(), Count: a.Callers()},
 		{Name: "connections that wait to be accepted", Each: waitingMemory(), Count: a.Backlog()},
+		{Name: "connections for metrics and health checks", Each: monitorMemory(), Count: a.Monitors()},
 	}
 }
--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -14,6 +14,7 @@
 
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
 	"github.com/lycheebarrow/lycheebarrow/internal/conductor"
+	"github.com/lycheebarrow/lycheebarrow/internal/drainer"
 	"github.com/lycheebarrow/lycheebarrow/internal/enumerator"
 	"github.com/lycheebarrow/lycheebarrow/internal/leaser"
 	"github.com/lycheebarrow/lycheebarrow/internal/loader"
@@ -113,12 +114,13 @@
 		return err
 	}
 	a := adapt(k.settings, k.network, m)
-	l, err := k.listen("metrics", k.settings.MetricsListen())
+	account := k.account()
+	l, err := k.listenBuffered("metrics", k.settings.MetricsListen(), networker.Buffers{Receive: account.CallerBuffer(), Backlog: account.Monitors()})
 	if err != nil {
 		return err
 	}
 	k.health.ReadyPath = a.ReadinessPath
-	k.serve("metrics", l, k.health.Handler(m), shutdownHooks{})
+	k.serveLimited("metrics", l, k.health.Handler(m), &drainer.Drainer{Limit: account.Monitors(), HeadMemoryLimit: account.MonitorHeads()}, shutdownHooks{})
 	if err := k.services.Register(NameMeter, m); err != nil {
 		return err
 	}
--- a/internal/loader/instance.go
+++ b/internal/loader/instance.go
@@ -79,7 +79,7 @@
 		},
 		{
 			key: "memory-limit", meaning: "memory of the instance, in `megabytes`, of which callers' connections, requests and responses get their parts; 0 sets no limit",
-			allowed: "0, or a whole number from 80 to 1048576", defaultValue: "0",
+			allowed: "0, or a whole number from 96 to 1048576", defaultValue: "0",
 			store: func(text string) bool {
 				n, err := strconv.ParseInt(text, 10, 64)
 				s.memoryLimit = n * _bytesPerMegabyte
