internal/conductor: terms that upstreams show lie below the next one

Cause: the lease in the copy has an earlier term, and only peers told of later ones. Epochs begin with the term, and upstreams refuse those below what they have seen.

Now the conductor observes the terms of the epochs in entries and reports, and an order that is refused again after the lease was renewed shows that the upstream has seen a later term than this one. The leaser then gives a lease of an earlier term up and takes it under a later one; before, a holder that went on to renew never looked.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -76,6 +76,8 @@
 	RenewedAt() time.Time
 	// ObserveTerm records a term that was given out; the next one lies above it.
 	ObserveTerm(term uint64)
+	// LatestTerm returns the latest term that is known; 0 if none is.
+	LatestTerm() uint64
 }
 
 // Catalogue holds the configuration and the fleet.
@@ -149,11 +151,15 @@
 	listUnavailableAt time.Time
 	// leaseHeldAt is when this process was last found to hold the lease.
 	leaseHeldAt time.Time
-	// fencedAt is when an upstream last refused an order because of its fencing token.
-	fencedAt time.Time
-	results  chan func(now time.Time) // that Run's goroutine calls
-	tasks    sync.WaitGroup           // checks and orders in flight
-	leading  bool                     // whether this process gives orders
+	// fencedAt is when an upstream last refused an order because of its fencing token, and
+	// fencedTerm the term of that order.
+	fencedAt   time.Time
+	fencedTerm uint64
+	// observedRevision is the revision of the fleet whose terms were last observed.
+	observedRevision uint64
+	results          chan func(now time.Time) // that Run's goroutine calls
+	tasks            sync.WaitGroup           // checks and orders in flight
+	leading          bool                     // whether this process gives orders
 	// censuses holds what was last logged of the groups of each model.
 	censuses map[censusKey]loggedCensus
 	// mu guards suspects, which Run sets.
@@ -251,6 +257,12 @@
 			return listed || member
 		})
 	}
+	if fleet != nil && fleet.Revision != c.observedRevision && c.Lease.LatestTerm() > 0 {
+		c.observedRevision = fleet.Revision
+		for _, u := range fleet.Upstreams {
+			c.observeEpoch(u.ID, u.Group.Epoch)
+		}
+	}
 	leading := c.Lease.Held(now) && !c.isFenced()
 	if leading {
 		c.leaseHeldAt = now
@@ -303,12 +315,6 @@
 	}
 }
 
-// isFenced reports whether an upstream has refused an order because of its fencing token
-// and the lease has not been renewed since. Another process may hold it then.
-func (c *Conductor) isFenced() bool {
-	return !c.fencedAt.IsZero() && !c.Lease.RenewedAt().After(c.fencedAt)
-}
-
 // checkFleet starts the checks of the members of a service's groups that are due, and
 // returns the fleet, corrected by what the upstreams report.
 func (c *Conductor) checkFleet(ctx context.Context, now time.Time, fleet *cataloguer.Fleet, service string) *cataloguer.Fleet {
--- a/internal/conductor/orders.go
+++ b/internal/conductor/orders.go
@@ -58,8 +58,7 @@
 		c.postResult(ctx, func(now time.Time) {
 			g.RecordOutcome(now, o, outcome)
 			if errors.Is(err, ErrFenced) {
-				c.fencedAt = now
-				c.Log.Failure("fenced", err, logger.Fields{"upstream": o.Upstream, "term": term, "outcome": "no orders until the lease is renewed"})
+				c.recordFenced(now, sentAt, o.Upstream, term, err)
 			}
 			if k := c.checks[o.Upstream]; k != nil && c.isListStale(now) {
 				k.nextAt = now
--- a/internal/conductor/unlisted.go
+++ b/internal/conductor/unlisted.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
-	"github.com/lycheebarrow/lycheebarrow/internal/grouper"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 )
 
@@ -141,7 +140,7 @@
 // recordReport records an upstream's report: the term of its group, the report itself
 // while the platform's list is stale, and the new state of an unlisted member.
 func (c *Conductor) recordReport(now time.Time, id string, r cataloguer.Report) {
-	c.latestTerm = max(c.latestTerm, grouper.TermOf(r.Group.Epoch))
+	c.observeEpoch(id, r.Group.Epoch)
 	if c.isListStale(now) {
 		c.reports[id] = r
 	}
--- a/internal/conductor/upstreams_test.go
+++ b/internal/conductor/upstreams_test.go
@@ -18,13 +18,26 @@
 	expired bool
 	// renewedAt is when the lease was last renewed; nil means never.
 	renewedAt *atomic.Pointer[time.Time]
+	// observed has the latest term that was observed; nil to ignore terms.
+	observed *atomic.Uint64
 }
 
 func (l lease) Held(time.Time) bool { return !l.expired }
 func (lease) WasLastHolder() bool   { return true }
 func (lease) Term() uint64          { return 7 }
 
-func (lease) ObserveTerm(uint64) {}
+func (l lease) ObserveTerm(term uint64) {
+	if l.observed != nil {
+		l.observed.Store(max(l.observed.Load(), term))
+	}
+}
+
+func (l lease) LatestTerm() uint64 {
+	if l.observed == nil {
+		return l.Term()
+	}
+	return max(l.observed.Load(), l.Term())
+}
 
 func (l lease) RenewedAt() time.Time {
 	if l.renewedAt == nil || l.renewedAt.Load() == nil {
--- a/internal/leaser/copy_test.go
+++ b/internal/leaser/copy_test.go
@@ -108,6 +108,12 @@
 		assert.True(t, second.Held(time.Now()))
 		assert.Equal(t, uint64(4), second.Term())
 
+		// Upstreams show a term that the store has lost, while the holder renews its lease.
+		second.ObserveTerm(7)
+		time.Sleep(8 * time.Second)
+		assert.True(t, second.Held(time.Now()))
+		assert.Equal(t, uint64(8), second.Term())
+
 		s.restore(ofFirst)
 		third, stopThird := start(s, "third")
 		defer stopThird()
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -222,7 +222,8 @@
 // lease could not be read or written; a held lease then stays held until it expires.
 func (l *Leaser) step(ctx context.Context) error {
 	sentAt := time.Now()
-	if l.lease.GetHolder() == l.holder && l.version != 0 && l.WasLastHolder() {
+	isOutdated := l.lease.GetTerm() < l.latestTerm.Load() // by what peers or upstreams tell
+	if l.lease.GetHolder() == l.holder && l.version != 0 && l.WasLastHolder() && !isOutdated {
 		return l.write(ctx, sentAt, l.version, l.lease.GetTerm())
 	}
 	if l.renewedByOther(ctx) {
@@ -270,8 +271,9 @@
 	return l.write(ctx, sentAt, o.Version, l.nextTerm())
 }
 
-// ObserveTerm records a term that was given out, as peers tell: the lease in the store may be of an
-// earlier time, and its next term must lie above all that were given out. It is safe
+// ObserveTerm records a term that was given out, as peers or upstreams tell: the lease in the store
+// may be of an earlier time, and its next term must lie above all that were given out. A holder of
+// an earlier term gives the lease up, and takes it again under a later one. It is safe
 // for concurrent use.
 func (l *Leaser) ObserveTerm(term uint64) {
 	for {
@@ -282,6 +284,9 @@
 	}
 }
 
+// LatestTerm returns the latest term that is known; 0 if none is.
+func (l *Leaser) LatestTerm() uint64 { return l.latestTerm.Load() }
+
 // nextTerm returns the term of a lease that is taken over.
 func (l *Leaser) nextTerm() uint64 { return l.latestTerm.Load() + 1 }
 
