platform: a line and a counter for each return of the store from an older copy

Operators had only store-history-gone, once a kind, to tell a return from a history that the store has lost. Each process now writes store-returned with both eras and counts it in store_returns.

--- a/cmd/lbinstance/main.go
+++ b/cmd/lbinstance/main.go
@@ -36,6 +36,6 @@
 		Store: store, Configurations: store.Configurations(), DecodeConfiguration: platform.DecodeConfiguration,
 		Upstreams: store.Upstreams(), DecodeUpstream: platform.DecodeUpstream,
 		Evacuations: store.Evacuations(), DecodeEvacuation: platform.DecodeEvacuation,
-		Orders: platform.NewUpstreamClient(network), Protocol: platform.Protocol{}, ReadinessPath: platform.ReadinessPath,
+		Orders: platform.NewUpstreamClient(network), Protocol: platform.Protocol{}, ReadinessPath: platform.ReadinessPath, OnStoreReturn: store.OnReturn,
 	}
 }
--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -87,6 +88,9 @@
 	DecodeEvacuation func(name string, value []byte) (string, error)
 	Orders           conductor.UpstreamClient
 	Protocol         relayer.Protocol
+	// OnStoreReturn sets what is called when the store has come back from an older copy, with
+	// the eras before and since; nil if the platform's store has none.
+	OnStoreReturn func(f func(before, now uint64))
 	// ReadinessPath is the path of the platform's readiness checks.
 	ReadinessPath string
 }
@@ -114,6 +118,9 @@
 		return err
 	}
 	a := adapt(k.settings, k.network, m)
+	if err := k.observeReturns(a, m); err != nil {
+		return err
+	}
 	account := k.account()
 	l, err := k.listenBuffered("metrics", k.settings.MetricsListen(), networker.Buffers{Receive: account.CallerBuffer(), Backlog: account.Monitors()})
 	if err != nil {
@@ -127,6 +134,19 @@
 	return k.services.Register(NameAdapter, a)
 }
 
+// observeReturns logs and counts the returns of the store from older copies.
+func (k *kernel) observeReturns(a Adapter, m *meter.Meter) error {
+	if a.OnStoreReturn == nil {
+		return nil
+	}
+	var returns atomic.Int64
+	a.OnStoreReturn(func(before, now uint64) {
+		returns.Add(1)
+		k.log.Warn("store-returned", logger.Fields{"era": now, "before": before, "outcome": "everything is read again; earlier versions and terms are not taken"})
+	})
+	return m.RegisterGauge("store_returns", "Returns of the platform's store from an older copy that this process has met.", returns.Load)
+}
+
 // buildCatalogue builds the catalogue, and the reflectors that keep its configuration and
 // its list of upstreams up to date.
 func buildCatalogue(k *kernel) error {
