internal/relayer: a stream that has begun may return to upstreams that it has tried

Cause, from the lines of these requests (route: candidates=2, reason=no-upstream): an upstream that had been tried was left out for good, so that with two groups nothing was left to wait for. And refusals used up the number of sends, so that a stream gave up while its time lasted.

Now a stream that has begun and finds no other upstream may return to one that it has tried, 1 s after it broke off, as far as the balancer takes that one for sound, and refusals no longer end it. Attempts, the retry budget and the deadline bound it as before. TestBegunStreamReturnsToItsUpstream fails without it (unexpected EOF after 5 s).

--- a/internal/relayer/call.go
+++ b/internal/relayer/call.go
@@ -71,6 +71,8 @@
 	sends int
 	// sentAt is when the latest send began.
 	sentAt time.Time
+	// brokenAt is when the latest send of a stream ended before the stream did.
+	brokenAt time.Time
 	// tried has the id of each send's upstream.
 	tried []string
 	// runs counts the sends after which an upstream may have run the request.
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -23,6 +23,9 @@
 	// the route.
 	_minAttempts = 2
 	_extraSends  = 1
+	// _returnDelay is how long a stream that has broken off looks for another upstream before it
+	// may return to one where it was.
+	_returnDelay = time.Second
 	// _returnSpread is the time over which refused callers return once an upstream takes
 	// requests again.
 	_returnSpread = 300 * time.Millisecond
@@ -32,6 +35,8 @@
 const (
 	_reasonBudget = "budget"
 	_reasonNoTime = "no-time"
+	// _reasonRefused is that of a stream that has begun and that upstreams refuse to go on with.
+	_reasonRefused = "refused"
 )
 
 // acquireUpstream acquires a slot at an upstream for the next send. It returns an empty
@@ -47,6 +52,11 @@
 	if reason != "" {
 		u, reason = c.acquireFrom(selection, limit, c.tried, now)
 	}
+	if reason != "" && c.headWritten && now.Sub(c.brokenAt) >= _returnDelay {
+		// No other upstream serves the rest of the stream. The balancer keeps it from those
+		// that are still silent or full.
+		u, reason = c.acquireFrom(selection, limit, nil, now)
+	}
 	if reason == balancer.ReasonNone && len(selection.Candidates) == 0 {
 		reason = c.excludedReason(selection)
 	}
@@ -205,8 +215,10 @@
 		return false, "may-have-run"
 	case c.mayCrashUpstreams():
 		return false, "may-crash-upstreams"
-	case c.runs >= c.route.Attempts, c.sends >= c.maxSends():
+	case c.runs >= c.route.Attempts, c.sends >= c.maxSends() && !c.headWritten:
 		return false, "attempts"
+	case c.sends >= c.maxSends() && time.Since(c.brokenAt) < _returnDelay:
+		return false, _reasonRefused
 	case time.Until(c.deadline) < _minSendTime:
 		return false, _reasonNoTime
 	case c.sends > 0 && !c.spendRetry():
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -52,7 +52,7 @@
 	for {
 		ok, why := c.canSend()
 		if !ok {
-			if (why == _reasonBudget || why == _reasonNoTime) && c.awaitResume() {
+			if (why == _reasonBudget || why == _reasonNoTime || why == _reasonRefused) && c.awaitResume() {
 				continue
 			}
 			if c.sends == 0 || why != "over" {
@@ -75,6 +75,7 @@
 		if done {
 			return
 		}
+		c.brokenAt = time.Now()
 		c.Log.Event("send-ended", logger.Fields{
 			"request": c.request.ID, "upstream": u.ID, "send": c.sends, "reason": reason, "last_event": p.last, "events": p.events, "error": c.lastErr,
 			"parts": c.partNames(c.parts),
