internal/reserver: a response that waits for memory is not slow

Found while reading the diff: of two responses that wait for memory, one counted as slow after a second and lost what it had to the other, although its upstream had run the request (TestWaitingIsNotSlow, 1 revoked before). The pace is judged anew after each wait. And the deadline that ends the write of a response which loses its memory stayed on the connection where the response had just been written; the connection is closed now.

--- a/internal/relayer/plain.go
+++ b/internal/relayer/plain.go
@@ -10,6 +10,7 @@
 
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
 	"github.com/lycheebarrow/lycheebarrow/internal/forwarder"
+	"github.com/lycheebarrow/lycheebarrow/internal/reserver"
 )
 
 // relayPlain relays a request whose response is a single body.
@@ -126,8 +127,14 @@
 	c.status, c.outcome, c.headWritten, c.headWrittenAt, c.lastErr = r.status, "answered", true, time.Now(), nil
 	c.beginResponse()
 	c.w.WriteHeader(r.status)
-	if err := r.body.writeTo(c.w); err != nil {
-		c.lastErr, c.outcome = err, "caller-left"
+	err := r.body.writeTo(c.w)
+	if err == nil {
+		return
+	}
+	c.lastErr, c.outcome = err, "caller-left"
+	if errors.Is(err, reserver.ErrRevoked) {
+		// The deadline that ended the write would end those of the next response too.
+		panic(http.ErrAbortHandler)
 	}
 }
 
--- a/internal/reserver/reader.go
+++ b/internal/reserver/reader.go
@@ -133,6 +133,13 @@
 	}
 }
 
+// resetPace begins to judge anew whether the body is stalled or slow: it has waited for memory.
+func (x *Reservation) resetPace(now time.Time) {
+	x.reserver.mu.Lock()
+	defer x.reserver.mu.Unlock()
+	x.openedAt, x.progressAt, x.moved = now, now, 0
+}
+
 // growOrWait is Grow, tried again for as long as there is no memory and wait returns true.
 func (x *Reservation) growOrWait(size int64, wait func() bool) error {
 	for {
@@ -140,6 +147,7 @@
 		if !errors.Is(err, ErrFull) || !wait() {
 			return err
 		}
+		x.resetPace(time.Now())
 	}
 }
 
--- a/internal/reserver/reserver_test.go
+++ b/internal/reserver/reserver_test.go
@@ -9,8 +9,10 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -174,6 +176,37 @@
 	assert.Equal(t, 3, waits)
 }
 
+// Guards against two bodies that wait for memory, of which one takes that of the other as if it
+// had been slow.
+func TestWaitingIsNotSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &reserver.Reserver{Limit: 1 << 20}
+		others := []*reserver.Reservation{r.Open("p", func() {}, time.Now()), r.Open("q", func() {}, time.Now())}
+		for _, x := range others {
+			require.NoError(t, x.Grow(380<<10, time.Now()))
+			require.NoError(t, x.Complete())
+		}
+		var reading sync.WaitGroup
+		for _, owner := range []string{"a", "b"} {
+			reading.Go(func() {
+				x := r.Open(owner, func() {}, time.Now())
+				defer x.Close()
+				_, err := x.ReadPieces(bytes.NewReader(make([]byte, 400<<10)), 1<<20, func() bool {
+					time.Sleep(20 * time.Millisecond)
+					return true
+				})
+				assert.NoError(t, err)
+			})
+		}
+		time.Sleep(3 * time.Second)
+		for _, x := range others {
+			x.Close()
+		}
+		reading.Wait()
+		assert.Zero(t, r.Revoked())
+	})
+}
+
 // Guards against bodies that were read whole and that nobody takes holding all memory.
 func TestUntakenPiecesAreRevoked(t *testing.T) {
 	r, revoked := &reserver.Reserver{Limit: 20 << 20}, false
