--- a/internal/drainer/request.go
+++ b/internal/drainer/request.go
@@ -23,8 +23,7 @@
 	if _, open := d.conns[c]; !open || c.receiveBuffer == size {
 		return
 	}
-	// Where the size can't be set, the connection keeps a smaller or larger buffer; the account
-	// goes by the larger.
+	// If the size can't be set, the socket and the account keep the one before.
 	if s, ok := c.Conn.(interface{ SetReadBuffer(bytes int) error }); ok && s.SetReadBuffer(size) == nil {
 		d.setBuffer(c, size)
 	}
