internal/screener: cold upstreams listed before the configuration have their limit

Cause, from the processes' logs of a run that broke it: i2 was started again while e06 was cold. It got the list of upstreams at 32.465119 and the configuration at 32.465315. The screener recorded cold phases only for services that had a limit by then, so it recorded none, and the next list came two seconds later. Until then i2 sent e06 what it liked.

Change: phases are recorded for all services, and a phase counts where the configuration in force states a limit for the service. The log line "cold" has the time that the list states as left_ms; while the data centre was evacuated it had -.

Test: the script cold_before_configuration, which failed before ("ready" where "cold" is expected).

--- a/internal/composer/screener.go
+++ b/internal/composer/screener.go
@@ -65,9 +65,8 @@
 func observeFleet(log logger.Logger, sc *screener.Screener, f *cataloguer.Fleet, now time.Time) {
 	begun, ended := sc.Observe(f, now)
 	for _, u := range begun {
-		v := sc.Screen(&u, now)
 		log.Event("cold", logger.Fields{
-			"upstream": u.ID, "service": u.Service, "data_centre": u.DataCentre, "source": screener.SourceList, "left_ms": v.Until.Sub(now).Milliseconds(), "outcome": "begun",
+			"upstream": u.ID, "service": u.Service, "data_centre": u.DataCentre, "source": screener.SourceList, "left_ms": u.ColdTime.Milliseconds(), "outcome": "begun",
 		})
 	}
 	for _, u := range ended {
--- a/internal/screener/cold.go
+++ b/internal/screener/cold.go
@@ -70,11 +70,9 @@
 // observeCold updates the cold phases by a new list of upstreams. It returns the upstreams
 // whose phase has begun or ended, of those that serve callers. The caller holds the lock.
 func (s *Screener) observeCold(f *cataloguer.Fleet, now time.Time) (begun, ended []cataloguer.Upstream) {
-	if len(s.services) > 0 {
-		for _, u := range f.Upstreams {
-			if u.ColdTime > 0 && s.recordCold(&u, now) && serves(&u) {
-				begun = append(begun, u)
-			}
+	for _, u := range f.Upstreams {
+		if u.ColdTime > 0 && s.recordCold(&u, now) && serves(&u) {
+			begun = append(begun, u)
 		}
 	}
 	maps.DeleteFunc(s.cold, func(id string, p coldPhase) bool {
@@ -98,11 +96,9 @@
 func serves(u *cataloguer.Upstream) bool { return u.Domain == "" || u.IsOpenHead() }
 
 // recordCold records that an upstream describes itself as cold. It returns true if a cold
-// phase begins. What the upstream said before does not extend the phase.
+// phase begins. What the upstream said before does not extend the phase. Phases are recorded
+// for services without a limit too: a list of upstreams may arrive before the configuration.
 func (s *Screener) recordCold(u *cataloguer.Upstream, now time.Time) bool {
-	if _, ok := s.services[u.Service]; !ok {
-		return false
-	}
 	p, ok := s.cold[u.ID]
 	isSame := ok && p.life == LifeOf(u)
 	if isSame && p.described == u.ColdTime {
@@ -129,13 +125,17 @@
 	maps.DeleteFunc(s.returned, func(_ string, at time.Time) bool { return now.Sub(at) >= longest })
 }
 
-// coldPhase returns the cold phase of an upstream. The upstreams of a data centre count as
-// cold when its evacuation ends, since they had no requests, until they say otherwise: what
-// they say arrives later than the end. The caller holds the lock.
+// coldPhase returns the cold phase of an upstream whose service has a limit. The upstreams of
+// a data centre count as cold when its evacuation ends, since they had no requests, until they
+// say otherwise: what they say arrives later than the end. The caller holds the lock.
 func (s *Screener) coldPhase(u *cataloguer.Upstream) (coldPhase, bool) {
+	service, isLimited := s.services[u.Service]
+	if !isLimited {
+		return coldPhase{}, false
+	}
 	p, ok := s.cold[u.ID]
 	if returnedAt, returned := s.returned[u.DataCentre]; returned {
-		until := returnedAt.Add(s.services[u.Service].coldTime)
+		until := returnedAt.Add(service.coldTime)
 		if until.After(p.until) {
 			return coldPhase{source: SourceOperator, since: returnedAt, until: until}, true
 		}
--- a/internal/screener/screener_test.go
+++ b/internal/screener/screener_test.go
@@ -28,6 +28,7 @@
 
 // TestScripts runs the scripts in testdata. # begins a comment; each line is a command:
 //
+//	configure | unconfigure          set a configuration with the service, as at the start, or without
 //	processes NAME...                set the running processes; this one is p1
 //	list ID DC LIFE COLD [draining]  list an upstream in the life of that number, cold for COLD more; a life
 //	                                 begins when it is first named, or with LIFE@AGO so long before
@@ -62,10 +63,15 @@
 		now:      time.Unix(1_800_000_000, 0), upstreams: make(map[string]cataloguer.Upstream),
 		starts: make(map[string]int64),
 	}
-	s.SetConfiguration(&cataloguer.Configuration{Services: map[string]cataloguer.Service{"s": {Name: "s", ColdTime: 3 * time.Second, ColdRate: 4}}})
+	s.SetConfiguration(configuration())
 	return s
 }
 
+// configuration returns a configuration with the service of all upstreams.
+func configuration() *cataloguer.Configuration {
+	return &cataloguer.Configuration{Services: map[string]cataloguer.Service{"s": {Name: "s", ColdTime: 3 * time.Second, ColdRate: 4}}}
+}
+
 func runScript(t *testing.T, name string) {
 	f, err := os.Open(name)
 	require.NoError(t, err)
@@ -83,6 +89,10 @@
 
 func (s *script) run(t *testing.T, line int, command string, words []string) {
 	switch command {
+	case "configure":
+		s.SetConfiguration(configuration())
+	case "unconfigure":
+		s.SetConfiguration(&cataloguer.Configuration{})
 	case "processes":
 		s.SetProcesses(words, s.now)
 	case "list":
