internal/conductor: a group's reports later than its entry count

Reports counted for the decision only while the whole list was stale or once the entry had expired.

Change: an upstream's report of another group than its entry shows counts, where the entry showed its group unchanged for 1.5 s before the report was asked for, and until the entry changes. Such an upstream is checked on, and is the head of a new group only if no other member has the model, since its entry may be about to expire. A refused order makes a check due. Ruled out: that the entries came late in general (those of the others showed the leave within half a second).

--- a/internal/cataloguer/upstream.go
+++ b/internal/cataloguer/upstream.go
@@ -19,6 +19,9 @@
 	// Unlisted is true if the platform's list no longer contains the upstream
 	// although the upstream still answers.
 	Unlisted bool
+	// Outdated is true if the upstream has reported another group than the platform's list
+	// shows, so that the upstream may be cut off from the platform.
+	Outdated bool
 	Slots    int
 	// ColdTime is how much longer the upstream was cold when it described itself.
 	ColdTime time.Duration
--- a/internal/conductor/checks.go
+++ b/internal/conductor/checks.go
@@ -66,11 +66,11 @@
 
 // checkMembers starts the checks that are due for the members of a service's groups.
 // While the platform's list is stale, it also checks upstreams that the list shows
-// in no group.
+// in no group, and it always checks those whose entry is outdated.
 func (c *Conductor) checkMembers(ctx context.Context, now time.Time, fleet *cataloguer.Fleet, service string) {
 	evacuated := c.evacuated()
 	for id := range c.checks {
-		if u, ok := fleet.Upstreams[id]; !ok || evacuated[u.DataCentre] || u.Service == service && u.Group.Name == "" && c.checks[id].failures == 0 && !c.isListStale(now) {
+		if u, ok := fleet.Upstreams[id]; !ok || evacuated[u.DataCentre] || u.Service == service && u.Group.Name == "" && c.checks[id].failures == 0 && !c.isListStale(now) && !c.isOutdated(id) {
 			delete(c.checks, id)
 		}
 	}
@@ -148,6 +148,7 @@
 			c.recordLeaving(u, r, now)
 			c.recordLimit(u, r, now)
 			c.recordReport(now, u.ID, r)
+			c.recordGroup(startedAt, u, r)
 			c.orderCounts.observe(u.ID, r, now)
 		})
 	})
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -140,6 +140,10 @@
 	// reports holds the latest report of each upstream that has given one while the
 	// platform's list is stale, by id.
 	reports map[string]cataloguer.Report
+	// entries holds what the platform's list of entriesRevision shows of each upstream's
+	// group, by id.
+	entries         map[string]entry
+	entriesRevision uint64
 	// restarts holds when upstreams started that have done so since the platform's list
 	// showed them, as in cataloguer.Upstream, by id.
 	restarts map[string]int64
@@ -286,8 +290,10 @@
 		clear(c.reports)
 		clear(c.restarts)
 		clear(c.censuses)
+		c.entries = nil
 		return
 	}
+	c.observeEntries(now, fleet)
 	evacuated := c.evacuated()
 	fleet = c.withDepartures(fleet)
 	c.pruneRestarts(fleet)
@@ -318,7 +324,7 @@
 // checkFleet starts the checks of the members of a service's groups that are due, and
 // returns the fleet, corrected by what the upstreams report.
 func (c *Conductor) checkFleet(ctx context.Context, now time.Time, fleet *cataloguer.Fleet, service string) *cataloguer.Fleet {
-	known := c.withReports(now, c.withUnlisted(now, fleet, service), service)
+	known := c.withReports(now, c.withUnlisted(now, c.withLaterReports(fleet), service), service)
 	c.checkMembers(ctx, now, known, service)
 	return known
 }
--- a/internal/conductor/orders.go
+++ b/internal/conductor/orders.go
@@ -60,7 +60,7 @@
 			if errors.Is(err, ErrFenced) {
 				c.recordFenced(now, sentAt, o.Upstream, term, err)
 			}
-			if k := c.checks[o.Upstream]; k != nil && c.isListStale(now) {
+			if k := c.checks[o.Upstream]; k != nil && (c.isListStale(now) || c.isOutdated(o.Upstream) || outcome == grouper.OutcomeRefused) {
 				k.nextAt = now
 			}
 			fields := logger.Fields{
--- a/internal/grouper/form.go
+++ b/internal/grouper/form.go
@@ -271,17 +271,20 @@
 		switch {
 		case u.Unlisted:
 			// An unlisted upstream can't be the head, and may be about to leave.
-			return 5
-		case u.Group.Name != "" && u.Group.Model == m.Name:
+			return 6
+		case u.Group.Name != "" && u.Group.Model == m.Name && !u.Outdated:
 			return 0
+		case hasModel(u, m) && u.Outdated:
+			// Its entry may be about to expire, which would close the group of a head.
+			return 2
 		case hasModel(u, m):
 			return 1
 		case d.hasOrStagesModel(u, m):
-			return 2
-		case u.Group.Name == "" && len(u.StagedModels) == 0:
 			return 3
-		default:
+		case u.Group.Name == "" && len(u.StagedModels) == 0:
 			return 4
+		default:
+			return 5
 		}
 	}
 	slices.SortStableFunc(list, func(a, b cataloguer.Upstream) int {
