internal/conductor: a takeover keeps groups whose members have left the list

Cause, from the same trace: a member whose entry has expired is kept while it answers, but only the conductor knew of it. At 26.25 s front-addis-b-1 took the lease over, since the holder was cut off from the store. In its list lb-addis-a-d1-1048583 lacked a member, so it closed it at once ("member lost"), though the member served on.

Change: a process that gives no orders follows the members of groups in the list, and remembers those that leave it for 30 s, as the conductor does. When it begins to give orders, these count as present until they have been checked once.

Test: TestGroupStaysOpenWhenLeaseIsTakenOver, which failed before; with a member that is lost the group is closed within 2 s of the takeover.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -137,6 +137,10 @@
 	// members holds the members of groups, by id: those in the platform's list, and
 	// those no longer in it that still answer or are remembered.
 	members map[string]member
+	// following is true if members is kept while this process gives no orders, and
+	// followedRevision is the revision of the list that it was last kept from.
+	following        bool
+	followedRevision uint64
 	// reports holds the latest report of each upstream that has given one while the
 	// platform's list is stale, by id.
 	reports map[string]cataloguer.Report
@@ -286,13 +290,18 @@
 	}
 	if !leading || configuration == nil || fleet == nil {
 		clear(c.checks)
-		clear(c.members)
 		clear(c.reports)
 		clear(c.restarts)
 		clear(c.censuses)
 		c.entries = nil
+		if fleet != nil {
+			c.followMembers(now, fleet)
+		}
 		return
 	}
+	if c.following {
+		c.recheckFollowed(now, fleet)
+	}
 	c.observeEntries(now, fleet)
 	evacuated := c.evacuated()
 	fleet = c.withDepartures(fleet)
--- a/internal/conductor/unlisted.go
+++ b/internal/conductor/unlisted.go
@@ -22,6 +22,9 @@
 	// rechecking is true if the member counts as present until it has been checked
 	// again, because another member of its group has returned.
 	rechecking bool
+	// leftListAt is when the member was first missing from the platform's list, while this
+	// process gave no orders; it is zero before that.
+	leftListAt time.Time
 }
 
 // withUnlisted returns the fleet together with the members of groups that are missing
--- a/internal/conductor/upstreams_test.go
+++ b/internal/conductor/upstreams_test.go
@@ -16,15 +16,17 @@
 // The epochs of term 7 start at 7<<20.
 type lease struct {
 	expired bool
+	// heldFrom is when this process takes the lease; the zero time means at once.
+	heldFrom time.Time
 	// renewedAt is when the lease was last renewed; nil means never.
 	renewedAt *atomic.Pointer[time.Time]
 	// observed has the latest term that was observed; nil to ignore terms.
 	observed *atomic.Uint64
 }
 
-func (l lease) Held(time.Time) bool { return !l.expired }
-func (lease) WasLastHolder() bool   { return true }
-func (lease) Term() uint64          { return 7 }
+func (l lease) Held(now time.Time) bool { return !l.expired && !now.Before(l.heldFrom) }
+func (lease) WasLastHolder() bool       { return true }
+func (lease) Term() uint64              { return 7 }
 
 func (l lease) ObserveTerm(term uint64) {
 	if l.observed != nil {
