--- a/internal/relayer/progress.go
+++ b/internal/relayer/progress.go
@@ -42,6 +42,9 @@
 	events int
 	// begun is true once a response to the caller has begun.
 	begun bool
+	// waitsFor is why a stream that has broken off is not sent to another upstream yet; empty
+	// while it is sent to one.
+	waitsFor string
 }
 
 // update changes the state.
@@ -62,7 +65,7 @@
 func (p *progress) recordSend(upstream string, now time.Time) {
 	p.update(func(s *state) {
 		s.sends++
-		s.upstream, s.dataAt, s.headReceived = upstream, now, false
+		s.upstream, s.dataAt, s.headReceived, s.waitsFor = upstream, now, false, ""
 	})
 }
 
@@ -128,6 +131,9 @@
 		f["complete_ms"] = s.completeAt.Sub(beganAt).Milliseconds()
 		f["left_ms"] = s.deadline.Sub(now).Milliseconds()
 	}
+	if s.waitsFor != "" {
+		f["waits_for"] = s.waitsFor
+	}
 	if s.sends > 0 {
 		f["silent_ms"] = now.Sub(s.dataAt).Milliseconds()
 	}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -52,7 +52,7 @@
 	for {
 		ok, why := c.canSend()
 		if !ok {
-			if (why == _reasonBudget || why == _reasonNoTime || why == _reasonRefused) && c.awaitResume() {
+			if (why == _reasonBudget || why == _reasonNoTime || why == _reasonRefused) && c.awaitResume(why) {
 				continue
 			}
 			if c.sends == 0 || why != "over" {
@@ -62,7 +62,7 @@
 		}
 		u, whyNone := c.acquireUpstream()
 		if whyNone != "" {
-			if c.awaitResume() {
+			if c.awaitResume(string(whyNone)) {
 				continue
 			}
 			if c.sends == 0 {
@@ -89,10 +89,14 @@
 }
 
 // awaitResume pauses before another attempt to resume a stream that has begun: its caller still
-// waits, and can get nothing but the rest of it. It returns false if the stream has not begun
-// or the request is over.
-func (c *call) awaitResume() bool {
-	return c.headWritten && pauser.Pause(c.ctx, _resumePause)
+// waits, and can get nothing but the rest of it. why is what it waits for. awaitResume returns
+// false if the stream has not begun or the request is over.
+func (c *call) awaitResume(why string) bool {
+	if !c.headWritten {
+		return false
+	}
+	c.progress.update(func(s *state) { s.waitsFor = why })
+	return pauser.Pause(c.ctx, _resumePause)
 }
 
 // abortStream closes the caller's connection in the middle of the response, so
