internal/drainer: connections wait for room in the order in which they came

Cause: where all places are taken and none may be given up yet, a new connection was closed at once. Clients that come again at once when their connections are closed try hundreds of times a second, so that each place that became free was theirs; an ordinary caller, who waits a little before it tries again, had next to no chance.

Change: a connection waits for room, with those behind it, for 1.2 s from when there was last room: in that time each connection that may be closed for another becomes so (0.5 s quiet, 1 s unread, 1 s slow).

TestLimit: its requests counted as slow after 1 s, since its handler didn't say that they had come whole, as the product's does; before, the test was over by then. The handler says so now. That the connection beyond the limit is closed is checked as before.

--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -32,7 +32,8 @@
 	// Limit is the largest number of open connections; 0 means no limit. Beyond it the
 	// connection that has been quiet longest is closed, or else the one whose caller has
 	// longest taken nothing of its response, or else the one on which a request has come
-	// longest and is incomplete, or else the new one. Set it before use.
+	// longest and is incomplete. Where there is none, the new one waits for a while, and is then
+	// closed. Set it before use.
 	Limit int
 	// HeadMemoryLimit is the largest memory, in bytes, of the heads of requests that are being
 	// read or served; 0 means no limit. Beyond it the connection with the largest is closed.
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -286,6 +286,7 @@
 func TestLimit(t *testing.T) {
 	release := make(chan struct{})
 	s := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		drainer.BodyOf(r.Context()).Complete()
 		if r.URL.Path == "/wait" {
 			<-release
 		}
@@ -321,7 +322,7 @@
 	assert.Contains(t, status, "200")
 	dial("/wait")
 	require.Eventually(t, func() bool { return d.Open() >= 3 }, 5*time.Second, 10*time.Millisecond)
-	// The connection that was served has just become quiet.
+	// The connection that was served becomes quiet, and leaves its place to the one that waits.
 	assert.True(t, isClosed(dial("/")), "a connection beyond the limit is closed")
 	assert.Positive(t, d.Refused())
 }
--- a/internal/drainer/listener.go
+++ b/internal/drainer/listener.go
@@ -24,6 +24,12 @@
 	// new ones keep coming. It is the longest queue that Linux keeps by default, so those
 	// that waited at the beginning are among them.
 	_maxAccepts = 4096
+	// _roomWait is how long the listener waits for room for a connection, from when there was
+	// last room for one: in that time each connection that may be closed for another becomes
+	// so, and the others wait in the order in which they came.
+	_roomWait = max(_quietTime, _stallTime, _slowTime) + 200*time.Millisecond
+	// _roomInterval is the time between two searches for room.
+	_roomInterval = 20 * time.Millisecond
 )
 
 // listener is a net.Listener whose connections belong to a Drainer. Accept returns
@@ -32,6 +38,9 @@
 	net.Listener
 	drainer  *Drainer
 	draining atomic.Bool
+	// fullSince is when there was last found to be no room after there had been some. Only the
+	// caller of Accept uses it.
+	fullSince time.Time
 	// accepted counts the connections that were accepted while draining. Only the caller of
 	// Accept uses it.
 	accepted int
@@ -52,7 +61,7 @@
 // Accept waits for the next connection.
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.accept()
-	for err == nil && !l.drainer.makeRoom(time.Now()) {
+	for err == nil && !l.awaitRoom() {
 		l.drainer.refused.Add(1)
 		_ = c.Close() // nothing was read
 		c, err = l.accept()
@@ -65,6 +74,30 @@
 	return x, nil
 }
 
+// awaitRoom waits for room for a connection that was accepted, and reports whether there is any.
+// Without a wait, clients that come again as soon as their connections are closed would take
+// each place, and others would be refused again and again.
+func (l *listener) awaitRoom() bool {
+	for {
+		now := time.Now()
+		if l.drainer.makeRoom(now) {
+			l.fullSince = time.Time{}
+			return true
+		}
+		if l.fullSince.IsZero() {
+			l.fullSince = now
+		}
+		if l.draining.Load() || now.Sub(l.fullSince) >= _roomWait {
+			return false
+		}
+		select {
+		case <-l.closed:
+			return false
+		case <-time.After(_roomInterval):
+		}
+	}
+}
+
 // accept waits for the next connection, whether there is room for it or not.
 func (l *listener) accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
