--- a/internal/memorynet/network.go
+++ b/internal/memorynet/network.go
@@ -247,6 +247,9 @@
 	once     sync.Once
 }
 
+// RemoteAddr returns the address of the other end's host, without a port.
+func (c *conn) RemoteAddr() net.Addr { return &net.TCPAddr{IP: net.ParseIP(c.to)} }
+
 // Write waits for the latency and while the traffic is blocked, and then writes.
 func (c *conn) Write(p []byte) (int, error) {
 	if err := waitToSend(context.Background(), c.network, c.from, c.to, c.latency, c.closed); err != nil {
