internal/composer: the secret of the peers survives the store's return from a copy

What would be seen: where the copy is older than the secret, it is gone. An instance that starts afterwards creates another one, and no other instance exchanges with it from then on ("transporter: connect: peer has another secret", again and again), nor with any that starts later.

Cause: the secret is written once, and read once, at the start of an instance.

It writes a missing one again; where the store has another one, it begins the exchange anew with that.

--- a/internal/composer/instance.go
+++ b/internal/composer/instance.go
@@ -142,6 +142,11 @@
 	var returns atomic.Int64
 	a.OnStoreReturn(func(before, now uint64) {
 		returns.Add(1)
+		select {
+		case k.storeReturned <- struct{}{}:
+		default:
+			// The secret is about to be looked for.
+		}
 		k.log.Warn("store-returned", logger.Fields{"era": now, "before": before, "outcome": "everything is read again; earlier versions and terms are not taken"})
 	})
 	return m.RegisterGauge("store_returns", "Returns of the platform's store from an older copy that this process has met.", returns.Load)
--- a/internal/composer/kernel.go
+++ b/internal/composer/kernel.go
@@ -64,6 +64,9 @@
 	// stopBeganAt is when the shutdown of an instance began. The hooks that run at the
 	// shutdown, one after the other, set and read it.
 	stopBeganAt time.Time
+	// storeReturned has a value once the store has come back from an older copy, and the secret
+	// of the peers has not been looked for since.
+	storeReturned chan struct{}
 
 	// ctx ends when the loops of services have to stop.
 	ctx    context.Context
@@ -82,7 +85,7 @@
 		fx.NopLogger,
 		fx.StopTimeout(stopTimeout(s)),
 		fx.Provide(func(l fx.Lifecycle) *kernel {
-			k := &kernel{settings: s, network: networker.TimeoutNetwork{Network: network}, lifecycle: l, log: logger.New(output, s.Name())}
+			k := &kernel{settings: s, network: networker.TimeoutNetwork{Network: network}, lifecycle: l, log: logger.New(output, s.Name()), storeReturned: make(chan struct{}, 1)}
 			if s.Role() != loader.RoleInstance {
 				k.journal = new(journaler.Journal)
 				k.log = k.log.WithSink(k.journal)
--- a/internal/composer/sharer.go
+++ b/internal/composer/sharer.go
@@ -2,36 +2,20 @@
 
 import (
 	"context"
-	crand "crypto/rand"
-	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
-	"time"
+	"sync"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/conductor"
 	"github.com/lycheebarrow/lycheebarrow/internal/enumerator"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
-	"github.com/lycheebarrow/lycheebarrow/internal/pauser"
 	"github.com/lycheebarrow/lycheebarrow/internal/registrar"
 	"github.com/lycheebarrow/lycheebarrow/internal/relayer"
 	"github.com/lycheebarrow/lycheebarrow/internal/sharer"
-	"github.com/lycheebarrow/lycheebarrow/internal/storer"
 	"github.com/lycheebarrow/lycheebarrow/internal/transporter"
 	"github.com/lycheebarrow/lycheebarrow/internal/wire"
 )
 
-const (
-	// _secretKey is the key of the object that holds the secret shared by all instances.
-	_secretKey = "secret/peers"
-	// _secretRetryDelay is the delay before the secret is read again after a failure.
-	_secretRetryDelay = time.Second
-	// _secretPeeks is the number of cheap reads of the secret before one that is up to
-	// date, and _secretPeekPause the longest pause after each.
-	_secretPeeks     = 3
-	_secretPeekPause = 400 * time.Millisecond
-)
-
 // buildSharer builds the sharer, which exchanges loads, and changes of the configuration
 // and the list of upstreams, with the other instances. It also builds the enumerator,
 // which counts the instances. connectSharer starts the exchange.
@@ -81,8 +65,15 @@
 		return fmt.Errorf("composer: listen for peers at %s: %w; choose a free port with -peer-listen", k.settings.PeerListen(), err)
 	}
 	k.log.Event("listen", logger.Fields{"service": "peers", "address": packets.LocalAddr().String()})
-	k.run(func(ctx context.Context) {
-		secret, ok := peerSecret(ctx, a.Store, k.log)
+	k.run(func(ctx context.Context) { k.exchangeWithPeers(ctx, a.Store, sh, packets) })
+	return nil
+}
+
+// exchangeWithPeers exchanges with the other instances until ctx ends. It begins anew where the
+// store comes to hold another secret.
+func (k *kernel) exchangeWithPeers(ctx context.Context, s Store, sh *sharer.Sharer, packets net.PacketConn) {
+	for {
+		secret, ok := peerSecret(ctx, s, k.log)
 		if !ok {
 			_ = packets.Close() // the process is stopping
 			return
@@ -94,12 +85,26 @@
 		}
 		sh.Exchanger = t
 		t.Serve(sh)
-		sh.Run(ctx)
+		current, replace := context.WithCancel(ctx)
+		var keeping sync.WaitGroup
+		keeping.Go(func() {
+			keepSecret(current, s, secret, k.storeReturned, k.log)
+			replace()
+		})
+		sh.Run(current)
+		replace()
+		keeping.Wait()
 		if err := t.Close(); err != nil {
 			k.log.Failure("peers", err, logger.Fields{"step": "close"})
 		}
-	})
-	return nil
+		if ctx.Err() != nil {
+			return
+		}
+		if packets, err = k.network.ListenPacket(k.settings.PeerListen()); err != nil {
+			k.log.Failure("peers", err, logger.Fields{"step": "listen again", "outcome": "no exchange with peers"})
+			return
+		}
+	}
 }
 
 // fixedBufferConn keeps the buffer sizes of a socket as they are: messages are small, and
@@ -111,32 +116,3 @@
 
 // SetWriteBuffer ignores the size.
 func (fixedBufferConn) SetWriteBuffer(int) error { return nil }
-
-// peerSecret returns the secret shared by all instances, and creates it if there is none.
-// It retries failures, and returns false if ctx ends first.
-func peerSecret(ctx context.Context, s Store, log logger.Logger) (string, bool) {
-	// The secret never changes, so a read that may be out of date is enough to find it.
-	for range _secretPeeks {
-		if o, err := s.Peek(ctx, _secretKey); err == nil {
-			return string(o.Value), true
-		}
-		// Of processes that start together, one soon creates the secret.
-		pauser.Pause(ctx, rand.N(_secretPeekPause))
-	}
-	for ctx.Err() == nil {
-		o, err := s.Get(ctx, _secretKey)
-		if err == nil {
-			return string(o.Value), true
-		}
-		if errors.Is(err, storer.ErrNotFound) {
-			// The value is a JSON string, since the platform stores JSON.
-			_, err = s.Create(ctx, _secretKey, []byte(`"`+crand.Text()+`"`))
-			if err == nil || errors.Is(err, storer.ErrConflict) {
-				continue
-			}
-		}
-		log.Failure("peers", err, logger.Fields{"step": "read or create the peer secret"})
-		pauser.Pause(ctx, _secretRetryDelay)
-	}
-	return "", false
-}
