internal/composer: an evacuation survives the store's return from a copy

Cause: an evacuation that is missing from a new list was taken for ended at once; entries of upstreams have a grace for that, evacuations had none.

Change: such an evacuation stays in force for 4 s. One that the operator ends is over at once, as before, but where that comes beside a new list or within 4 s of the end of an outage: there the data centre stays out of use a little longer.

--- a/internal/composer/screener.go
+++ b/internal/composer/screener.go
@@ -16,6 +16,11 @@
 // have sent some requests just before.
 const _boundedStartDelay = 6 * time.Second
 
+// _evacuationGrace is how long an evacuation stays in force that is missing from a new list: the
+// store may have come back from a copy of before it, and the operator writes it again. Entries
+// of upstreams are back within about two seconds.
+const _evacuationGrace = 4 * time.Second
+
 // buildScreener builds the screener, which decides which upstreams may take requests.
 func buildScreener(k *kernel) error {
 	s := &screener.Screener{
@@ -29,7 +34,7 @@
 func followEvacuations(k *kernel, c *cataloguer.Catalogue, sc *screener.Screener, source reflector.Source[string], recovered func() <-chan struct{}) {
 	c.FollowEvacuations()
 	evacuations := &reflector.Reflector[string]{
-		Kind: "evacuations", Log: k.log, Source: source, Recovered: recovered,
+		Kind: "evacuations", Log: k.log, Source: source, Recovered: recovered, RemovalGrace: _evacuationGrace,
 		Publish: func(revision uint64, values map[string]string) {
 			publishEvacuations(k.log, c, sc, revision, values)
 		},
