--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -257,46 +257,17 @@
 	if c.Catalogue.ListUnavailable() {
 		c.listUnavailableAt = now
 	}
-	if fleet != nil && now.Sub(c.countsPrunedAt) >= _pruneInterval {
-		c.countsPrunedAt = now
-		c.orderCounts.keepOnly(func(id string) bool {
-			_, listed := fleet.Upstreams[id]
-			_, member := c.members[id]
-			return listed || member
-		})
-	}
-	if fleet != nil && fleet.Revision != c.observedRevision && c.Lease.LatestTerm() > 0 {
-		c.observedRevision = fleet.Revision
-		for _, u := range fleet.Upstreams {
-			c.observeEpoch(u.ID, u.Group.Epoch)
-		}
-	}
-	leading := c.Lease.Held(now) && !c.isFenced()
-	if leading {
-		c.leaseHeldAt = now
-	}
-	mayContinue := !leading && !c.isFenced() && c.mayKeepLeading()
-	leading = leading || mayContinue && now.Sub(c.leaseHeldAt) >= _expiredLeaseDelay
-	if leading != c.leading {
-		c.leading = leading
-		if c.OnLeadingChange != nil {
-			c.OnLeadingChange(leading)
-		}
-		c.Log.Event("conductor", logger.Fields{"leading": leading, "term": c.Lease.Term(), "store_away": c.Catalogue.ListUnavailable()})
+	if fleet != nil {
+		c.pruneCounts(now, fleet)
+		c.observeTerms(fleet)
 	}
+	leading, mayContinue := c.updateLeading(now)
 	if mayContinue && !leading && configuration != nil && fleet != nil {
 		c.watchMembers(ctx, now, configuration, fleet)
 		return
 	}
 	if !leading || configuration == nil || fleet == nil {
-		clear(c.checks)
-		clear(c.reports)
-		clear(c.restarts)
-		clear(c.censuses)
-		c.entries = nil
-		if fleet != nil {
-			c.followMembers(now, fleet)
-		}
+		c.follow(now, fleet)
 		return
 	}
 	if c.following {
@@ -330,6 +301,25 @@
 	}
 }
 
+// updateLeading updates whether this process gives orders, and returns that, and whether it may
+// continue to give them although its lease has expired.
+func (c *Conductor) updateLeading(now time.Time) (leading, mayContinue bool) {
+	leading = c.Lease.Held(now) && !c.isFenced()
+	if leading {
+		c.leaseHeldAt = now
+	}
+	mayContinue = !leading && !c.isFenced() && c.mayKeepLeading()
+	leading = leading || mayContinue && now.Sub(c.leaseHeldAt) >= _expiredLeaseDelay
+	if leading != c.leading {
+		c.leading = leading
+		if c.OnLeadingChange != nil {
+			c.OnLeadingChange(leading)
+		}
+		c.Log.Event("conductor", logger.Fields{"leading": leading, "term": c.Lease.Term(), "store_away": c.Catalogue.ListUnavailable()})
+	}
+	return leading, mayContinue
+}
+
 // checkFleet starts the checks of the members of a service's groups that are due, and
 // returns the fleet, corrected by what the upstreams report.
 func (c *Conductor) checkFleet(ctx context.Context, now time.Time, fleet *cataloguer.Fleet, service string) *cataloguer.Fleet {
--- a/internal/conductor/counts.go
+++ b/internal/conductor/counts.go
@@ -105,3 +105,16 @@
 	defer c.mu.Unlock()
 	delete(c.accepted, id)
 }
+
+// pruneCounts removes now and then the numbers of upstreams that are gone.
+func (c *Conductor) pruneCounts(now time.Time, fleet *cataloguer.Fleet) {
+	if now.Sub(c.countsPrunedAt) < _pruneInterval {
+		return
+	}
+	c.countsPrunedAt = now
+	c.orderCounts.keepOnly(func(id string) bool {
+		_, listed := fleet.Upstreams[id]
+		_, member := c.members[id]
+		return listed || member
+	})
+}
--- a/internal/conductor/followed.go
+++ b/internal/conductor/followed.go
@@ -8,6 +8,18 @@
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 )
 
+// follow drops what only a process that gives orders knows, and follows the members of groups.
+func (c *Conductor) follow(now time.Time, fleet *cataloguer.Fleet) {
+	clear(c.checks)
+	clear(c.reports)
+	clear(c.restarts)
+	clear(c.censuses)
+	c.entries = nil
+	if fleet != nil {
+		c.followMembers(now, fleet)
+	}
+}
+
 // followMembers records the members of groups that the platform's list shows, while this
 // process gives no orders. It remembers those that leave the list for _absentRetention.
 func (c *Conductor) followMembers(now time.Time, fleet *cataloguer.Fleet) {
--- a/internal/conductor/terms.go
+++ b/internal/conductor/terms.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
 	"github.com/lycheebarrow/lycheebarrow/internal/grouper"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 )
@@ -28,6 +29,17 @@
 	c.Lease.ObserveTerm(term)
 }
 
+// observeTerms records the terms that a new list shows.
+func (c *Conductor) observeTerms(fleet *cataloguer.Fleet) {
+	if fleet.Revision == c.observedRevision || c.Lease.LatestTerm() == 0 {
+		return
+	}
+	c.observedRevision = fleet.Revision
+	for _, u := range fleet.Upstreams {
+		c.observeEpoch(u.ID, u.Group.Epoch)
+	}
+}
+
 // recordFenced records that an upstream refused an order of a term because of its fencing token.
 // Orders wait until the lease is renewed; if another one is refused then, no other process holds
 // the lease, and the upstream has seen a term that the store has lost.
