--- a/internal/composer/relayer.go
+++ b/internal/composer/relayer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -46,24 +47,12 @@
 		return f.err
 	}
 	b := &balancer.Balancer{}
-	if err := m.RegisterGauge("in_flight", "Requests that hold a slot at an upstream.", b.InFlight); err != nil {
-		return err
-	}
-	if err := m.RegisterGauge("models_without_group", "Models that no open group serves, in the latest fleet.", c.ModelsWithoutGroup); err != nil {
-		return err
-	}
-	if err := registerScreenerGauges(m, sc, c); err != nil {
-		return err
-	}
 	rl := &relayer.Relayer{
 		Catalogue: c, Protocol: a.Protocol, Pool: &forwarder.Pool{Network: k.upstreamNetwork()}, Balancer: b, Screener: sc,
 		Budget: &budgeter.Budget{SlackFrom: time.Now().Add(k.settings.RetryWindow())},
 		Log:    k.log, Meter: m, DataCentre: k.settings.DataCentre(), Watchdog: &relayer.Watchdog{Balancer: b, Log: k.log},
 	}
-	if err := m.RegisterGauge("quarantined_parts", "Quarantines in force. Each is of one part of prompts, or of several that are refused only together.", rl.Quarantine.Count); err != nil {
-		return err
-	}
-	if err := registerPoolGauges(m, rl.Pool); err != nil {
+	if err := registerRelayerGauges(m, rl, c, sc); err != nil {
 		return err
 	}
 	account := k.account()
@@ -85,15 +74,9 @@
 	}
 	k.run(rl.Watchdog.Run)
 	k.run(func(ctx context.Context) {
-		share, logged := &budgeter.Share{}, -1.0
-		for next := settings.Load(); ; next = settings.Load() {
-			share.Window = next.RetryWindow()
-			slack := retrySlack(next.RetrySlack(), e, share, time.Now())
-			rl.Budget.Configure(next.RetryWindow(), next.RetryRatio(), slack)
-			if slack != logged {
-				k.log.Event("retry-slack", logger.Fields{"slack": slack, "before": max(logged, 0), "of": next.RetrySlack(), "instances": e.Count()})
-				logged = slack
-			}
+		limitRetries := &retryLimiter{settings: settings, enumerator: e, budget: rl.Budget, log: k.log, logged: -1}
+		for {
+			limitRetries.update(time.Now())
 			if !pauser.Pause(ctx, _cleanUpInterval) {
 				return
 			}
@@ -103,6 +86,57 @@
 		}
 	})
 	k.lifecycle.Append(fx.StopHook(rl.Pool.Close))
+	if err := k.serveCallers(l, rl, m, account); err != nil {
+		return err
+	}
+	return k.services.Register(NameRelayer, rl)
+}
+
+// registerRelayerGauges registers what shows the requests, the upstreams and what is refused.
+func registerRelayerGauges(m *meter.Meter, rl *relayer.Relayer, c *cataloguer.Catalogue, sc *screener.Screener) error {
+	for _, x := range []struct {
+		name, description string
+		read              func() int64
+	}{
+		{"in_flight", "Requests that hold a slot at an upstream.", rl.Balancer.InFlight},
+		{"models_without_group", "Models that no open group serves, in the latest fleet.", c.ModelsWithoutGroup},
+		{"quarantined_parts", "Quarantines in force. Each is of one part of prompts, or of several that are refused only together.", rl.Quarantine.Count},
+	} {
+		if err := m.RegisterGauge(x.name, x.description, x.read); err != nil {
+			return err
+		}
+	}
+	if err := registerScreenerGauges(m, sc, c); err != nil {
+		return err
+	}
+	return registerPoolGauges(m, rl.Pool)
+}
+
+// retryLimiter keeps the retry budget to this instance's part of the slack.
+type retryLimiter struct {
+	settings   *atomic.Pointer[loader.Settings]
+	enumerator *enumerator.Enumerator
+	budget     *budgeter.Budget
+	log        logger.Logger
+	share      budgeter.Share
+	// logged is the slack that was last logged; below 0 if none was.
+	logged float64
+}
+
+// update applies the settings and the number of instances as they are now.
+func (r *retryLimiter) update(now time.Time) {
+	s := r.settings.Load()
+	r.share.Window = s.RetryWindow()
+	slack := retrySlack(s.RetrySlack(), r.enumerator, &r.share, now)
+	r.budget.Configure(s.RetryWindow(), s.RetryRatio(), slack)
+	if slack != r.logged {
+		r.log.Event("retry-slack", logger.Fields{"slack": slack, "before": max(r.logged, 0), "of": s.RetrySlack(), "instances": r.enumerator.Count()})
+		r.logged = slack
+	}
+}
+
+// serveCallers serves the requests of callers on a listener, within the instance's account.
+func (k *kernel) serveCallers(l net.Listener, rl *relayer.Relayer, m *meter.Meter, account accountant.Account) error {
 	heap := &accountant.Heap{Account: account}
 	heap.Start()
 	d := &drainer.Drainer{
@@ -113,7 +147,7 @@
 		return err
 	}
 	k.serveLimited("callers", l, rl, d, shutdownHooks{settle: rl.SettleRequests, cut: func() { rl.LogCutRequests(time.Now()) }})
-	return k.services.Register(NameRelayer, rl)
+	return nil
 }
 
 // account returns the division of the instance's memory.
