--- a/internal/relayer/limits_test.go
+++ b/internal/relayer/limits_test.go
@@ -117,18 +117,8 @@
 		_, _ = w.Write([]byte("done"))
 	}))
 	t.Cleanup(server.Close)
-	k, b := &cataloguer.Catalogue{}, &balancer.Balancer{}
-	c := &cataloguer.Configuration{
-		Version: 1, Services: map[string]cataloguer.Service{"s": {Name: "s"}},
-		Routes: []cataloguer.Route{{
-			Name: "r", Host: "127.0.0.1", Prefix: "/", Kind: cataloguer.KindSafe, Timeout: 5 * time.Second, Split: []cataloguer.ServiceWeight{{Service: "s", Weight: 1}}, Attempts: 1,
-		}},
-	}
-	c.Index()
-	k.SetConfiguration(c)
 	u := cataloguer.Upstream{ID: "u", Service: "s", Address: server.Listener.Addr().String(), Slots: 9}
-	k.SetFleet(cataloguer.NewFleet(1, map[string]cataloguer.Upstream{"u": u}))
-	relay := newRelayer(k, b)
+	relay := newRelayer(oneRoute(cataloguer.Route{Kind: cataloguer.KindSafe, Timeout: 5 * time.Second, Attempts: 1}, u), &balancer.Balancer{})
 	relay.Protocol = limitProtocol{}
 	relay.Screener.Name = "p"
 	relay.Screener.SetProcesses([]string{"p"}, time.Now())
--- a/internal/relayer/return_test.go
+++ b/internal/relayer/return_test.go
@@ -54,20 +54,11 @@
 		}
 	})
 	second := start(refuse)
-	k, b := &cataloguer.Catalogue{}, &balancer.Balancer{}
-	configuration := &cataloguer.Configuration{
-		Version: 1, Services: map[string]cataloguer.Service{"s": {Name: "s"}},
-		Routes: []cataloguer.Route{{
-			Name: "r", Host: "127.0.0.1", Prefix: "/", Kind: cataloguer.KindStream, Resumable: true, Timeout: 20 * time.Second,
-			Split: []cataloguer.ServiceWeight{{Service: "s", Weight: 1}}, Attempts: 2,
-		}},
-	}
-	configuration.Index()
-	k.SetConfiguration(configuration)
-	k.SetFleet(cataloguer.NewFleet(1, map[string]cataloguer.Upstream{
-		"a": {ID: "a", Service: "s", Address: first, DataCentre: "x", Slots: 9}, "b": {ID: "b", Service: "s", Address: second, DataCentre: "y", Slots: 9},
-	}))
-	relay := newRelayer(k, b)
+	k := oneRoute(
+		cataloguer.Route{Kind: cataloguer.KindStream, Resumable: true, Timeout: 20 * time.Second, Attempts: 2},
+		cataloguer.Upstream{ID: "a", Address: first, DataCentre: "x", Slots: 9}, cataloguer.Upstream{ID: "b", Address: second, DataCentre: "y", Slots: 9},
+	)
+	relay := newRelayer(k, &balancer.Balancer{})
 	relay.DataCentre = "x" // so that the first is preferred
 	s := httptest.NewServer(relay)
 	defer s.Close()
--- a/internal/relayer/unread_response_test.go
+++ b/internal/relayer/unread_response_test.go
@@ -27,17 +27,11 @@
 		_, _ = w.Write(body) // the relayer may have closed the connection
 	}))
 	defer upstream.Close()
-	k, b := &cataloguer.Catalogue{}, &balancer.Balancer{}
-	c := &cataloguer.Configuration{
-		Version: 1, Services: map[string]cataloguer.Service{"s": {Name: "s"}},
-		Routes: []cataloguer.Route{{
-			Name: "r", Host: "127.0.0.1", Prefix: "/", Kind: cataloguer.KindSafe, Timeout: 5 * time.Second, Split: []cataloguer.ServiceWeight{{Service: "s", Weight: 1}}, Attempts: 1,
-		}},
-	}
-	c.Index()
-	k.SetConfiguration(c)
-	k.SetFleet(cataloguer.NewFleet(1, map[string]cataloguer.Upstream{"u": {ID: "u", Service: "s", Address: upstream.Listener.Addr().String(), Slots: slots}}))
-	relay := newRelayer(k, b)
+	k := oneRoute(
+		cataloguer.Route{Kind: cataloguer.KindSafe, Timeout: 5 * time.Second, Attempts: 1},
+		cataloguer.Upstream{ID: "u", Address: upstream.Listener.Addr().String(), Slots: slots},
+	)
+	relay := newRelayer(k, &balancer.Balancer{})
 	relay.Responses.Limit = 32 << 20
 	s := httptest.NewServer(relay)
 	defer s.Close()
@@ -49,7 +43,7 @@
 		require.NoError(t, err)
 		require.Eventually(t, func() bool { return relay.Responses.Used() > 0 }, time.Minute, time.Millisecond)
 		// The response is read from the upstream, and its caller does not take it.
-		require.Eventually(t, func() bool { return b.InFlight() == 0 }, time.Minute, time.Millisecond, "the slot is free")
+		require.Eventually(t, func() bool { return relay.Balancer.InFlight() == 0 }, time.Minute, time.Millisecond, "the slot is free")
 	}
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, s.URL+"/x", nil)
 	require.NoError(t, err)
--- a/internal/relayer/upstream_test.go
+++ b/internal/relayer/upstream_test.go
@@ -277,3 +277,20 @@
 	}
 	return out
 }
+
+// oneRoute returns a catalogue of one service, "s", with a route to it on all paths of 127.0.0.1,
+// whose name, host, prefix and split are set here, and with the given upstreams.
+func oneRoute(route cataloguer.Route, upstreams ...cataloguer.Upstream) *cataloguer.Catalogue {
+	route.Name, route.Host, route.Prefix, route.Split = "r", "127.0.0.1", "/", []cataloguer.ServiceWeight{{Service: "s", Weight: 1}}
+	c := &cataloguer.Configuration{Version: 1, Services: map[string]cataloguer.Service{"s": {Name: "s"}}, Routes: []cataloguer.Route{route}}
+	c.Index()
+	fleet := make(map[string]cataloguer.Upstream)
+	for _, u := range upstreams {
+		u.Service = "s"
+		fleet[u.ID] = u
+	}
+	k := &cataloguer.Catalogue{}
+	k.SetConfiguration(c)
+	k.SetFleet(cataloguer.NewFleet(1, fleet))
+	return k
+}
