--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,6 @@
+#!/bin/bash
+# Builds the stand-ins of the cases 11 to 15 into target/review-3. Run it after the build of the
+# deploy file.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+go build -tags review -o target/review-3 ./review/standin-3
