--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 # deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -tags review -o target/review-3 ./review/standin-3
+go build -tags review3 -o target/review-3 ./review/standin-3
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -1,4 +1,4 @@
-//go:build review
+//go:build review3
 
 // Command standin-3 plays the cases of review/REPORT-3.md: stand-ins of the platform, of model
 // servers and of clients, and the project's own program as separate processes.
--- a/review/standin-3/recover.go
+++ b/review/standin-3/recover.go
@@ -1,4 +1,4 @@
-//go:build review
+//go:build review3
 
 package main
 
