internal/eventparser: bytes that are no event end a stream's send

Cause: three rules for the same question. Any text before a blank line was passed on; a larger id, or before the first one any text, was progress for the watchdog; any byte was progress for the limit of a shutdown. None looked at the form of an event.

Change: internal/eventparser decides what an event is and whether it may follow: fields of text/event-stream and those that the adapter names, one id, which is the next one, and data. Comments and blocks without id and data are passed on with the event behind them only. The relayer passes on, counts and resumes by such events alone; anything else ends the send (answer-broken), and the stream goes on at another upstream.

Evidence: the five new cases of TestRelay failed on ("200 1 2 no event 3", "200 no event 1", "200 1 2 data: y 3", twice in streams that may not be resumed).

--- a/internal/relayer/protocol.go
+++ b/internal/relayer/protocol.go
@@ -83,6 +83,9 @@
 	Forward(h http.Header, f Forward) http.Header
 	// Response reads the header of an upstream's response.
 	Response(h http.Header) Response
+	// IsEventField reports whether upstreams put a field of this name into the events of a
+	// stream, besides those of the format of event streams.
+	IsEventField(name string) bool
 	// Refuse sets the header of a refusal: the caller should retry after the given
 	// time.
 	Refuse(h http.Header, id string, after time.Duration)
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -38,6 +38,12 @@
 		{name: "unsafe, body without end", kind: cataloguer.KindUnsafe, upstreams: []string{"endless", "ok"}, want: "502", runs: 1},
 		{name: "stream resumed after an event without end", kind: cataloguer.KindStream, resumable: true, upstreams: []string{"2 endless", "4"}, want: "200 1 2 3 4", runs: 2},
 		{name: "stream with an event without end", kind: cataloguer.KindStream, upstreams: []string{"2 endless"}, want: "200 1 2 broken", runs: 1},
+		// Bytes that are no event are not passed on among the events of a stream.
+		{name: "stream resumed after text that is no event", kind: cataloguer.KindStream, resumable: true, upstreams: []string{"3 text", "4"}, want: "200 1 2 3 4", runs: 2},
+		{name: "stream resumed after text before its first event", kind: cataloguer.KindStream, resumable: true, upstreams: []string{"1 text", "4"}, want: "200 1 2 3 4", runs: 2},
+		{name: "stream resumed after data without an id", kind: cataloguer.KindStream, resumable: true, upstreams: []string{"3 data", "4"}, want: "200 1 2 3 4", runs: 2},
+		{name: "stream with text that is no event", kind: cataloguer.KindStream, upstreams: []string{"3 text"}, want: "200 1 2 broken", runs: 1},
+		{name: "stream with data without an id before its first event", kind: cataloguer.KindStream, upstreams: []string{"1 data"}, want: "502", runs: 1},
 		{name: "safe, all cut", kind: cataloguer.KindSafe, upstreams: []string{"cut", "cut", "ok"}, want: "502", runs: 2},
 		{name: "safe, no upstream", kind: cataloguer.KindSafe, want: "503 retry"},
 		{name: "unsafe", kind: cataloguer.KindUnsafe, upstreams: []string{"ok"}, want: "200 done", runs: 1},
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/lycheebarrow/lycheebarrow/internal/cataloguer"
+	"github.com/lycheebarrow/lycheebarrow/internal/eventparser"
 	"github.com/lycheebarrow/lycheebarrow/internal/forwarder"
 	"github.com/lycheebarrow/lycheebarrow/internal/logger"
 	"github.com/lycheebarrow/lycheebarrow/internal/pauser"
@@ -23,9 +24,6 @@
 // upstreams to ten a second.
 const _resumePause = 100 * time.Millisecond
 
-// _maxEventBytes is the largest size of one event of a stream, in bytes.
-const _maxEventBytes = 256 << 10
-
 // _lastWriteTime is how long events that have arrived by the deadline of a request are written.
 const _lastWriteTime = 500 * time.Millisecond
 
@@ -37,12 +35,6 @@
 	events int
 }
 
-// hasAdvanced reports whether the stream has made progress since before. Bytes of an
-// incomplete event are none, and neither are events without an id among others.
-func (p position) hasAdvanced(before position) bool {
-	return p.last > before.last || p.last == 0 && p.events > before.events
-}
-
 // relayStream relays a request whose response is a stream of events.
 func (c *call) relayStream() {
 	p := position{last: c.request.LastEvent}
@@ -209,39 +201,28 @@
 }
 
 // relayEvents passes events on until the stream is complete. It returns false and
-// the reason if the stream breaks off before that.
+// the reason if the stream breaks off before that. Only whole events are progress: neither
+// the watchdog nor a shutdown's limit counts other bytes.
 func (c *call) relayEvents(ctx context.Context, x *forwarder.Exchange, watch *Watch, p *position) (bool, string) {
-	var s splitter
-	data := dataReader{x, &c.progress}
+	parser := eventparser.Parser{Last: p.last, IsExtension: c.Protocol.IsEventField}
 	buffer := make([]byte, _streamBuffer)
 	for {
-		n, err := data.Read(buffer)
+		n, err := x.Read(buffer)
 		if n > 0 {
-			before := *p
-			s.add(buffer[:n])
-			if why := c.passEvents(x, &s, p); why != "" {
-				return false, why
-			}
-			if p.hasAdvanced(before) {
+			c.progress.update(func(s *state) { s.bytes += n })
+			before := p.events
+			parser.Add(buffer[:n])
+			why := c.passEvents(x, &parser, p)
+			if p.events > before {
 				watch.RecordActivity()
 			}
-			if len(s.rest()) > _maxEventBytes {
-				c.lastErr = fmt.Errorf("relayer: event of a stream is over %d bytes", _maxEventBytes)
-				return false, "answer-broken"
+			if why != "" {
+				return false, why
 			}
 		}
 		switch {
-		case errors.Is(err, io.EOF) && c.sendEvents == 0 && isUnframed(x.Response):
-			c.lastErr = errors.New("relayer: response without length or chunks ended before its first event")
-			return false, "stream-broken"
-		case errors.Is(err, io.EOF) && len(s.rest()) == 0:
-			c.status, c.outcome, c.lastErr = http.StatusOK, "answered", nil
-			c.Quarantine.RecordOutput(c.parts)
-			if !c.headWritten {
-				c.beginResponse()
-				c.writeHead(x)
-			}
-			return true, ""
+		case errors.Is(err, io.EOF):
+			return c.endStream(x, &parser)
 		case err != nil:
 			c.lastErr = err
 			// The read fails because ctx closed the connection, for example for silence.
@@ -253,6 +234,28 @@
 	}
 }
 
+// endStream completes the response after the last bytes of a stream. It returns false and the
+// reason if the stream is not complete.
+func (c *call) endStream(x *forwarder.Exchange, parser *eventparser.Parser) (bool, string) {
+	rest, ok := parser.End()
+	switch {
+	case !ok:
+		c.lastErr = io.ErrUnexpectedEOF
+		return false, "stream-broken"
+	case c.sendEvents == 0 && isUnframed(x.Response):
+		c.lastErr = errors.New("relayer: response without length or chunks ended before its first event")
+		return false, "stream-broken"
+	}
+	c.status, c.outcome, c.lastErr = http.StatusOK, "answered", nil
+	c.Quarantine.RecordOutput(c.parts)
+	if !c.headWritten {
+		c.beginResponse()
+		c.writeHead(x)
+	}
+	_, _ = c.w.Write(rest) // an error means that the caller has left
+	return true, ""
+}
+
 // isUnframed reports whether a response has neither a length nor chunks, so that the end of
 // its connection is its end, whether it is complete or not.
 func isUnframed(r *http.Response) bool {
@@ -261,16 +264,15 @@
 
 // passEvents passes on the events that have been received whole. It returns the reason
 // why the stream can't continue, or "" if it can.
-func (c *call) passEvents(x *forwarder.Exchange, s *splitter, p *position) string {
+func (c *call) passEvents(x *forwarder.Exchange, parser *eventparser.Parser, p *position) string {
 	wrote, fault := false, ""
 	for {
-		e, ok := s.next()
-		if !ok {
-			break
-		}
-		if e.id != 0 && p.last != 0 && e.id != p.last+1 {
-			c.lastErr = fmt.Errorf("relayer: event %d received after event %d", e.id, p.last)
+		e, ok, err := parser.Next()
+		if err != nil {
+			c.lastErr = fmt.Errorf("relayer: response of %s: %w", c.life.Upstream, err)
 			fault = "answer-broken"
+		}
+		if !ok {
 			break
 		}
 		if !c.headWritten && !c.beginResponse() {
@@ -280,22 +282,21 @@
 		if !c.headWritten {
 			c.writeHead(x)
 		}
-		if _, err := c.w.Write(e.raw); err != nil {
+		if _, err := c.w.Write(e.Raw); err != nil {
 			c.lastErr = err
 			return "caller-left"
 		}
 		wrote = true
 		p.events++
+		p.last = e.ID
 		c.countOutput()
-		if e.id != 0 {
-			p.last = e.id
-		}
 	}
 	if !wrote {
 		return fault
 	}
-	c.recordPassed(time.Now())
-	c.progress.update(func(s *state) { s.events = p.events })
+	now := time.Now()
+	c.recordPassed(now)
+	c.progress.update(func(s *state) { s.events, s.dataAt = p.events, now })
 	c.Quarantine.RecordActivity(c.life, c.sentAt, c.lastEventsAt)
 	if err := http.NewResponseController(c.w).Flush(); err != nil {
 		c.lastErr = err
--- a/internal/relayer/upstream_test.go
+++ b/internal/relayer/upstream_test.go
@@ -47,6 +47,8 @@
 	return relayer.Response{ID: h.Get("Id"), Signed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "", Wait: wait}
 }
 
+func (protocol) IsEventField(name string) bool { return name == "weights" }
+
 func (protocol) Refuse(h http.Header, _ string, after time.Duration) {
 	h.Set("Retry-After", fmt.Sprint(after.Seconds()))
 }
@@ -58,7 +60,8 @@
 // "endless" (sends a body without end). For streams it is "N", the number of events, alone or
 // followed by "cut" (closes the connection after the last event), "torn" (closes the
 // connection in the middle of another event), "endless" (sends another event without
-// end), "stalled" (sends nothing more), "paused" (pauses for longer than a silence before the
+// end), "text" or "data" (sends such a line and a blank line before the last event),
+// "stalled" (sends nothing more), "paused" (pauses for longer than a silence before the
 // last event), "skip" (gives the last event an id that is one too high) or "unframed" (sends
 // neither a length nor chunks and closes the connection), which may also be torn.
 func upstreamHandler(behaviour string, runs *atomic.Int32) http.Handler {
@@ -109,6 +112,12 @@
 			if ending == "paused" && n == count {
 				time.Sleep(900 * time.Millisecond)
 			}
+			if ending == "text" && n == count {
+				_, _ = io.WriteString(w, "no event\n\n")
+			}
+			if ending == "data" && n == count {
+				_, _ = io.WriteString(w, "data: y\n\n")
+			}
 			fmt.Fprintf(w, "id: %d\ndata: x\n\n", n)
 			_ = http.NewResponseController(w).Flush()
 		}
@@ -239,8 +248,8 @@
 }
 
 // sendRequest sends a request and returns the status of the response, followed by
-// "done" for the body of a plain service, by the ids of the events for a stream, by
-// "broken" if the body broke off, and by "retry" if the response has a Retry-After
+// "done" for the body of a plain service, by the ids of the events for a stream, by lines that
+// no upstream sends in an event, by "broken" if the body broke off, and by "retry" if the response has a Retry-After
 // header.
 func sendRequest(t *testing.T, s *httptest.Server, path, key string) string {
 	return sendRequestWith(t, s, path, http.Header{"Id": {"1"}, "Key": {key}})
@@ -268,8 +277,12 @@
 		return out + " done"
 	}
 	for line := range strings.SplitSeq(string(body), "\n") {
-		if id, ok := strings.CutPrefix(line, "id: "); ok {
+		id, ok := strings.CutPrefix(line, "id: ")
+		switch {
+		case ok:
 			out += " " + id
+		case line != "" && line != "data: x":
+			out += " " + line
 		}
 	}
 	if err != nil {
