internal/forwarder, internal/relayer: a malformed response is no crash

Cause: a response that is not one counted as broken off, and so as a crash of its upstream; twice at each of three engines, before any part was known as sound, quarantined the part that all prompts of the kind begin with.

Change: the forwarder says whether a response is malformed (its first bytes begin none, its head can't be read or is too large, its status is none) or was cut off. Malformed ones are no break for the quarantine.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -49,7 +50,10 @@
 	// Reused says that the request was sent on a connection that had been used
 	// before.
 	Reused bool
-	Err    error
+	// Malformed says that the upstream sent bytes that are no response. So it had not ended
+	// before it responded, as one that crashes has.
+	Malformed bool
+	Err       error
 }
 
 // Error returns the step, the peer and the cause.
@@ -99,7 +103,7 @@
 		if ctx.Err() != nil {
 			err = errors.Join(context.Cause(ctx), err)
 		}
-		return &ExchangeError{Step: step, Peer: address, Sent: sent, Reused: c.reused, Err: err}
+		return &ExchangeError{Step: step, Peer: address, Sent: sent, Reused: c.reused, Malformed: errors.Is(err, errMalformed), Err: err}
 	}
 	c.carried.add(r.ID)
 	if sent, err := r.write(c); err != nil {
@@ -112,7 +116,7 @@
 			return nil, fail("read the response of", true, err)
 		}
 		if isSpliced(res) {
-			return nil, fail("read the response of", true, errors.New("the head of the response contains another one"))
+			return nil, fail("read the response of", true, fmt.Errorf("%w: the head contains another one", errMalformed))
 		}
 		if r.Matches == nil || r.Matches(res.Header, c.reused) {
 			c.head.end()
@@ -143,20 +147,49 @@
 // status that is neither: what follows on the connection is unknown then.
 func (x *Exchange) readHead(method string) (*http.Response, error) {
 	for {
+		if err := x.checkProtocol(); err != nil {
+			return nil, err
+		}
 		res, err := http.ReadResponse(x.conn.reader, &http.Request{Method: method})
-		if err != nil {
+		switch {
+		case err != nil && isCutOff(err):
 			return nil, err
+		case err != nil:
+			return nil, fmt.Errorf("%w: %w", errMalformed, err)
 		}
 		if networker.IsInterimStatus(res.StatusCode) {
 			continue
 		}
 		if err := networker.CheckFinalStatus(res.StatusCode); err != nil {
-			return nil, err
+			return nil, fmt.Errorf("%w: %w", errMalformed, err)
 		}
 		return res, nil
 	}
 }
 
+// errMalformed says that an upstream sent bytes that are no response.
+var errMalformed = errors.New("malformed response")
+
+// _protocolPrefix is what each response begins with.
+const _protocolPrefix = "HTTP/1."
+
+// checkProtocol waits for the first bytes of a response, and returns an error if no response
+// begins with them. It leaves it to the caller to read them.
+func (x *Exchange) checkProtocol() error {
+	b, err := x.conn.reader.Peek(len(_protocolPrefix))
+	if strings.HasPrefix(_protocolPrefix, string(b)) {
+		return nil
+	}
+	return errors.Join(errMalformed, err)
+}
+
+// isCutOff reports whether reading a response failed because the connection had ended or was
+// closed.
+func isCutOff(err error) bool {
+	var n net.Error
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.ErrClosedPipe) || errors.As(err, &n)
+}
+
 // Read reads the body of the response; io.EOF means that the body is complete.
 func (x *Exchange) Read(b []byte) (int, error) {
 	n, err := x.Response.Body.Read(b)
--- a/internal/relayer/quarantine.go
+++ b/internal/relayer/quarantine.go
@@ -89,6 +89,8 @@
 	var f *forwarder.ExchangeError
 	switch {
 	case context.Cause(ctx) != nil || !errors.As(err, &f):
+	case f.Malformed:
+		// An upstream that sends other bytes than a response has not crashed.
 	case f.Sent:
 		c.recordBroken()
 	default:
