internal/forwarder: a head of many short lines costs little memory

Cause: the bytes of a head were bounded, its parsed lines were not: 16 KB of the shortest lines take 262 KB for each request that waits.

Change: a head has 128 lines at most, counted as they are read; more are a malformed response.

--- a/internal/forwarder/endless_test.go
+++ b/internal/forwarder/endless_test.go
@@ -91,6 +91,29 @@
 	}
 }
 
+// A head of many short lines costs little memory, although all of it is below the limit of its
+// size: many requests may wait for such heads at once.
+func TestHeadOfManyLinesCostsLittle(t *testing.T) {
+	const most = 128 << 10 // bytes, eight times the limit of a head
+	var lines strings.Builder
+	for n := range 3500 {
+		lines.WriteByte("abcdefghijklmnopqrstuvwxyz0123456789"[n/36%36])
+		lines.WriteByte("abcdefghijklmnopqrstuvwxyz0123456789"[n%36])
+		lines.WriteString(":\n")
+	}
+	for _, before := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n"} {
+		u := newUpstream(t, before+"HTTP/1.1 200 OK\r\nId: 1\r\n"+lines.String()+"!")
+		p := &forwarder.Pool{Network: networker.System{}}
+		var start, end runtime.MemStats
+		runtime.ReadMemStats(&start)
+		_, err := send(t, p, u)
+		runtime.ReadMemStats(&end)
+		require.Error(t, err)
+		assert.Less(t, end.TotalAlloc-start.TotalAlloc, uint64(most))
+		require.NoError(t, p.Close())
+	}
+}
+
 // newLateUpstream returns an upstream that answers a request on each connection, receives
 // from proceed, and then sends bytes without end. If asked is true, it reads another request
 // before them.
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -147,6 +147,10 @@
 // status that is neither: what follows on the connection is unknown then.
 func (x *Exchange) readHead(method string) (*http.Response, error) {
 	for {
+		buffered, _ := x.conn.reader.Peek(x.conn.reader.Buffered()) // which never fails
+		if err := x.conn.head.beginLines(buffered); err != nil {
+			return nil, fmt.Errorf("%w: %w", errMalformed, err)
+		}
 		if err := x.checkProtocol(); err != nil {
 			return nil, err
 		}
