internal/conductor, internal/grouper: a group opens only if its members answer

Cause: after a return of the store from a copy the list shows the killed member again. One failed check ended the wait for first checks, and two make a member lost, so a process that took the lease in between opened the group on the word of the list.

A group is opened only if each member has answered its latest check; closing is as before.

--- a/internal/conductor/checks.go
+++ b/internal/conductor/checks.go
@@ -48,22 +48,6 @@
 	}
 }
 
-// lostMembers returns the members that failed their latest checks or have restarted, and
-// those of them that are being checked again.
-func (c *Conductor) lostMembers() (lost, rechecking map[string]bool) {
-	lost, rechecking = make(map[string]bool), make(map[string]bool)
-	for id, k := range c.checks {
-		if k.failures >= _failuresUntilLost {
-			lost[id] = true
-			rechecking[id] = !k.recheckSince.IsZero()
-		}
-	}
-	for id := range c.restarts {
-		lost[id] = true
-	}
-	return lost, rechecking
-}
-
 // checkMembers starts the checks that are due for the members of a service's groups.
 // While the platform's list is stale, it also checks upstreams that the list shows
 // in no group, and it always checks those whose entry is outdated.
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -292,7 +292,7 @@
 		}
 		lost, rechecking := c.lostMembers()
 		orders := g.Decide(now, grouper.Snapshot{
-			Engine: s.Engine, Service: name, Fleet: fleet, Lost: lost, Rechecking: rechecking, TrafficStarted: c.TrafficStarted(), Term: c.Lease.Term(), Evacuated: evacuated,
+			Engine: s.Engine, Service: name, Fleet: fleet, Lost: lost, Rechecking: rechecking, Unconfirmed: c.unconfirmedMembers(), TrafficStarted: c.TrafficStarted(), Term: c.Lease.Term(), Evacuated: evacuated,
 		})
 		for _, o := range orders {
 			c.sendOrder(ctx, g, fleet, o)
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -213,6 +213,37 @@
 	}
 }
 
+// A process that begins to give orders does not open a group on the word of the list alone: a
+// member that the list still shows may have been lost before.
+func TestGroupIsNotOpenedBeforeItsMembersAnswer(t *testing.T) {
+	for _, memberLost := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			a, b, c := threeMembers()
+			members := []*cataloguer.Upstream{&a, &b, &c}
+			u := &upstreams{
+				reports:       make(map[string]cataloguer.Report),
+				answerDelays:  map[string]time.Duration{"b": 100 * time.Millisecond, "c": 200 * time.Millisecond},
+				failureDelays: map[string]time.Duration{"c": 290 * time.Millisecond},
+			}
+			for _, x := range members {
+				x.Group.State = cataloguer.MemberReady
+				u.reports[x.ID] = cataloguer.Report{Group: x.Group}
+			}
+			if memberLost {
+				u.lose("c")
+			}
+			var k cataloguer.Catalogue
+			start := time.Now()
+			runOnCatalogue(&k, 3*time.Second, u, lease{}, func(bool) {}, a, b, c)
+			opens := u.timesOf(grouper.OperationOpen, "a")
+			assert.Equal(t, memberLost, len(opens) == 0)
+			if len(opens) > 0 {
+				assert.Less(t, opens[0].Sub(start), 500*time.Millisecond)
+			}
+		})
+	}
+}
+
 // A group that was reported with Suspect is closed after one failed check of a member,
 // and is not closed if all its members answer.
 func TestSuspectedGroupIsClosedAfterOneFailedCheck(t *testing.T) {
--- a/internal/grouper/decision.go
+++ b/internal/grouper/decision.go
@@ -226,11 +226,16 @@
 	if x.head.Group.State == cataloguer.MemberOpen {
 		d.opened[x.key] = true
 	}
-	if x.head.Group.State == cataloguer.MemberReady && !d.hasPendingOrder(x.head.ID) && !d.closedByOtherProcess(x) {
+	if x.head.Group.State == cataloguer.MemberReady && d.isConfirmed(x) && !d.hasPendingOrder(x.head.ID) && !d.closedByOtherProcess(x) {
 		d.addOrder(x.headOrder(OperationOpen, "complete"))
 	}
 }
 
+// isConfirmed reports whether each member of a group has answered its latest check.
+func (d *decision) isConfirmed(x *group) bool {
+	return !slices.ContainsFunc(x.members, func(m cataloguer.Upstream) bool { return d.snapshot.Unconfirmed[m.ID] })
+}
+
 // isForming reports whether members of a group may still be about to join it or to
 // become ready, by orders of this process or of another one. An incomplete group
 // that this process has closed is not forming: the members that it lacks are lost.
--- a/internal/grouper/grouper.go
+++ b/internal/grouper/grouper.go
@@ -57,6 +57,9 @@
 	// Rechecking holds the ids of the lost upstreams that are being checked again,
 	// because another member of their group answers again.
 	Rechecking map[string]bool
+	// Unconfirmed holds the ids of the upstreams that have not answered their latest check, or
+	// none yet: the platform's list alone says that they are there. No group opens with one.
+	Unconfirmed map[string]bool
 	// Evacuated holds the evacuated data centres. Their upstreams get no orders and keep
 	// their groups.
 	Evacuated map[string]bool
