internal/sharer: waits for silent connections and frozen peers don't add up

Reproduced: TestChangesReachInstances plays seven instances with cuts between them, silent connections, freezes, kills, compactions and returns of the store from an older copy, and asks each for the newest key that is due.

Fixed here is what it showed on: an instance waited for a connection that had gone silent (1.2 s), for a peer that had frozen (0.7 s), and as long again for the next kind of object; a version that was due was refused 3.04 s after the silence began (3 s allowed).

Change: a wait for a peer counts from when the process last learned of changes, and is a round long at least; a process that has learned nothing for that long begins with a short watch, so that a connection that is silent is given up after 0.75 s.

--- a/internal/memorynet/network.go
+++ b/internal/memorynet/network.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -22,7 +23,7 @@
 	listeners map[string]*listener
 	conns     map[*conn]bool
 	sockets   map[netip.AddrPort]*packetConn
-	blocked   map[[2]string]bool // by pair of IP addresses, in both orders
+	blocked   map[[2]string]bool // by the IP addresses of the sender and the receiver
 	changed   chan struct{}      // closed at the next change of blocked
 	portCount int                // ports picked for listeners on port 0 so far
 }
@@ -47,9 +48,28 @@
 // were frozen.
 func (n *Network) Block(a, b string) { n.setBlocked(a, b, true) }
 
-// Unblock ends a Block of the same hosts.
+// Unblock ends a Block or BlockOneWay of the same hosts.
 func (n *Network) Unblock(a, b string) { n.setBlocked(a, b, false) }
 
+// BlockOneWay is Block for the traffic from one host to another alone.
+func (n *Network) BlockOneWay(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.block([][2]string{{from, to}}, true)
+}
+
+// Silence makes the open connections of a host pass on nothing more, without closing them.
+// New connections work.
+func (n *Network) Silence(ip string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if c.from == ip || c.to == ip {
+			c.silent.Store(true)
+		}
+	}
+}
+
 // CloseHost closes all listeners, connections and sockets of a host, as a crash of the
 // host would.
 func (n *Network) CloseHost(ip string) {
@@ -79,11 +99,18 @@
 func (n *Network) setBlocked(a, b string, blocked bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.block([][2]string{{a, b}, {b, a}}, blocked)
+}
+
+// block sets whether the traffic from the first to the second of each pair of hosts is blocked.
+// The caller holds the lock.
+func (n *Network) block(pairs [][2]string, blocked bool) {
 	if n.blocked == nil {
 		n.blocked = make(map[[2]string]bool)
 	}
-	n.blocked[[2]string{a, b}] = blocked
-	n.blocked[[2]string{b, a}] = blocked
+	for _, p := range pairs {
+		n.blocked[p] = blocked
+	}
 	if n.changed != nil {
 		close(n.changed)
 	}
@@ -245,6 +272,8 @@
 	latency  time.Duration
 	closed   chan struct{}
 	once     sync.Once
+	// silent is true once nothing that is written arrives any more.
+	silent atomic.Bool
 }
 
 // RemoteAddr returns the address of the other end's host, without a port.
@@ -255,6 +284,9 @@
 	if err := waitToSend(context.Background(), c.network, c.from, c.to, c.latency, c.closed); err != nil {
 		return 0, err
 	}
+	if c.silent.Load() {
+		return len(p), nil
+	}
 	k, err := c.Conn.Write(p)
 	if errors.Is(err, net.ErrClosed) {
 		err = syscall.ECONNRESET
--- a/internal/sharer/outage_test.go
+++ b/internal/sharer/outage_test.go
@@ -53,6 +53,29 @@
 	}
 }
 
+// The connections of a process to the platform go silent, and the peers that it follows end one
+// after the other. The waits for these must not add up: a change of a second later is known
+// within 3 s of the silence.
+func TestChangesAfterSilentConnections(t *testing.T) {
+	const bound = 3 * time.Second
+	for seed := range uint64(40) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		runProbedSystem(t, 3, func(s *system) {
+			time.Sleep(3*time.Second + time.Duration(random.Int64N(int64(time.Second))))
+			s.platform.silenceConnections("b0", 2)
+			for _, name := range []string{"a0", "a1", "a2"} {
+				time.AfterFunc(time.Duration(random.Int64N(int64(2*time.Second))), func() { s.kill(name) })
+			}
+			time.Sleep(time.Second)
+			s.platform.put("x", "1")
+			time.Sleep(bound - time.Second)
+			what := fmt.Sprintf("seed %d", seed)
+			assert.Equal(t, "1", s.processes["b0"].seenValues()["x"], what)
+			assert.Equal(t, "1", s.processes["b0"].seenProbedValues()["x"], what)
+		})
+	}
+}
+
 // Guards against changes that arrive late because a process waits for a gatherer that has ended
 // and is merely tried again.
 func TestChangesWhileGathererIsDead(t *testing.T) {
--- a/internal/sharer/source.go
+++ b/internal/sharer/source.go
@@ -21,6 +21,9 @@
 	// _gathererTimeout is how long a process waits for an answer of its gatherer before
 	// it reads the platform itself.
 	_gathererTimeout = 700 * time.Millisecond
+	// _minPeerWait is how long a process that has not learned of changes for longer than
+	// _gathererTimeout waits for its gatherer: a round and its answer.
+	_minPeerWait = _roundInterval + 50*time.Millisecond
 	// _rolePollInterval is how often a process that waits for all objects checks whether
 	// it has become known which process is the gatherer.
 	_rolePollInterval = 50 * time.Millisecond
@@ -29,9 +32,9 @@
 	// _probeMemory is how long a failed read of the probe counts, unless another follows: a
 	// probe whose kind comes from a peer reads no more.
 	_probeMemory = 2500 * time.Millisecond
-	// _recheckWait is how long a watch waits for changes where the last read has failed. An
-	// answer then shows soon that the platform is back, and a connection that is dead is given
-	// up sooner.
+	// _recheckWait is how long a watch waits for changes where the last read has failed, or
+	// nothing was learned for _gathererTimeout. An answer then shows soon that the platform is
+	// back, and a connection that is dead is given up sooner.
 	_recheckWait = 50 * time.Millisecond
 )
 
@@ -217,7 +220,7 @@
 	if err := x.awaitProbe(ctx, probeWait); err != nil {
 		return reflector.Changes[[]byte]{}, err
 	}
-	if x.isUnavailable() {
+	if x.isUnavailable() || follows && x.isBehind() {
 		wait = min(wait, _recheckWait)
 	}
 	c, err := x.direct.Watch(ctx, after, wait)
@@ -256,11 +259,7 @@
 			}
 			return c, true
 		}
-		now := time.Now()
-		deadline := x.confirmedAt.Add(_gathererTimeout)
-		if x.confirmedAt.Before(start) {
-			deadline = start.Add(_gathererTimeout)
-		}
+		now, deadline := time.Now(), x.peerDeadline(start)
 		switch {
 		case !now.Before(deadline) || x.refusedAt.After(start) || ctx.Err() != nil || !x.follows():
 			return reflector.Changes[[]byte]{}, false
@@ -271,6 +270,34 @@
 	}
 }
 
+// peerDeadline returns until when a wait for a peer that began at start goes on: for
+// _gathererTimeout after this process last learned of changes from the peer or the platform, so
+// that waits that follow each other don't add up, and at least for _minPeerWait. The caller holds
+// the sharer's lock.
+func (x *Source) peerDeadline(start time.Time) time.Time {
+	deadline, earliest := x.learnedAt().Add(_gathererTimeout), start.Add(_minPeerWait)
+	if deadline.Before(earliest) {
+		return earliest
+	}
+	return deadline
+}
+
+// learnedAt returns when this process last learned of changes from a peer or the platform. The
+// caller holds the sharer's lock.
+func (x *Source) learnedAt() time.Time {
+	if x.history.readAt.After(x.confirmedAt) {
+		return x.history.readAt
+	}
+	return x.confirmedAt
+}
+
+// isBehind reports whether this process has not learned of changes for _gathererTimeout.
+func (x *Source) isBehind() bool {
+	x.sharer.mu.Lock()
+	defer x.sharer.mu.Unlock()
+	return time.Since(x.learnedAt()) >= _gathererTimeout
+}
+
 // request returns what this process asks its gatherer about the kind. The caller holds
 // the sharer's lock.
 func (x *Source) request() *wire.Following {
--- a/internal/sharer/system_test.go
+++ b/internal/sharer/system_test.go
@@ -32,6 +32,27 @@
 	// silent is true while the platform answers nothing. A call of that time fails only when
 	// its time is over.
 	silent bool
+	// hangs holds how many of the next watches of each process are sent on connections that have
+	// gone silent.
+	hangs map[string]int
+}
+
+// takeHang reports whether the next watch of a process is sent on a silent connection.
+func (p *platform) takeHang(name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.hangs[name] == 0 {
+		return false
+	}
+	p.hangs[name]--
+	return true
+}
+
+// silenceConnections makes the next watches of a process, n of them, get no answer.
+func (p *platform) silenceConnections(name string, n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hangs = map[string]int{name: n}
 }
 
 func (p *platform) put(name, value string) {
@@ -130,6 +151,9 @@
 	v.mu.Lock()
 	v.watches[v.name]++
 	v.mu.Unlock()
+	if v.takeHang(v.name) {
+		return reflector.Changes[[]byte]{}, awaitTimeout(ctx, timeout)
+	}
 	for {
 		v.mu.Lock()
 		now, changes, changed, unavailable, silent := v.revision, v.changesAfter(after), v.changed, v.unavailable[v.name], v.silent
