--- a/internal/relayer/malformed_test.go
+++ b/internal/relayer/malformed_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"iter"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -25,7 +24,7 @@
 
 func (p partsProtocol) Request(h http.Header) relayer.Request {
 	r := p.protocol.Request(h)
-	r.SharedParts = iter.Seq[string](slices.Values([]string{"part"}))
+	r.SharedParts = slices.Values([]string{"part"})
 	return r
 }
 
