internal/eventparser: an event without end costs little memory

Change: an event has 16 KB at most, which is within the 40 KB that are reckoned for a connection.

Evidence: TestEventWithoutEndCostsLittle failed before (1,153,632 bytes, 131,072 allowed). A process with such a crowd was not played.

--- a/internal/eventparser/parser.go
+++ b/internal/eventparser/parser.go
@@ -7,8 +7,9 @@
 	"strconv"
 )
 
-// MaxEventBytes is the largest size of one event, in bytes.
-const MaxEventBytes = 256 << 10
+// MaxEventBytes is the largest size of one event, in bytes. Each stream may hold one that never
+// ends, so it must fit into the memory that is reckoned for a connection.
+const MaxEventBytes = 16 << 10
 
 // ErrNotEvent is returned for bytes that are no event, or not the next one.
 var ErrNotEvent = errors.New("not the next event of the stream")
--- a/internal/eventparser/parser_test.go
+++ b/internal/eventparser/parser_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"os"
+	"runtime"
 	"strconv"
 	"strings"
 	"testing"
@@ -77,6 +78,24 @@
 	}
 }
 
+// An event without end costs little memory until it is given up: all streams may have one at once.
+func TestEventWithoutEndCostsLittle(t *testing.T) {
+	const most = 128 << 10 // bytes, eight times the limit of an event
+	for _, text := range []string{"x", ":\n", "data: x\n"} {
+		piece := []byte(strings.Repeat(text, 4096/len(text)))
+		var start, end runtime.MemStats
+		runtime.ReadMemStats(&start)
+		var p eventparser.Parser
+		err := error(nil)
+		for err == nil {
+			p.Add(piece)
+			_, _, err = p.Next()
+		}
+		runtime.ReadMemStats(&end)
+		assert.Less(t, end.TotalAlloc-start.TotalAlloc, uint64(most), "%q", text)
+	}
+}
+
 // FuzzParser checks that all bytes passed on are events with consecutive ids.
 func FuzzParser(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: x\n\nid: 2\ndata: y\n\n"), 3)
