--- a/internal/conductor/evidence.go
+++ b/internal/conductor/evidence.go
@@ -1,7 +1,9 @@
 package conductor
 
-// The platform's list may be older than a group or than the loss of a member, so it decides
-// nothing about a group by itself. What the checks of this process show allows:
+// The platform's list may be older than a group or than the loss of a member. By itself it decides
+// one thing: a group whose head is missing from it for a second is closed, since no process sends
+// requests to an upstream that is not listed. For all else, what the checks of this process show
+// allows:
 //
 //   - to open a group: each member has answered its latest check;
 //   - to close a group or to use its members for others: a member has failed several checks in a
--- a/internal/relayer/progress.go
+++ b/internal/relayer/progress.go
@@ -34,7 +34,8 @@
 	upstream string
 	// headReceived is true once that upstream has sent the head of its response.
 	headReceived bool
-	// dataAt is when that upstream last sent data; the time of the send before that.
+	// dataAt is when that upstream last sent data, of a stream its head or a whole event; the
+	// time of the send before that.
 	dataAt time.Time
 	// bytes counts what upstreams have sent of bodies.
 	bytes int
--- a/internal/sharer/source.go
+++ b/internal/sharer/source.go
@@ -270,10 +270,10 @@
 	}
 }
 
-// peerDeadline returns until when a wait for a peer that began at start goes on: for
-// _gathererTimeout after this process last learned of changes from the peer or the platform, so
-// that waits that follow each other don't add up, and at least for _minPeerWait. The caller holds
-// the sharer's lock.
+// peerDeadline returns the end of a wait for a peer that began at start: _gathererTimeout after
+// this process last learned of changes from the peer or the platform, so that waits that follow
+// each other don't add up, and _minPeerWait after start at the earliest. The caller holds the
+// sharer's lock.
 func (x *Source) peerDeadline(start time.Time) time.Time {
 	deadline, earliest := x.learnedAt().Add(_gathererTimeout), start.Add(_minPeerWait)
 	if deadline.Before(earliest) {
